--- /dev/null
+++ b/crates/core/src/job.rs
@@ -0,0 +1,118 @@
+//! Batch jobs: what a team submits and what becomes of it.
+
+use super::*;
+
+/// Names a job: `ZONE.INDEX.SERIAL`, so that any entry can tell the cell that holds it.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct Id {
+    /// The cell that accepted the job.
+    pub cell: cell::Id,
+    /// Unique within the cell; derived from the caller's idempotency key where one was given.
+    pub serial: u128,
+}
+
+/// A job as submitted: some tasks of one size and class.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Spec {
+    /// The batch class, whose interference with services is estimated as one.
+    pub class: Name,
+    /// Opaque text that each task is started with, at most 4 KiB.
+    #[serde(default)]
+    pub payload: String,
+    /// What one task is declared to need.
+    pub resources: Resources,
+    /// How long one task is declared to run, in milliseconds.
+    pub run_ms: u64,
+    /// How many tasks the job has, at least 1.
+    pub tasks: u32,
+    /// The team whose quota the job counts against.
+    pub team: Name,
+}
+
+/// Where a job stands.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum State {
+    /// Cancelled by its team; no task of it will start again.
+    Cancelled,
+    /// Ended without success, for the reason given.
+    Failed {
+        /// Why, and what to change.
+        reason: String,
+    },
+    /// Every task finished.
+    Finished,
+    /// Accepted and not over.
+    Open,
+}
+
+/// What a caller sees of a job.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Status {
+    /// Tasks evicted so far, each counted every time.
+    pub evictions: u64,
+    /// Tasks that ended with success.
+    pub finished: u32,
+    /// The job.
+    pub id: Id,
+    /// Tasks that are neither running nor over.
+    pub queued: u32,
+    /// Tasks that run, or may still run.
+    pub running: u32,
+    /// Where the job stands.
+    pub state: State,
+    /// Tasks in all.
+    pub tasks: u32,
+}
+
+/// Why a text does not name a job.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Error {
+    text: String,
+}
+
+impl TryFrom<String> for Id {
+    type Error = Error;
+
+    fn try_from(text: String) -> Result<Self, Error> {
+        text.parse()
+    }
+}
+
+impl FromStr for Id {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        let error = || Error { text: text.into() };
+        let (cell, serial) = text.rsplit_once('.').ok_or_else(error)?;
+        let cell = cell.parse().map_err(|_| error())?;
+        let serial = u128::from_str_radix(serial, 16).map_err(|_| error())?;
+        Ok(Self { cell, serial })
+    }
+}
+
+impl From<Id> for String {
+    fn from(id: Id) -> Self {
+        id.to_string()
+    }
+}
+
+impl Display for Id {
+    fn fmt(&self, f: &mut Formatter) -> fmt::Result {
+        write!(f, "{}.{:032x}", self.cell, self.serial)
+    }
+}
+
+impl Display for Error {
+    fn fmt(&self, f: &mut Formatter) -> fmt::Result {
+        write!(
+            f,
+            "`{}` is not a job: write `ZONE.INDEX.SERIAL` as `POST /jobs` answered",
+            self.text
+        )
+    }
+}
+
+impl std::error::Error for Error {}
--- /dev/null
+++ b/crates/core/src/resources.rs
@@ -0,0 +1,61 @@
+//! Processors, memory and accelerators, as declared, reserved and measured.
+
+use super::*;
+
+/// An amount of each resource that a worker has and a task needs.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[serde(deny_unknown_fields)]
+pub struct Resources {
+    /// Whole accelerators.
+    #[serde(default)]
+    pub accelerators: u32,
+    /// Memory, in MiB.
+    pub memory_mib: u64,
+    /// Processor time, in thousandths of a core.
+    pub processors_milli: u64,
+}
+
+impl Resources {
+    /// Returns whether this amount fits into `room` in every dimension.
+    pub fn fits(&self, room: &Self) -> bool {
+        self.accelerators <= room.accelerators
+            && self.memory_mib <= room.memory_mib
+            && self.processors_milli <= room.processors_milli
+    }
+
+    /// Returns what is left after taking `other`, at least zero in every dimension.
+    pub fn saturating_sub(&self, other: &Self) -> Self {
+        Self {
+            accelerators: self.accelerators.saturating_sub(other.accelerators),
+            memory_mib: self.memory_mib.saturating_sub(other.memory_mib),
+            processors_milli: self.processors_milli.saturating_sub(other.processors_milli),
+        }
+    }
+}
+
+impl Add for Resources {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self {
+            accelerators: self.accelerators.saturating_add(other.accelerators),
+            memory_mib: self.memory_mib.saturating_add(other.memory_mib),
+            processors_milli: self.processors_milli.saturating_add(other.processors_milli),
+        }
+    }
+}
+
+impl Display for Resources {
+    fn fmt(&self, f: &mut Formatter) -> fmt::Result {
+        write!(
+            f,
+            "{}.{:03} processors, {} MiB, {} accelerators",
+            self.processors_milli / 1_000,
+            self.processors_milli % 1_000,
+            self.memory_mib,
+            self.accelerators
+        )
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/lib.rs
@@ -0,0 +1,1 @@
+//! placeholder
--- /dev/null
+++ b/crates/settings/src/tls.rs
@@ -0,0 +1,15 @@
+//! Where a process finds its keys.
+
+use super::*;
+
+/// PEM files of a process. `oleanderstage keys` prints a set for tests.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Tls {
+    /// The certificate that every peer's certificate must be signed by.
+    pub authority: PathBuf,
+    /// Its own certificate.
+    pub certificate: PathBuf,
+    /// Its own private key.
+    pub key: PathBuf,
+}
--- /dev/null
+++ b/crates/standin/src/main.rs
@@ -0,0 +1,3 @@
+//! Starts the program.
+
+fn main() {}
