Bound how late a batch of commands can take effect on a worker

A batch that timed out at its sender can still lie in the socket of a stopped worker, and a start in it would run after the sender has waited the task lease out and started the task elsewhere. Neither the epoch (the owner is the same) nor the attempt (the run may be acknowledged) refuses it. Batches carry a deadline by the worker's own clock and incarnation, which the reports make known.

--- a/crates/core/src/worker.rs
+++ b/crates/core/src/worker.rs
@@ -12,6 +12,19 @@
     pub commands: Vec<Command>,
     /// The sender's epoch.
     pub epoch: cell::Epoch,
+    /// Until when to carry the commands out. A worker passes over the commands of a batch that
+    /// comes later, takes its epoch, and answers as usual; a batch without one has no commands.
+    #[serde(default)]
+    pub validity: Option<Validity>,
+}
+
+/// A deadline by a worker's own clock, which bounds how late a delayed batch can take effect.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Validity {
+    /// The incarnation whose clock it is; no other carries the commands out.
+    pub incarnation: u64,
+    /// The last moment, as in `Report::clock_ms`.
+    pub until_ms: u64,
 }
 
 /// One thing that a worker is told to do. Every command is idempotent.
@@ -80,6 +93,9 @@
 pub struct Report {
     /// Age of `usage`, in milliseconds; reports lag.
     pub age_ms: u64,
+    /// The worker's monotonic clock, in milliseconds since its process started.
+    #[serde(default)]
+    pub clock_ms: u64,
     /// Highest epoch seen for the cell.
     pub epoch: cell::Epoch,
     /// Changes at each start of the worker's process: runs of an earlier one are over.
