--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -2,18 +2,23 @@
 //! the time passed in and return typed actions, so that a session replays exactly.
 
 use {
+    rand::{Rng, SeedableRng},
+    rand_pcg::Pcg64Mcg,
     serde::{Deserialize, Serialize},
     std::{
+        collections::{BTreeMap, BTreeSet},
         fmt::{self, Display, Formatter},
         ops::{Add, Sub},
         str::FromStr,
         sync::Arc,
         time::Duration,
     },
+    target::Target,
 };
 
 pub use {instant::Instant, name::Name, resources::Resources};
 
+pub mod admission;
 pub mod cell;
 pub mod config;
 pub mod instant;
@@ -21,5 +26,9 @@
 pub mod name;
 pub mod outcome;
 pub mod resources;
+pub mod retry;
+pub mod route;
 pub mod task;
 pub mod worker;
+
+mod target;
