--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -2,8 +2,11 @@
 //! the time passed in and return typed actions, so that a session replays exactly.
 
 use {
+    rand::{Rng, SeedableRng},
+    rand_pcg::Pcg64Mcg,
     serde::{Deserialize, Serialize},
     std::{
+        collections::BTreeMap,
         fmt::{self, Display, Formatter},
         ops::{Add, Sub},
         str::FromStr,
@@ -20,6 +23,7 @@
 pub mod job;
 pub mod name;
 pub mod outcome;
+pub mod placement;
 pub mod resources;
 pub mod task;
 pub mod worker;
