--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod job;
 pub mod name;
 pub mod outcome;
+pub mod placement;
 pub mod resources;
 pub mod retry;
 pub mod route;
