Decide the attempts of a request by a chart, and share guards statically

The chart names every event in every state; a missing target, an unreachable state or an event named twice or not at all is an error when it is read. A request is tried again only after a proof that the attempt did not run, or is over and the request is idempotent; once an attempt ran, the request is never called not run. Shares rank the entries for each VM by a hash, so that they add up to the guards with no coordination.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -2,7 +2,7 @@
 //! the time passed in and return typed actions, so that a session replays exactly.
 
 use {
-    serde::{Deserialize, Serialize},
+    serde::{Deserialize, Serialize, de::DeserializeOwned},
     std::{
         fmt::{self, Display, Formatter},
         ops::{Add, Sub},
@@ -15,11 +15,14 @@
 pub use {instant::Instant, name::Name, resources::Resources};
 
 pub mod cell;
+pub mod chart;
 pub mod config;
 pub mod instant;
 pub mod job;
 pub mod name;
 pub mod outcome;
+pub mod request;
 pub mod resources;
+pub mod share;
 pub mod task;
 pub mod worker;
