--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,7 +4,7 @@
 use {
     rand::{Rng, SeedableRng},
     rand_pcg::Pcg64Mcg,
-    serde::{Deserialize, Serialize},
+    serde::{Deserialize, Serialize, de::DeserializeOwned},
     std::{
         collections::{BTreeMap, BTreeSet},
         fmt::{self, Display, Formatter},
@@ -20,15 +20,18 @@
 
 pub mod admission;
 pub mod cell;
+pub mod chart;
 pub mod config;
 pub mod instant;
 pub mod job;
 pub mod name;
 pub mod outcome;
 pub mod placement;
+pub mod request;
 pub mod resources;
 pub mod retry;
 pub mod route;
+pub mod share;
 pub mod task;
 pub mod worker;
 
