Decide the ownership of cells and the life of batch tasks in the core

An owner holds a cell by a lease of the key-value service and an epoch raised in the same transaction. Accepted jobs, starts and ends are journalled by group commit, each fenced by the owner key, before they are acted on; a transaction in doubt is read back before anything else. A task is started elsewhere only after its worker's word, the worker's absence from the VM list, or the end of every lease that may have been granted.

--- /dev/null
+++ b/crates/core/src/dispatcher.rs
@@ -0,0 +1,537 @@
+//! The batch work of one cell under one owner: which task starts where, and what became of it.
+
+use super::*;
+
+/// Tasks that are started in one step.
+pub const MAX_STARTS: usize = 256;
+/// Tasks of one job.
+pub const MAX_JOB_TASKS: u32 = 10_000;
+/// Tasks of a cell that are not over.
+pub const MAX_OPEN_TASKS: u64 = 100_000;
+/// Longest payload, in bytes.
+pub const MAX_PAYLOAD_BYTES: usize = 4 << 10;
+/// Tasks that an explanation lists.
+pub const MAX_EXPLAINED: usize = 64;
+/// Pause of a task after its first failed run; it doubles up to `MAX_FAILURE_PAUSE`.
+pub const FAILURE_PAUSE: Duration = Duration::from_secs(1);
+/// Longest pause of a task after a failed run.
+pub const MAX_FAILURE_PAUSE: Duration = Duration::from_secs(60);
+/// Pause of a task that its worker refused.
+pub const REFUSAL_PAUSE: Duration = Duration::from_secs(1);
+
+/// The batch work of one cell under one owner. Every change of the ledger goes through the writer,
+/// and is acted on only once it is durable.
+#[derive(Clone, Debug)]
+pub struct Dispatcher {
+    /// Jobs and tasks, with changes that are not durable yet.
+    pub ledger: Ledger,
+    /// Makes changes durable.
+    pub writer: Writer,
+    cell: cell::Id,
+    config: Arc<Config>,
+    contacts: BTreeMap<Name, Contact>,
+    faults: Faults,
+    open_tasks: u64,
+    placer: placement::Placer,
+    queue: Queue,
+    /// Why the job's next task waits, by serial.
+    waits: BTreeMap<u128, String>,
+}
+
+impl Dispatcher {
+    /// Returns a dispatcher for what was restored. Runs of the previous owner may last until
+    /// `proven`.
+    pub fn new(
+        cell: &cell::Id,
+        ledger: Ledger,
+        writer: Writer,
+        seed: u64,
+        proven: Instant,
+        faults: Faults,
+    ) -> Self {
+        let mut dispatcher = Self {
+            cell: cell.clone(),
+            config: Arc::default(),
+            contacts: BTreeMap::new(),
+            faults,
+            ledger,
+            open_tasks: 0,
+            placer: placement::Placer::new(seed),
+            queue: Queue::default(),
+            waits: BTreeMap::new(),
+            writer,
+        };
+        dispatcher.adopt(proven);
+        dispatcher
+    }
+
+    /// Accepts a job, or says why not. The job is accepted once the group returned is durable.
+    pub fn submit(&mut self, serial: u128, spec: &job::Spec) -> Result<u64, Answer> {
+        if let Some(job) = self.ledger.job(serial) {
+            return self.submit_again(job, serial, spec);
+        }
+        self.check(spec).map_err(|text| Answer::refuse(answer::Refusal::Invalid, text))?;
+        if self.open_tasks + u64::from(spec.tasks) > MAX_OPEN_TASKS {
+            let text =
+                format!("cell `{}` has {} open tasks: try again later", self.cell, self.open_tasks);
+            return Err(Answer::refuse(answer::Refusal::Overloaded, text));
+        }
+        let record = Record::Accept { serial, spec: spec.clone() };
+        let sequence = self.record(Instant::default(), record);
+        self.open_tasks += u64::from(spec.tasks);
+        for index in 0..spec.tasks {
+            self.enqueue(Key { index, serial }, None);
+        }
+        Ok(sequence)
+    }
+
+    /// Cancels a job, or says why not. It is cancelled once the group returned is durable.
+    pub fn cancel(&mut self, now: Instant, serial: u128) -> Result<u64, Answer> {
+        let Some(job) = self.ledger.job(serial) else {
+            let text = format!("job `{serial:032x}` is not known: check its id");
+            return Err(Answer::refuse(answer::Refusal::Unknown, text));
+        };
+        match job.state {
+            job::State::Open => Ok(self.record(now, Record::Cancel { serial })),
+            _ => Ok(self.writer.last()),
+        }
+    }
+
+    /// Returns the decisions behind a job's state, one a line.
+    pub fn explain(&self, id: &job::Id) -> Option<Vec<String>> {
+        let job = self.ledger.job(id.serial)?;
+        let mut lines = vec![format!("job `{id}` of team `{}` is {:?}", job.spec.team, job.state)];
+        lines.extend(self.waits.get(&id.serial).cloned());
+        for (index, task) in job.tasks.iter().enumerate().take(MAX_EXPLAINED) {
+            let place = task.vm.as_ref().map(|vm| format!(" on `{vm}`")).unwrap_or_default();
+            let attempt = task.attempt.0;
+            let failures = task.failures;
+            lines.push(format!(
+                "task {index} is {:?}{place}, {attempt} starts, {failures} failures",
+                task.stage
+            ));
+        }
+        Some(lines)
+    }
+
+    /// Puts a configuration in force, of which `vms` belong to the cell.
+    pub fn configure(&mut self, config: &Arc<Config>, vms: &[config::Vm]) {
+        self.config = config.clone();
+        self.queue.apply(&config.teams);
+        let workers: Vec<placement::Worker> = vms.iter().map(|vm| self.place_of(vm)).collect();
+        self.placer.apply(&workers);
+        self.contacts.retain(|name, contact| {
+            !contact.runs.is_empty() || vms.iter().any(|vm| vm.name == *name)
+        });
+        for vm in vms {
+            self.contacts.entry(vm.name.clone()).or_default();
+        }
+        self.book_all();
+        for vm in self.contacts.keys().cloned().collect::<Vec<_>>() {
+            self.judge(&vm);
+        }
+    }
+
+    /// Takes note of the VM list.
+    pub fn listed(&mut self, now: Instant, vms: &[Listing]) {
+        let listed: BTreeMap<&Name, bool> = vms.iter().map(|vm| (&vm.vm, vm.leaving)).collect();
+        for (name, contact) in &mut self.contacts {
+            contact.leaving = listed.get(name).copied().unwrap_or(false);
+            contact.gone = match listed.contains_key(name) {
+                true => None,
+                false => contact.gone.or(Some(now)),
+            };
+        }
+        for vm in self.contacts.keys().cloned().collect::<Vec<_>>() {
+            self.judge(&vm);
+        }
+    }
+
+    /// Places tasks that wait, as far as there is room, and gives up runs that are proven over.
+    pub fn step(&mut self, now: Instant, start: bool) {
+        self.queue.mature(now);
+        self.expire(now);
+        if start {
+            self.place_all(now);
+        }
+    }
+
+    /// Returns the batches that are due.
+    pub fn batches(&mut self, now: Instant, mode: &contact::Mode) -> Vec<(Name, worker::Batch)> {
+        let mut batches = Vec::new();
+        for (vm, contact) in &mut self.contacts {
+            let batch = contact.batch(now, &self.cell, mode, &self.ledger);
+            batches.extend(batch.map(|batch| (vm.clone(), batch)));
+        }
+        batches
+    }
+
+    /// Takes a worker's answer to a batch.
+    pub fn report(&mut self, now: Instant, vm: &Name, report: &worker::Report) {
+        let Some(contact) = self.contacts.get_mut(vm) else { return };
+        contact.answered(now, report);
+        let running: BTreeMap<&worker::Run, u64> =
+            report.running.iter().map(|running| (&running.run, running.lease_ms)).collect();
+        let over: BTreeMap<&worker::Run, &worker::End> =
+            report.over.iter().map(|over| (&over.run, &over.end)).collect();
+        for (key, attempt) in contact.sent_runs() {
+            let run = worker::Run { attempt, task: key.task(&self.cell) };
+            match (running.get(&run), over.get(&run)) {
+                (_, Some(end)) => self.end(now, key, attempt, (*end).clone()),
+                (Some(lease_ms), None) => self.confirm(now, vm, key, *lease_ms),
+                (None, None) => self.end(now, key, attempt, worker::End::Lapsed),
+            }
+        }
+        self.tidy(vm, report);
+        self.judge(vm);
+    }
+
+    /// Takes note of a batch that a worker did not answer.
+    pub fn unreached(&mut self, now: Instant, vm: &Name) {
+        let Some(contact) = self.contacts.get_mut(vm) else { return };
+        contact.unanswered(now);
+        self.judge(vm);
+    }
+
+    /// Has a run write a checkpoint and stop, or be throttled, for the sake of a service.
+    pub fn relieve(&mut self, task: &task::Id, relief: Relief) {
+        let key = Key { index: task.index, serial: task.job.serial };
+        let Some(vm) = self.ledger.task(key).and_then(|task| task.vm.clone()) else { return };
+        let Some(contact) = self.contacts.get_mut(&vm) else { return };
+        let Some(held) = contact.runs.get_mut(&key) else { return };
+        match relief {
+            Relief::Evict => {
+                held.evict |= self.ledger.shift(key, stage::Event::Evict).is_some();
+            }
+            Relief::Throttle { share_milli } => held.throttle = Some(share_milli),
+        }
+        contact.wake();
+    }
+
+    /// Returns whether some worker may still have runs of the previous owner.
+    pub fn is_recovering(&self) -> bool {
+        self.contacts.values().any(|contact| !contact.is_fenced())
+    }
+
+    /// Lets every worker with commands that waited for a commit be looked at again.
+    pub fn wake_all(&mut self) {
+        self.contacts.values_mut().for_each(Contact::wake);
+    }
+
+    /// Takes the runs of the previous owner over.
+    fn adopt(&mut self, proven: Instant) {
+        let open: Vec<(Key, Stage, task::Attempt, Option<Name>)> = self
+            .ledger
+            .open()
+            .map(|(key, _, task)| (key, task.stage, task.attempt, task.vm.clone()))
+            .collect();
+        for (key, stage, attempt, vm) in open {
+            if stage == Stage::Queued {
+                self.open_tasks += 1;
+                self.enqueue(key, None);
+            }
+            let Some(vm) = vm.filter(|_| stage.may_run()) else { continue };
+            self.open_tasks += 1;
+            let held = contact::Held {
+                stop: matches!(stage, Stage::Cancelling | Stage::Stopping),
+                ..contact::Held::adopted(attempt, proven)
+            };
+            self.contacts.entry(vm).or_default().runs.insert(key, held);
+            let spec = &self.ledger.content().jobs[&key.serial].spec;
+            self.queue.take(&spec.team, &spec.resources);
+        }
+    }
+
+    /// Books the room of every run; needed when workers come or a cell is taken over.
+    fn book_all(&mut self) {
+        for (vm, contact) in &self.contacts {
+            for key in contact.runs.keys() {
+                if let Some(demand) = demand(&self.cell, &self.ledger, *key) {
+                    self.placer.book(&demand, vm);
+                }
+            }
+        }
+    }
+
+    fn check(&self, spec: &job::Spec) -> Result<(), String> {
+        let team = self.config.teams.iter().find(|team| team.name == spec.team);
+        let team = team.ok_or_else(|| format!("team `{}` is not configured", spec.team))?;
+        if !self.config.classes.iter().any(|class| class.name == spec.class) {
+            return Err(format!("batch class `{}` is not configured", spec.class));
+        }
+        if !(1..=MAX_JOB_TASKS).contains(&spec.tasks) {
+            let tasks = spec.tasks;
+            return Err(format!("`tasks` is {tasks}: give 1 to {MAX_JOB_TASKS}"));
+        }
+        if spec.payload.len() > MAX_PAYLOAD_BYTES {
+            let bytes = spec.payload.len();
+            return Err(format!("`payload` has {bytes} bytes: give at most {MAX_PAYLOAD_BYTES}"));
+        }
+        if spec.resources.processors_milli == 0 || spec.resources.memory_mib == 0 {
+            return Err(format!(
+                "`resources` are `{}`: give processors and memory",
+                spec.resources
+            ));
+        }
+        if !spec.resources.fits(&team.quota) {
+            return Err(format!(
+                "a task of `{}` is above the quota of `{}`",
+                spec.resources, team.name
+            ));
+        }
+        Ok(())
+    }
+
+    fn confirm(&mut self, now: Instant, vm: &Name, key: Key, lease_ms: u64) {
+        let lease_end = now + Duration::from_millis(lease_ms) + tenure::DRIFT_MARGIN;
+        let contact = self.contacts.get_mut(vm);
+        if let Some(held) = contact.and_then(|contact| contact.runs.get_mut(&key)) {
+            held.lease_end = lease_end;
+        }
+        self.ledger.shift(key, stage::Event::Confirm);
+    }
+
+    fn end(&mut self, now: Instant, key: Key, attempt: task::Attempt, end: worker::End) {
+        self.record(now, Record::Over { attempt, end, key });
+    }
+
+    fn enqueue(&mut self, key: Key, ready: Option<Instant>) {
+        let Some(job) = self.ledger.job(key.serial) else { return };
+        let waiting = queue::Waiting { key, order: job.order, team: job.spec.team.clone() };
+        match ready {
+            Some(ready) => self.queue.delay(ready, waiting),
+            None => self.queue.push(waiting),
+        }
+    }
+
+    /// Ends the runs that are proven over although their worker is out of reach.
+    fn expire(&mut self, now: Instant) {
+        let mut over = Vec::new();
+        for contact in self.contacts.values().filter(|contact| !contact.is_reachable()) {
+            let keys = contact.proven_over(now, self.faults);
+            over.extend(keys.into_iter().map(|key| (key, contact.runs[&key].attempt)));
+        }
+        for (key, attempt) in over {
+            self.end(now, key, attempt, worker::End::Lapsed);
+        }
+    }
+
+    /// Follows a task's step with the queue and the accounts.
+    fn follow(&mut self, now: Instant, change: &Change, sequence: u64, record: &Record) {
+        let Some((team, resources)) = self.claim(change.key) else { return };
+        if change.to.is_final() {
+            self.open_tasks = self.open_tasks.saturating_sub(1);
+            self.waits.remove(&change.key.serial);
+        }
+        match change.action {
+            stage::Action::Halt => self.halt(now, change),
+            stage::Action::Hold | stage::Action::Keep => (),
+            stage::Action::Release => self.release(change, &team, &resources, sequence, record),
+            stage::Action::Requeue => {
+                self.release(change, &team, &resources, sequence, record);
+                let ready = self.ready(now, change.key, record);
+                self.enqueue(change.key, ready);
+            }
+            stage::Action::Withdraw => {
+                let order = self.ledger.job(change.key.serial).map_or(0, |job| job.order);
+                self.queue.remove(&queue::Waiting { key: change.key, order, team });
+            }
+        }
+    }
+
+    /// Stops a run of a job that is over.
+    fn halt(&mut self, now: Instant, change: &Change) {
+        let contact = change.vm.as_ref().and_then(|vm| self.contacts.get_mut(vm));
+        let Some(contact) = contact else { return };
+        contact.wake();
+        let Some(held) = contact.runs.get_mut(&change.key) else { return };
+        held.stop = true;
+        if !held.sent {
+            let attempt = held.attempt;
+            self.end(now, change.key, attempt, worker::End::Lapsed);
+        }
+    }
+
+    /// Lets the placer use a worker, or not.
+    fn judge(&mut self, vm: &Name) {
+        let open = self.contacts.get(vm).is_some_and(Contact::is_open);
+        self.placer.close(vm, !open);
+    }
+
+    fn claim(&self, key: Key) -> Option<(Name, Resources)> {
+        let spec = &self.ledger.job(key.serial)?.spec;
+        Some((spec.team.clone(), spec.resources))
+    }
+
+    fn place_all(&mut self, now: Instant) {
+        let mut skipped = BTreeSet::new();
+        for _ in 0..MAX_STARTS {
+            let Some(waiting) = self.queue.first(&skipped).cloned() else { return };
+            if !self.place(now, &waiting) {
+                skipped.insert(waiting.team);
+            }
+        }
+    }
+
+    /// Places a task, or returns false if its team has to wait.
+    fn place(&mut self, now: Instant, waiting: &queue::Waiting) -> bool {
+        let key = waiting.key;
+        let stage = self.ledger.task(key).map(|task| task.stage);
+        let Some(demand) =
+            demand(&self.cell, &self.ledger, key).filter(|_| stage == Some(Stage::Queued))
+        else {
+            self.queue.remove(waiting);
+            return true;
+        };
+        if !self.queue.has_quota(&demand.team, &demand.resources) {
+            let text = format!("team `{}` uses its whole quota", demand.team);
+            self.waits.insert(key.serial, text);
+            return false;
+        }
+        match self.placer.place(&demand) {
+            Ok(vm) => self.start(now, waiting, &demand, vm),
+            Err(placement::Refusal::NoRoom) => {
+                self.waits.insert(key.serial, placement::Refusal::NoRoom.to_string());
+                return false;
+            }
+            Err(refusal) => {
+                let reason = refusal.to_string();
+                self.record(now, Record::Fail { reason, serial: key.serial });
+            }
+        }
+        true
+    }
+
+    fn place_of(&self, vm: &config::Vm) -> placement::Worker {
+        let hosted = self.config.services.iter().filter(|s| vm.services.contains(&s.name));
+        placement::Worker {
+            capacity: vm.resources,
+            rack: vm.rack.clone(),
+            reserved: hosted.fold(Resources::default(), |sum, service| sum + service.reserve),
+            vm: vm.name.clone(),
+        }
+    }
+
+    fn ready(&self, now: Instant, key: Key, record: &Record) -> Option<Instant> {
+        let Record::Over { end, .. } = record else { return None };
+        match end {
+            worker::End::Failed { .. } => {
+                let failures = self.ledger.task(key).map_or(1, |task| task.failures.max(1));
+                let pause = FAILURE_PAUSE * (1 << (failures - 1).min(6));
+                Some(now + pause.min(MAX_FAILURE_PAUSE))
+            }
+            worker::End::Refused { .. } => Some(now + REFUSAL_PAUSE),
+            _ => None,
+        }
+    }
+
+    /// Applies a record, hands it to the writer, and returns its group.
+    fn record(&mut self, now: Instant, record: Record) -> u64 {
+        let Ok(changes) = self.ledger.apply(&record) else {
+            return self.writer.committed();
+        };
+        let sequence = self.writer.push(record.clone());
+        for change in changes {
+            self.follow(now, &change, sequence, &record);
+        }
+        sequence
+    }
+
+    /// Gives the room of a run back, and has its worker forget it once its end is durable.
+    fn release(
+        &mut self,
+        change: &Change,
+        team: &Name,
+        resources: &Resources,
+        sequence: u64,
+        record: &Record,
+    ) {
+        self.queue.give_back(team, resources);
+        let task = change.key.task(&self.cell);
+        self.placer.release(&task);
+        let Some(contact) = change.vm.as_ref().and_then(|vm| self.contacts.get_mut(vm)) else {
+            return;
+        };
+        let held = contact.runs.remove(&change.key);
+        let Some(held) = held.filter(|held| held.sent) else { return };
+        if !matches!(record, Record::Over { end: worker::End::Lapsed, .. }) {
+            contact.acks.insert(worker::Run { attempt: held.attempt, task }, sequence);
+            contact.wake();
+        }
+    }
+
+    fn start(
+        &mut self,
+        now: Instant,
+        waiting: &queue::Waiting,
+        demand: &placement::Demand,
+        vm: Name,
+    ) {
+        let key = waiting.key;
+        let attempts = self.ledger.task(key).map_or(0, |task| task.attempt.0);
+        let attempt = task::Attempt(attempts + 1);
+        self.queue.remove(waiting);
+        self.queue.take(&demand.team, &demand.resources);
+        self.waits.remove(&key.serial);
+        let sequence = self.record(now, Record::Start { attempt, key, vm: vm.clone() });
+        let contact = self.contacts.entry(vm).or_default();
+        contact.runs.insert(key, contact::Held::new(now, attempt, sequence));
+        contact.wake();
+    }
+
+    fn submit_again(
+        &self,
+        job: &ledger::Job,
+        serial: u128,
+        spec: &job::Spec,
+    ) -> Result<u64, Answer> {
+        let same = job::Spec { payload: String::new(), ..job.spec.clone() }
+            == job::Spec { payload: String::new(), ..spec.clone() };
+        if !same {
+            let text = format!("job `{serial:032x}` is another job: use another idempotency key");
+            return Err(Answer::refuse(answer::Refusal::Invalid, text));
+        }
+        Ok(self.writer.last())
+    }
+
+    /// Has a worker forget what is durable, and stop what it should not have.
+    fn tidy(&mut self, vm: &Name, report: &worker::Report) {
+        let Some(contact) = self.contacts.get_mut(vm) else { return };
+        for over in &report.over {
+            let known = contact.acks.contains_key(&over.run);
+            if !known && !contact.holds(&over.run) {
+                contact.acks.insert(over.run.clone(), 0);
+                contact.wake();
+            }
+        }
+        for running in &report.running {
+            if !contact.holds(&running.run) {
+                contact.strays.insert(running.run.clone());
+                contact.wake();
+            }
+        }
+    }
+}
+
+/// What a run is made to do for the sake of a service.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Relief {
+    /// Write a checkpoint and stop.
+    Evict,
+    /// Use less of its processors.
+    Throttle {
+        /// Thousandths of its processors, 1 to 1,000.
+        share_milli: u32,
+    },
+}
+
+fn demand(cell: &cell::Id, ledger: &Ledger, key: Key) -> Option<placement::Demand> {
+    let spec = &ledger.job(key.serial)?.spec;
+    Some(placement::Demand {
+        class: spec.class.clone(),
+        resources: spec.resources,
+        task: key.task(cell),
+        team: spec.team.clone(),
+    })
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,7 +6,7 @@
     rand_pcg::Pcg64Mcg,
     serde::{Deserialize, Serialize, de::DeserializeOwned},
     std::{
-        collections::{BTreeMap, BTreeSet},
+        collections::{BTreeMap, BTreeSet, VecDeque},
         fmt::{self, Display, Formatter},
         ops::{Add, Sub},
         str::FromStr,
@@ -14,25 +14,60 @@
         time::Duration,
     },
     target::Target,
+    xxhash_rust::xxh3::xxh3_64,
 };
 
-pub use {instant::Instant, name::Name, resources::Resources};
+pub use {
+    answer::{Answer, Ticket},
+    chart::Chart,
+    config::Config,
+    contact::Contact,
+    dispatcher::{Dispatcher, Relief},
+    faults::Faults,
+    instant::Instant,
+    journal::{Group, Head, Holder, Key, Record, Term},
+    ledger::{Change, Ledger},
+    listing::Listing,
+    name::Name,
+    owner::Owner,
+    queue::Queue,
+    resources::Resources,
+    restored::Restored,
+    stage::Stage,
+    tenure::Tenure,
+    writer::Writer,
+};
 
 pub mod admission;
+pub mod answer;
 pub mod cell;
 pub mod chart;
 pub mod config;
+pub mod contact;
+pub mod dispatcher;
+pub mod faults;
 pub mod instant;
 pub mod job;
+pub mod journal;
+pub mod ledger;
+pub mod listing;
 pub mod name;
 pub mod outcome;
+pub mod owner;
 pub mod placement;
+pub mod queue;
 pub mod request;
 pub mod resources;
+pub mod restored;
 pub mod retry;
 pub mod route;
+pub mod sealed;
 pub mod share;
+pub mod stage;
+pub mod store;
 pub mod task;
+pub mod tenure;
 pub mod worker;
+pub mod writer;
 
 mod target;
--- /dev/null
+++ b/crates/core/src/owner.rs
@@ -0,0 +1,679 @@
+//! One scheduler's part in a cell: it seeks the cell, takes it over, owns it, and hands it over.
+
+use super::*;
+
+/// How often a scheduler looks whether a cell has an owner.
+pub const LOOK: Duration = Duration::from_secs(2);
+/// How long a scheduler leaves a vacant cell to each of those that come before it.
+pub const RANK_DELAY: Duration = Duration::from_millis(1_000);
+/// Pause after a value that was refused.
+pub const REFUSED_PAUSE: Duration = Duration::from_secs(30);
+
+/// One scheduler's part in a cell. Acts as owner only while its lease covers what it does.
+#[derive(Clone, Debug)]
+pub struct Owner {
+    actions: Vec<Action>,
+    /// The last call to the key-value service.
+    calls: u64,
+    cell: cell::Id,
+    chart: Arc<stage::Life>,
+    config: Option<(Arc<Config>, Arc<[config::Vm]>)>,
+    /// The cell's work; outlives the lease, to keep running tasks alive.
+    dispatcher: Option<Dispatcher>,
+    faults: Faults,
+    /// Answers that wait for a group to be durable.
+    held: VecDeque<(u64, Ticket, Answer)>,
+    holder: Holder,
+    keep_call: Option<u64>,
+    /// The end of the lease that was held last.
+    lapsed: Instant,
+    leaving: bool,
+    listed: Vec<Listing>,
+    /// The call under way, other than to keep the lease alive.
+    main_call: Option<u64>,
+    next: Instant,
+    phase: Phase,
+    random: Pcg64Mcg,
+    rank: u32,
+    tenure: Option<Tenure>,
+    vacant: Option<Instant>,
+}
+
+/// What happens to an owner.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Event {
+    /// A call about a job came in.
+    Call {
+        /// The call.
+        call: Call,
+        /// Its ticket.
+        ticket: Ticket,
+    },
+    /// A configuration came in force.
+    Configured {
+        /// The configuration.
+        #[serde(skip)]
+        config: Arc<Config>,
+        /// The VMs of the cell.
+        #[serde(skip)]
+        vms: Arc<[config::Vm]>,
+    },
+    /// The process is told to leave.
+    Leave,
+    /// The VM list was read.
+    Listed(Vec<Listing>),
+    /// A run is to make room for a service.
+    Relieve {
+        /// How.
+        relief: Relief,
+        /// The task.
+        task: task::Id,
+    },
+    /// A worker answered a batch.
+    Reported {
+        /// The batch's epoch.
+        epoch: cell::Epoch,
+        /// The answer.
+        report: worker::Report,
+        /// The worker's VM.
+        vm: Name,
+    },
+    /// A worker refused a batch, for it has seen a higher epoch.
+    Stale {
+        /// The batch's epoch.
+        epoch: cell::Epoch,
+        /// The worker's VM.
+        vm: Name,
+    },
+    /// The key-value service answered, or failed to.
+    Store {
+        /// Which call.
+        call: u64,
+        /// The answer.
+        reply: store::Reply,
+    },
+    /// Time went by.
+    Tick,
+    /// A worker did not answer a batch.
+    Unreached {
+        /// The batch's epoch.
+        epoch: cell::Epoch,
+        /// The worker's VM.
+        vm: Name,
+    },
+}
+
+/// A call about a job.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Call {
+    /// Cancel it.
+    Cancel(job::Id),
+    /// Say why it stands where it stands.
+    Explain(job::Id),
+    /// Say where it stands.
+    Job(job::Id),
+    /// Accept it.
+    Submit {
+        /// Its name.
+        id: job::Id,
+        /// The job.
+        spec: job::Spec,
+    },
+}
+
+/// What an owner has done.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Action {
+    /// Answer a call.
+    Answer {
+        /// The answer.
+        answer: Answer,
+        /// The call's ticket.
+        ticket: Ticket,
+    },
+    /// Tell operators.
+    Note(Note),
+    /// Send a batch to a worker.
+    Send {
+        /// The batch.
+        batch: worker::Batch,
+        /// The worker's VM.
+        vm: Name,
+    },
+    /// Call the key-value service.
+    Store {
+        /// Names the call.
+        call: u64,
+        /// The call.
+        request: store::Request,
+    },
+}
+
+/// An event for operators.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Note {
+    /// The cell has another owner, or none.
+    Lost,
+    /// A value in the key-value service is refused.
+    Refused(String),
+    /// The cell is handed over.
+    Released,
+    /// The cell is owned from now on.
+    TookOver {
+        /// The epoch.
+        epoch: cell::Epoch,
+        /// Jobs in the ledger.
+        jobs: usize,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq)]
+enum Phase {
+    /// The takeover was asked for, and its fate is to be read back if `doubt`.
+    Claiming {
+        asked: Instant,
+        doubt: bool,
+        lease: i64,
+        released: bool,
+    },
+    Granting {
+        asked: Instant,
+        term: Option<store::Value>,
+    },
+    Loading {
+        released: bool,
+    },
+    Looking,
+    Owning,
+    Released,
+    Releasing,
+    Seeking,
+}
+
+impl Owner {
+    /// Returns a scheduler's part in a cell that has `rank` schedulers to come before it. `holder`
+    /// names the scheduler and its incarnation.
+    ///
+    /// # Errors
+    ///
+    /// The chart of a task's life is faulty.
+    pub fn new(
+        cell: cell::Id,
+        holder: Holder,
+        rank: u32,
+        faults: Faults,
+    ) -> Result<Self, chart::Error> {
+        let seed = holder.incarnation ^ u64::from(cell.index);
+        Ok(Self {
+            actions: Vec::new(),
+            calls: 0,
+            cell,
+            chart: Arc::new(Stage::life()?),
+            config: None,
+            dispatcher: None,
+            faults,
+            held: VecDeque::new(),
+            holder,
+            keep_call: None,
+            lapsed: Instant::default(),
+            leaving: false,
+            listed: Vec::new(),
+            main_call: None,
+            next: Instant::default(),
+            phase: Phase::Seeking,
+            random: Pcg64Mcg::seed_from_u64(seed),
+            rank,
+            tenure: None,
+            vacant: None,
+        })
+    }
+
+    /// Returns the epoch under which the cell is owned at `now`.
+    pub fn epoch(&self, now: Instant) -> Option<cell::Epoch> {
+        (self.phase == Phase::Owning && self.covers(now)).then_some(self.holder.epoch)
+    }
+
+    /// Returns whether the cell is handed over, and nothing more will be done.
+    pub fn is_released(&self) -> bool {
+        self.phase == Phase::Released
+    }
+
+    /// Returns the jobs and tasks, while the cell is owned or kept alive.
+    pub fn ledger(&self) -> Option<&Ledger> {
+        self.dispatcher.as_ref().map(|dispatcher| &dispatcher.ledger)
+    }
+
+    /// Takes an event at `now` and returns what is to be done.
+    pub fn handle(&mut self, now: Instant, event: Event) -> Vec<Action> {
+        match event {
+            Event::Call { call, ticket } => self.call(now, ticket, &call),
+            Event::Configured { config, vms } => self.configure(config, vms),
+            Event::Leave => self.leaving = true,
+            Event::Listed(listed) => self.listed(now, listed),
+            Event::Relieve { relief, task } => {
+                self.with(self.holder.epoch, |d| d.relieve(&task, relief));
+            }
+            Event::Reported { epoch, report, vm } => {
+                self.with(epoch, |d| d.report(now, &vm, &report));
+            }
+            Event::Stale { epoch, vm } => self.stale(now, epoch, &vm),
+            Event::Store { call, reply } => self.store(now, call, &reply),
+            Event::Tick => self.tick(now),
+            Event::Unreached { epoch, vm } => self.with(epoch, |d| d.unreached(now, &vm)),
+        }
+        self.advance(now);
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Makes the calls to the key-value service that are due.
+    fn advance(&mut self, now: Instant) {
+        self.keep(now);
+        match self.phase {
+            Phase::Owning => self.write(now),
+            Phase::Releasing => self.release(now),
+            Phase::Seeking if self.leaving => self.end(),
+            Phase::Seeking if now >= self.next && self.config.is_some() => {
+                let keys = vec![journal::owner(&self.cell), journal::epoch(&self.cell)];
+                self.ask(store::Request::Read(keys));
+                self.phase = Phase::Looking;
+            }
+            Phase::Claiming { doubt: true, .. } if self.main_call.is_none() && now >= self.next => {
+                self.ask(store::Request::Read(vec![journal::owner(&self.cell)]));
+            }
+            Phase::Loading { .. } if self.main_call.is_none() && now >= self.next => self.load(now),
+            _ => (),
+        }
+    }
+
+    fn answer(&mut self, ticket: Ticket, answer: Answer) {
+        self.actions.push(Action::Answer { answer, ticket });
+    }
+
+    fn ask(&mut self, request: store::Request) {
+        self.calls += 1;
+        self.main_call = Some(self.calls);
+        self.actions.push(Action::Store { call: self.calls, request });
+    }
+
+    fn call(&mut self, now: Instant, ticket: Ticket, call: &Call) {
+        if let Some(refusal) = self.refusal(now, call) {
+            let text = format!("cell `{}` cannot take the call now", self.cell);
+            return self.answer(ticket, Answer::refuse(refusal, text));
+        }
+        let Some(dispatcher) = &mut self.dispatcher else { return };
+        let held = match call {
+            Call::Cancel(id) => dispatcher.cancel(now, id.serial),
+            Call::Explain(_) | Call::Job(_) => Ok(dispatcher.writer.last()),
+            Call::Submit { id, spec } => dispatcher.submit(id.serial, spec),
+        };
+        let answer = match call {
+            Call::Explain(id) => dispatcher.explain(id).map(Answer::Explain),
+            Call::Job(id) => dispatcher.ledger.status(id).map(Answer::Job),
+            _ => Some(Answer::Done),
+        };
+        let unknown = || Answer::refuse(answer::Refusal::Unknown, "the job is not known");
+        match held {
+            Err(refused) => self.answer(ticket, refused),
+            Ok(sequence) => {
+                self.held.push_back((sequence, ticket, answer.unwrap_or_else(unknown)));
+                self.settle();
+            }
+        }
+    }
+
+    /// Claims the vacant cell.
+    fn claim(&mut self, asked: Instant, lease: i64, term: Option<store::Value>) {
+        let before = match term.as_ref().map(|value| sealed::open(&value.key, &value.bytes)) {
+            Some(Ok(before)) => before,
+            Some(Err(error)) => return self.refuse(asked, &error),
+            None => Term::default(),
+        };
+        self.holder.epoch = cell::Epoch(before.epoch.0 + 1);
+        let key = journal::epoch(&self.cell);
+        let after = Term { epoch: self.holder.epoch, released: false };
+        let epoch = store::Value { bytes: sealed::seal(&after), key: key.clone() };
+        let vacant = store::Condition::Absent(journal::owner(&self.cell));
+        let same = term.map_or(store::Condition::Absent(key), store::Condition::Equals);
+        self.ask(store::Request::Commit(store::Txn {
+            conditions: vec![vacant, same],
+            operations: vec![
+                store::Operation::Put { lease: Some(lease), value: self.own() },
+                store::Operation::Put { lease: None, value: epoch },
+            ],
+        }));
+        let released = before.released || before.epoch.0 == 0;
+        self.phase = Phase::Claiming { asked, doubt: false, lease, released };
+    }
+
+    fn claimed(&mut self, now: Instant, reply: &store::Reply) {
+        let Phase::Claiming { asked, doubt, lease, released } = self.phase else { return };
+        let own = self.own();
+        match reply {
+            store::Reply::Committed => self.hold(asked, lease, released),
+            store::Reply::Values(values) if values.contains(&own) => {
+                self.hold(asked, lease, released);
+            }
+            store::Reply::Doubt => {
+                self.phase = Phase::Claiming { asked, doubt: true, lease, released };
+                self.pause(now, LOOK / 4);
+            }
+            store::Reply::Refused if doubt => self.pause(now, LOOK / 4),
+            _ => self.seek(now),
+        }
+        if asked + tenure::LEASE < now && matches!(self.phase, Phase::Claiming { .. }) {
+            self.seek(now);
+        }
+    }
+
+    fn configure(&mut self, config: Arc<Config>, vms: Arc<[config::Vm]>) {
+        if let Some(dispatcher) = &mut self.dispatcher {
+            dispatcher.configure(&config, &vms);
+        }
+        self.config = Some((config, vms));
+    }
+
+    fn covers(&self, now: Instant) -> bool {
+        self.faults == Faults::NoEpochCheck && self.tenure.is_some()
+            || self.tenure.as_ref().is_some_and(|t| t.covers(now, contact::SEND_LIMIT))
+    }
+
+    fn end(&mut self) {
+        self.phase = Phase::Released;
+        self.dispatcher = None;
+        self.tenure = None;
+        self.actions.push(Action::Note(Note::Released));
+    }
+
+    fn granted(&mut self, now: Instant, reply: &store::Reply) {
+        let Phase::Granting { asked, term } = std::mem::replace(&mut self.phase, Phase::Seeking)
+        else {
+            return;
+        };
+        match reply {
+            store::Reply::Granted(lease) => self.claim(asked, *lease, term),
+            _ => self.seek(now),
+        }
+    }
+
+    fn hold(&mut self, asked: Instant, lease: i64, released: bool) {
+        self.tenure = Some(Tenure::new(lease, asked));
+        self.phase = Phase::Loading { released };
+        self.next = asked;
+    }
+
+    /// Keeps the lease alive, if it is due.
+    fn keep(&mut self, now: Instant) {
+        let Some(tenure) = &mut self.tenure else { return };
+        if self.keep_call.is_some() || !tenure.poll(now) {
+            return;
+        }
+        self.calls += 1;
+        self.keep_call = Some(self.calls);
+        let request = store::Request::KeepAlive(tenure.lease);
+        self.actions.push(Action::Store { call: self.calls, request });
+    }
+
+    fn kept(&mut self, now: Instant, reply: &store::Reply) {
+        let jitter = self.random.random_range(0.0..1.0);
+        match reply {
+            store::Reply::Lapsed => self.lose(now),
+            _ => {
+                let kept = *reply == store::Reply::Kept;
+                self.tenure.iter_mut().for_each(|tenure| tenure.reply(now, kept, jitter));
+            }
+        }
+    }
+
+    fn listed(&mut self, now: Instant, listed: Vec<Listing>) {
+        if let Some(dispatcher) = &mut self.dispatcher {
+            dispatcher.listed(now, &listed);
+        }
+        self.listed = listed;
+    }
+
+    fn load(&mut self, now: Instant) {
+        match self.covers(now) {
+            true => self.ask(store::Request::List(journal::prefix(&self.cell))),
+            false => self.seek(now),
+        }
+    }
+
+    fn loaded(&mut self, now: Instant, reply: &store::Reply) {
+        let Phase::Loading { released } = self.phase else { return };
+        let store::Reply::Values(values) = reply else { return self.pause(now, LOOK / 4) };
+        if !self.covers(now) || !values.contains(&self.own()) {
+            return self.lose(now);
+        }
+        match Restored::read(&self.cell, values, &self.chart) {
+            Ok(restored) => self.own_from(now, restored, released),
+            Err(error) => self.refuse(now, &error),
+        }
+    }
+
+    /// Looks whether the cell is vacant.
+    fn looked(&mut self, now: Instant, reply: &store::Reply) {
+        let store::Reply::Values(values) = reply else { return self.seek(now) };
+        let find = |key: String| values.iter().find(|value| value.key == key);
+        if let Some(value) = find(journal::owner(&self.cell)) {
+            self.vacant = None;
+            let other = sealed::open::<Holder>(&value.key, &value.bytes);
+            if other.is_ok_and(|other| other.scheduler != self.holder.scheduler) {
+                self.dispatcher = None;
+            }
+            return self.seek(now);
+        }
+        let vacant = *self.vacant.get_or_insert(now);
+        if now < vacant + RANK_DELAY * self.rank {
+            return self.seek(now);
+        }
+        let term = find(journal::epoch(&self.cell)).cloned();
+        self.ask(store::Request::Grant);
+        self.phase = Phase::Granting { asked: now, term };
+    }
+
+    /// Gives the lease up, and goes on to keep running tasks alive.
+    fn lose(&mut self, now: Instant) {
+        if let Some(tenure) = self.tenure.take() {
+            self.lapsed = tenure.deadline().min(now);
+        }
+        self.keep_call = None;
+        self.held.clear();
+        self.actions.push(Action::Note(Note::Lost));
+        self.seek(now);
+    }
+
+    fn own(&self) -> store::Value {
+        store::Value { bytes: sealed::seal(&self.holder), key: journal::owner(&self.cell) }
+    }
+
+    fn own_from(&mut self, now: Instant, restored: Restored, released: bool) {
+        let lease = contact::SEND_LIMIT + contact::TASK_LEASE + tenure::DRIFT_MARGIN;
+        let grace = if released { Duration::ZERO } else { contact::OUTAGE_GRACE };
+        let writer = Writer::new(&self.cell, self.holder.clone(), &restored, self.faults);
+        let jobs = restored.content.jobs.len();
+        let ledger = Ledger::new(self.chart.clone(), restored.content);
+        let proven = now + grace + lease;
+        let seed = self.random.random();
+        let mut dispatcher = Dispatcher::new(&self.cell, ledger, writer, seed, proven, self.faults);
+        if let Some((config, vms)) = &self.config {
+            dispatcher.configure(config, vms);
+        }
+        if !self.listed.is_empty() {
+            dispatcher.listed(now, &self.listed);
+        }
+        self.dispatcher = Some(dispatcher);
+        self.phase = Phase::Owning;
+        self.vacant = None;
+        let epoch = self.holder.epoch;
+        self.actions.push(Action::Note(Note::TookOver { epoch, jobs }));
+    }
+
+    fn pause(&mut self, now: Instant, pause: Duration) {
+        self.next = now + pause.mul_f64(self.random.random_range(0.5..1.5));
+    }
+
+    /// Says why a call can't be taken now, if so.
+    fn refusal(&self, now: Instant, call: &Call) -> Option<answer::Refusal> {
+        let dispatcher = match (&self.dispatcher, &self.phase) {
+            (Some(dispatcher), Phase::Owning) => dispatcher,
+            (Some(_), Phase::Releasing) => return Some(answer::Refusal::Leaving),
+            _ => return Some(answer::Refusal::NotOwner),
+        };
+        let down = !self.covers(now) || dispatcher.writer.is_stalled();
+        match call {
+            Call::Submit { .. } if self.leaving => Some(answer::Refusal::Leaving),
+            Call::Submit { .. } | Call::Cancel(_) => {
+                down.then_some(answer::Refusal::StoreUnavailable)
+            }
+            Call::Explain(_) | Call::Job(_) => {
+                (down && !dispatcher.writer.is_idle()).then_some(answer::Refusal::StoreUnavailable)
+            }
+        }
+    }
+
+    /// Leaves the cell alone after a value that was refused.
+    fn refuse(&mut self, now: Instant, error: &sealed::Error) {
+        self.actions.push(Action::Note(Note::Refused(error.to_string())));
+        self.lose(now);
+        self.next = now + REFUSED_PAUSE;
+    }
+
+    /// Hands the cell over.
+    fn release(&mut self, now: Instant) {
+        if self.main_call.is_some() || now < self.next {
+            return;
+        }
+        if !self.covers(now) {
+            return self.end();
+        }
+        let term = Term { epoch: self.holder.epoch, released: true };
+        let value = store::Value { bytes: sealed::seal(&term), key: journal::epoch(&self.cell) };
+        self.ask(store::Request::Commit(store::Txn {
+            conditions: vec![store::Condition::Equals(self.own())],
+            operations: vec![
+                store::Operation::Delete(journal::owner(&self.cell)),
+                store::Operation::Put { lease: None, value },
+            ],
+        }));
+    }
+
+    fn released(&mut self, now: Instant, reply: &store::Reply) {
+        match reply {
+            store::Reply::Committed | store::Reply::Conflict => self.end(),
+            _ => self.pause(now, LOOK / 4),
+        }
+    }
+
+    fn seek(&mut self, now: Instant) {
+        self.phase = Phase::Seeking;
+        self.main_call = None;
+        self.pause(now, LOOK);
+    }
+
+    /// Answers the calls whose group is durable.
+    fn settle(&mut self) {
+        let Some(dispatcher) = &self.dispatcher else { return };
+        let committed = dispatcher.writer.committed();
+        while let Some((_, ticket, answer)) =
+            self.held.pop_front_if(|(sequence, _, _)| *sequence <= committed)
+        {
+            self.actions.push(Action::Answer { answer, ticket });
+        }
+    }
+
+    fn stale(&mut self, now: Instant, epoch: cell::Epoch, vm: &Name) {
+        if self.faults == Faults::NoEpochCheck {
+            return self.with(epoch, |d| d.unreached(now, vm));
+        }
+        if epoch != self.holder.epoch || self.dispatcher.is_none() {
+            return;
+        }
+        self.dispatcher = None;
+        self.lose(now);
+    }
+
+    fn store(&mut self, now: Instant, call: u64, reply: &store::Reply) {
+        if self.keep_call == Some(call) {
+            self.keep_call = None;
+            return self.kept(now, reply);
+        }
+        if self.main_call != Some(call) {
+            return;
+        }
+        self.main_call = None;
+        match self.phase {
+            Phase::Claiming { .. } => self.claimed(now, reply),
+            Phase::Granting { .. } => self.granted(now, reply),
+            Phase::Loading { .. } => self.loaded(now, reply),
+            Phase::Looking => self.looked(now, reply),
+            Phase::Owning => self.written(now, reply),
+            Phase::Releasing => self.released(now, reply),
+            Phase::Released | Phase::Seeking => (),
+        }
+    }
+
+    /// Places tasks and sends batches, as far as the lease allows.
+    fn tick(&mut self, now: Instant) {
+        if matches!(self.phase, Phase::Releasing | Phase::Released) {
+            return;
+        }
+        let owning = self.phase == Phase::Owning;
+        let covers = self.covers(now);
+        let lapsed = self.tenure.as_ref().map_or(self.lapsed, Tenure::deadline);
+        let Some(dispatcher) = &mut self.dispatcher else { return };
+        dispatcher.step(now, owning && covers && !self.leaving);
+        let mode = contact::Mode {
+            committed: dispatcher.writer.committed(),
+            epoch: self.batch_epoch(),
+            renew: owning && covers || now < lapsed + contact::OUTAGE_GRACE,
+            start: owning && covers && !self.leaving,
+        };
+        let Some(dispatcher) = &mut self.dispatcher else { return };
+        for (vm, batch) in dispatcher.batches(now, &mode) {
+            self.actions.push(Action::Send { batch, vm });
+        }
+    }
+
+    /// Returns the epoch of the dispatcher, which is older than the holder's during a takeover.
+    fn batch_epoch(&self) -> cell::Epoch {
+        self.dispatcher.as_ref().map_or(self.holder.epoch, |d| d.writer.epoch())
+    }
+
+    /// Has the dispatcher act on what came in under `epoch`.
+    fn with(&mut self, epoch: cell::Epoch, act: impl FnOnce(&mut Dispatcher)) {
+        if epoch == self.batch_epoch() {
+            self.dispatcher.as_mut().map(act);
+        }
+    }
+
+    /// Commits what is due, and begins to hand the cell over once all is durable.
+    fn write(&mut self, now: Instant) {
+        if self.main_call.is_some() || !self.covers(now) {
+            return;
+        }
+        let Some(dispatcher) = &mut self.dispatcher else { return };
+        if let Some(request) = dispatcher.writer.poll(now, &dispatcher.ledger) {
+            return self.ask(request);
+        }
+        if self.leaving && dispatcher.writer.is_idle() {
+            self.phase = Phase::Releasing;
+            self.next = now;
+            self.release(now);
+        }
+    }
+
+    fn written(&mut self, now: Instant, reply: &store::Reply) {
+        let Some(dispatcher) = &mut self.dispatcher else { return };
+        match dispatcher.writer.reply(now, reply) {
+            writer::Verdict::Continue => {
+                dispatcher.wake_all();
+                self.settle();
+            }
+            writer::Verdict::Lost => self.lose(now),
+        }
+    }
+}
