standin: add fakes of the key-value service, the VM list and the workers

Failures can only be shown against a platform that fails on command, and what ran can only be believed from where it ran. The key-value fake has revisions, transactions, leases, watches, rates and the faults down, slow and lost answer; a worker obeys leases and epochs, guards slots and connections, tells usage late, and keeps a ledger from which doubled and repeated work is counted. Ruled out: a real etcd, which can't lose one answer on command.

--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -2,8 +2,9 @@
 
 use super::*;
 
-/// Builds an HTTP client that dials within `limit` and ignores proxies of the environment.
-pub(crate) fn client(peer: &str, limit: Duration) -> Result<reqwest::Client, Error> {
+/// Builds an HTTP client that dials within `limit` and ignores proxies of the environment; `peer`
+/// is named in errors.
+pub fn client(peer: &str, limit: Duration) -> Result<reqwest::Client, Error> {
     let fail = |cause: &dyn Display| {
         Error::new(error::Step::Start, peer, error::Kind::Unsent, cause.to_string())
     };
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -18,7 +18,7 @@
     tokio::time::Instant,
 };
 
-pub use error::Error;
+pub use {error::Error, http::client};
 
 pub mod error;
 pub mod gateway;
--- /dev/null
+++ b/crates/standin/src/clock.rs
@@ -0,0 +1,30 @@
+//! Time as the ledgers have it, comparable between the processes of one machine.
+
+use super::*;
+
+/// Turns monotonic time into microseconds since the Unix epoch, read once at its creation.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    origin: Instant,
+    origin_us: u64,
+}
+
+impl Clock {
+    /// Returns the microseconds since the Unix epoch at `instant`.
+    pub fn at(&self, instant: Instant) -> u64 {
+        self.origin_us + instant.saturating_duration_since(self.origin).as_micros() as u64
+    }
+
+    /// Returns the microseconds since the Unix epoch.
+    pub fn now(&self) -> u64 {
+        self.at(Instant::now())
+    }
+
+    /// Reads the system's clock.
+    pub fn start() -> Self {
+        let origin_us = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .map_or(0, |elapsed| elapsed.as_micros() as u64);
+        Self { origin: Instant::now(), origin_us }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/server.rs
@@ -0,0 +1,47 @@
+//! The HTTP server of a stand-in.
+
+use super::*;
+
+/// The HTTP server of a stand-in; a stop closes every connection at once.
+#[derive(Debug)]
+pub(crate) struct Server {
+    pub(crate) address: SocketAddr,
+    pub(crate) connections: connections::Connections,
+    task: Mutex<Option<JoinHandle<()>>>,
+}
+
+impl Server {
+    /// Listens at `address`; `limit` is the number of connections that are not excess.
+    pub(crate) async fn start(
+        address: SocketAddr,
+        limit: usize,
+        connections: connections::Connections,
+        handler: impl Handler,
+    ) -> Result<Self, Error> {
+        let fail = |cause| Error { address, cause };
+        let listener = tokio::net::TcpListener::bind(address).await.map_err(fail)?;
+        let address = listener.local_addr().map_err(fail)?;
+        let inner = TcpAcceptor::try_from(listener).map_err(fail)?;
+        let acceptor = acceptor::Acceptor { connections: connections.clone(), inner, limit };
+        let router = salvo::Router::with_path("{**path}").goal(handler);
+        let task = tokio::spawn(salvo::Server::new(acceptor).serve(Service::new(router)));
+        Ok(Self { address, connections, task: Mutex::new(Some(task)) })
+    }
+
+    /// Stops listening and closes every connection.
+    pub(crate) async fn stop(&self) {
+        let task = lock(&self.task).take();
+        if let Some(task) = task {
+            task.abort();
+            let _ = task.await;
+        }
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        if let Some(task) = lock(&self.task).take() {
+            task.abort();
+        }
+    }
+}
