--- /dev/null
+++ b/crates/capacity/benches/capacity.rs
@@ -0,0 +1,20 @@
+//! Prints every slope that `docs/CAPACITY.md` is worked out from.
+
+use oleanderstage_capacity::{entries, messages};
+
+fn main() {
+    println!("| cost | measured at sizes | line |");
+    println!("| --- | --- | --- |");
+    let slopes = [
+        messages::report(),
+        messages::report_decode(),
+        messages::renewals(),
+        messages::probe(),
+        messages::configuration(),
+        messages::configuration_decode(),
+        entries::table_memory(),
+        entries::choice(),
+        entries::limiter_memory(),
+    ];
+    slopes.iter().for_each(oleanderstage_capacity::Slope::print);
+}
--- /dev/null
+++ b/crates/capacity/src/lib.rs
@@ -0,0 +1,16 @@
+//! Slopes of state, messages and processor time over size, for `docs/CAPACITY.md`.
+
+use {
+    oleanderstage_core::{
+        Instant, Name, Resources, admission, cell, config, job, route, task, worker,
+    },
+    oleanderstage_wire::{Call, call},
+    std::{fmt::Display, fs, hint, time},
+};
+
+pub use slope::Slope;
+
+pub mod entries;
+pub mod messages;
+pub mod sample;
+pub mod slope;
