Estimate interference, judge bad workers, share quotas, correct sizes

Cause: batch work had no limit by what it does to services, and failures were nobody's. Conclusion: don't add, throttle, evict within a budget, each a pure decision.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,24 +6,34 @@
     rand_pcg::Pcg64Mcg,
     serde::{Deserialize, Serialize},
     std::{
-        collections::BTreeMap,
+        collections::{BTreeMap, BTreeSet},
         fmt::{self, Display, Formatter},
         ops::{Add, Sub},
         str::FromStr,
         sync::Arc,
         time::Duration,
     },
+    target::Target,
 };
 
 pub use {instant::Instant, name::Name, resources::Resources};
 
+pub mod admission;
 pub mod cell;
 pub mod config;
 pub mod instant;
+pub mod interference;
 pub mod job;
 pub mod name;
 pub mod outcome;
 pub mod placement;
+pub mod probation;
+pub mod quota;
 pub mod resources;
+pub mod retry;
+pub mod route;
+pub mod sizing;
 pub mod task;
 pub mod worker;
+
+mod target;
