--- /dev/null
+++ b/crates/core/src/interference_occupancy.rs
@@ -0,0 +1,50 @@
+//! How busy a service is on a worker.
+
+use super::*;
+
+/// Load bands that are estimated apart.
+pub(super) const BANDS: usize = 4;
+/// How far ahead a rising load is followed.
+const AHEAD: Duration = Duration::from_secs(6);
+/// Time over which load is averaged.
+const SMOOTHING: Duration = Duration::from_secs(4);
+
+/// Requests in progress as a share of the slots, averaged, with its trend.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Occupancy {
+    /// Share of the slots, 0 to 1.
+    share: f64,
+    /// Change of `share` a second.
+    trend: f64,
+    updated: Option<Instant>,
+}
+
+impl Occupancy {
+    /// Returns the load band of a share of the slots.
+    pub fn band(share: f64) -> usize {
+        ((share * BANDS as f64) as usize).min(BANDS - 1)
+    }
+
+    /// Returns the share that is expected once a change made now has taken effect.
+    pub fn ahead(&self) -> f64 {
+        let rise = self.trend.max(0.0) * AHEAD.as_secs_f64();
+        (self.share + rise).clamp(0.0, 1.0)
+    }
+
+    /// Takes in a measured share.
+    pub fn observe(&mut self, now: Instant, share: f64) {
+        let share = share.clamp(0.0, 1.0);
+        let Some(updated) = self.updated.replace(now) else {
+            self.share = share;
+            return;
+        };
+        let elapsed = now.since(updated).as_secs_f64();
+        if elapsed <= 0.0 {
+            return;
+        }
+        let gain = 1.0 - (-elapsed / SMOOTHING.as_secs_f64()).exp();
+        let change = (share - self.share) * gain;
+        self.share += change;
+        self.trend += (change / elapsed - self.trend) * gain / 2.0;
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,12 +22,17 @@
 pub mod cell;
 pub mod config;
 pub mod instant;
+pub mod interference;
 pub mod job;
 pub mod name;
 pub mod outcome;
+pub mod placement;
+pub mod probation;
+pub mod quota;
 pub mod resources;
 pub mod retry;
 pub mod route;
+pub mod sizing;
 pub mod task;
 pub mod worker;
 
