--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -3,7 +3,7 @@
 use super::*;
 
 /// Everything that an operator declares. Accepted as a whole, under a revision that only rises.
-#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, JsonSchema, PartialEq, Serialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Config {
     /// Batch classes, unique by name.
@@ -16,15 +16,41 @@
     pub vms: Vec<Vm>,
 }
 
+/// A configuration that an operator's submission put in force, as the key-value service holds it.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Accepted {
+    /// Who submitted it, for people.
+    #[serde(default)]
+    pub by: String,
+    /// What was submitted.
+    pub config: Arc<Config>,
+    /// Its place in the order of submissions.
+    pub revision: Revision,
+    /// Names the submission, so that its writer recognises it after a lost answer.
+    pub submission: String,
+}
+
 /// Counts the accepted configurations; a process refuses any revision lower than its own.
 #[derive(
-    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Deserialize,
+    Eq,
+    Hash,
+    JsonSchema,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Serialize,
 )]
 #[serde(transparent)]
 pub struct Revision(pub u64);
 
 /// A kind of batch work whose tasks disturb services alike.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, JsonSchema, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Class {
     /// Whether its tasks write checkpoints.
@@ -34,14 +60,17 @@
 }
 
 /// An urgent service.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, JsonSchema, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Service {
     /// The largest request body, in bytes.
+    #[schemars(range(min = 1))]
     pub body_limit_bytes: u64,
     /// Requests in progress that one caller may have at one entry, at least 1.
+    #[schemars(range(min = 1))]
     pub caller_concurrency: u32,
     /// The time to answer that a request has unless it says less, in milliseconds.
+    #[schemars(range(min = 1, max = 3_600_000))]
     pub deadline_ms: u64,
     /// Whether requests may run again after an unknown outcome, unless they say otherwise.
     pub idempotent: bool,
@@ -54,17 +83,19 @@
 }
 
 /// What a service promises.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, JsonSchema, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Objective {
     /// The latency that counts as in time, in milliseconds.
+    #[schemars(range(min = 1, max = 3_600_000))]
     pub latency_ms: u64,
     /// Share of requests to be answered in time, above 0 and below 1.
+    #[schemars(extend("exclusiveMinimum" = 0.0, "exclusiveMaximum" = 1.0))]
     pub share: f64,
 }
 
 /// A team and its share of batch capacity.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, JsonSchema, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Team {
     /// The team.
@@ -74,12 +105,13 @@
 }
 
 /// A VM that runs workers' tasks and endpoints of services.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, JsonSchema, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Vm {
     /// Where its worker and its endpoints listen, as `IP:PORT`.
-    pub address: std::net::SocketAddr,
+    pub address: SocketAddr,
     /// Connections that it takes, at least 1.
+    #[schemars(range(min = 1))]
     pub connections: u32,
     /// The VM, as the VM list names it.
     pub name: Name,
@@ -90,6 +122,7 @@
     /// The services that it hosts.
     pub services: Vec<Name>,
     /// Requests that it runs at once, at least 1.
+    #[schemars(range(min = 1))]
     pub slots: u32,
     /// The availability zone that it sits in.
     pub zone: Name,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -2,9 +2,12 @@
 //! the time passed in and return typed actions, so that a session replays exactly.
 
 use {
+    schemars::{JsonSchema, Schema, SchemaGenerator, json_schema},
     serde::{Deserialize, Serialize},
     std::{
+        borrow::Cow,
         fmt::{self, Display, Formatter},
+        net::SocketAddr,
         ops::{Add, Sub},
         str::FromStr,
         sync::Arc,
@@ -16,6 +19,7 @@
 
 pub mod cell;
 pub mod config;
+pub mod follow;
 pub mod instant;
 pub mod job;
 pub mod name;
--- a/crates/core/src/name.rs
+++ b/crates/core/src/name.rs
@@ -5,6 +5,9 @@
 /// The longest name, in bytes.
 pub const MAX_BYTES: usize = 63;
 
+/// What a name looks like, as a regular expression.
+pub const PATTERN: &str = "^[a-z0-9][a-z0-9-]{0,62}$";
+
 /// A name of 1 to 63 lower-case letters, digits and hyphens that starts with a letter or a digit.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(try_from = "String", into = "String")]
@@ -61,6 +64,20 @@
     }
 }
 
+impl JsonSchema for Name {
+    fn schema_name() -> Cow<'static, str> {
+        "Name".into()
+    }
+
+    fn inline_schema() -> bool {
+        true
+    }
+
+    fn json_schema(_: &mut SchemaGenerator) -> Schema {
+        json_schema!({ "type": "string", "format": "name", "pattern": PATTERN })
+    }
+}
+
 impl Display for Name {
     fn fmt(&self, f: &mut Formatter) -> fmt::Result {
         f.write_str(&self.0)
--- a/crates/core/src/resources.rs
+++ b/crates/core/src/resources.rs
@@ -4,7 +4,18 @@
 
 /// An amount of each resource that a worker has and a task needs.
 #[derive(
-    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Deserialize,
+    Eq,
+    Hash,
+    JsonSchema,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Serialize,
 )]
 #[serde(deny_unknown_fields)]
 pub struct Resources {
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -10,6 +10,8 @@
 pub struct Link {
     /// Where the peer is.
     pub address: SocketAddr,
+    /// This process, as its certificate names it.
+    pub local: Name,
     /// The peer.
     pub peer: Name,
     connection: Arc<tokio::sync::Mutex<Option<quinn::Connection>>>,
@@ -17,8 +19,13 @@
 }
 
 impl Link {
-    pub(crate) fn new(endpoint: quinn::Endpoint, peer: Name, address: SocketAddr) -> Self {
-        Self { address, connection: Default::default(), endpoint, peer }
+    pub(crate) fn new(
+        endpoint: quinn::Endpoint,
+        local: Name,
+        peer: Name,
+        address: SocketAddr,
+    ) -> Self {
+        Self { address, connection: Default::default(), endpoint, local, peer }
     }
 
     /// Sends `call` and waits at most `limit` for the reply. An error of `Step::Connect` proves
--- a/crates/wire/src/listener.rs
+++ b/crates/wire/src/listener.rs
@@ -32,7 +32,7 @@
 
     /// Returns a link to the peer of that name and address; it dials at the first call.
     pub fn link(&self, peer: &Name, address: SocketAddr) -> Link {
-        Link::new(self.endpoint.clone(), peer.clone(), address)
+        Link::new(self.endpoint.clone(), self.name.clone(), peer.clone(), address)
     }
 
     /// Takes connections and calls until closed, and passes each call to `take`. At most
