--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -2,10 +2,13 @@
 //! the time passed in and return typed actions, so that a session replays exactly.
 
 use {
+    rand::{Rng, SeedableRng},
+    rand_pcg::Pcg64Mcg,
     schemars::{JsonSchema, Schema, SchemaGenerator, json_schema},
     serde::{Deserialize, Serialize},
     std::{
         borrow::Cow,
+        collections::{BTreeMap, BTreeSet},
         fmt::{self, Display, Formatter},
         net::SocketAddr,
         ops::{Add, Sub},
@@ -13,10 +16,12 @@
         sync::Arc,
         time::Duration,
     },
+    target::Target,
 };
 
 pub use {instant::Instant, name::Name, resources::Resources};
 
+pub mod admission;
 pub mod cell;
 pub mod config;
 pub mod follow;
@@ -25,5 +30,9 @@
 pub mod name;
 pub mod outcome;
 pub mod resources;
+pub mod retry;
+pub mod route;
 pub mod task;
 pub mod worker;
+
+mod target;
