--- /dev/null
+++ b/crates/follow/src/lib.rs
@@ -0,0 +1,26 @@
+//! Keeps a process's configuration up to date: from the key-value service and from peers.
+
+use {
+    oleanderstage_core::{
+        Instant,
+        config::{Accepted, Config, Revision},
+        follow::{Action, Answer, CALL_LIMIT, Event, Machine, PERIOD, Reading, Refusal},
+    },
+    oleanderstage_platform::store,
+    oleanderstage_wire::{Call, Link, Reply},
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicI64, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::sync::{mpsc, watch},
+    tokio_util::sync::CancellationToken,
+};
+
+pub use {follower::Follower, in_force::InForce};
+
+pub mod follower;
+pub mod in_force;
+mod task;
