--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,10 +4,13 @@
 use {
     rand::{Rng, SeedableRng},
     rand_pcg::Pcg64Mcg,
+    schemars::{JsonSchema, Schema, SchemaGenerator, json_schema},
     serde::{Deserialize, Serialize},
     std::{
+        borrow::Cow,
         collections::{BTreeMap, BTreeSet},
         fmt::{self, Display, Formatter},
+        net::SocketAddr,
         ops::{Add, Sub},
         str::FromStr,
         sync::Arc,
@@ -21,6 +24,7 @@
 pub mod admission;
 pub mod cell;
 pub mod config;
+pub mod follow;
 pub mod instant;
 pub mod interference;
 pub mod job;
