--- a/crates/core/src/chart.rs
+++ b/crates/core/src/chart.rs
@@ -1,6 +1,6 @@
 //! State charts read from JSON with comments, checked as they are read, and interpreted.
 
-use {super::*, std::collections::BTreeMap, std::collections::BTreeSet, std::fmt::Debug};
+use {super::*, std::fmt::Debug};
 
 /// A life cycle: what each event does in each state.
 #[derive(Clone, Debug, Deserialize)]
