--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,10 +4,13 @@
 use {
     rand::{Rng, SeedableRng},
     rand_pcg::Pcg64Mcg,
+    schemars::{JsonSchema, Schema, SchemaGenerator, json_schema},
     serde::{Deserialize, Serialize, de::DeserializeOwned},
     std::{
+        borrow::Cow,
         collections::{BTreeMap, BTreeSet, VecDeque},
         fmt::{self, Display, Formatter},
+        net::SocketAddr,
         ops::{Add, Sub},
         str::FromStr,
         sync::Arc,
@@ -46,7 +49,9 @@
 pub mod contact;
 pub mod dispatcher;
 pub mod faults;
+pub mod follow;
 pub mod instant;
+pub mod interference;
 pub mod job;
 pub mod journal;
 pub mod ledger;
@@ -55,7 +60,9 @@
 pub mod outcome;
 pub mod owner;
 pub mod placement;
+pub mod probation;
 pub mod queue;
+pub mod quota;
 pub mod request;
 pub mod resources;
 pub mod restored;
@@ -63,6 +70,7 @@
 pub mod route;
 pub mod sealed;
 pub mod share;
+pub mod sizing;
 pub mod stage;
 pub mod store;
 pub mod task;
