--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -33,6 +33,7 @@
     listing::Listing,
     name::Name,
     owner::Owner,
+    partition::Partition,
     queue::Queue,
     resources::Resources,
     restored::Restored,
@@ -59,6 +60,7 @@
 pub mod name;
 pub mod outcome;
 pub mod owner;
+pub mod partition;
 pub mod placement;
 pub mod probation;
 pub mod queue;
--- /dev/null
+++ b/crates/core/src/partition.rs
@@ -0,0 +1,68 @@
+//! The division of the configured VMs into cells.
+
+use super::*;
+
+/// Workers of one cell at most.
+pub const MAX_WORKERS: usize = 300;
+/// Workers of one cell on average, when a zone has several.
+pub const MEAN_WORKERS: usize = 200;
+
+/// The cells of a configuration, each with its VMs by name. A rack is in one cell; it moves to
+/// another only when the number of cells of its zone changes, or its cell is full.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Partition {
+    /// By cell.
+    pub cells: BTreeMap<cell::Id, Vec<config::Vm>>,
+}
+
+impl Partition {
+    /// Divides the VMs of a configuration.
+    pub fn new(config: &Config) -> Self {
+        let mut zones: BTreeMap<&Name, BTreeMap<&Name, Vec<&config::Vm>>> = BTreeMap::new();
+        for vm in &config.vms {
+            zones.entry(&vm.zone).or_default().entry(&vm.rack).or_default().push(vm);
+        }
+        let mut partition = Self::default();
+        for (zone, racks) in zones {
+            partition.divide(zone, &racks);
+        }
+        partition.cells.values_mut().for_each(|vms| vms.sort_by(|a, b| a.name.cmp(&b.name)));
+        partition
+    }
+
+    /// Returns how many of `schedulers` come before `own` in taking a cell: those of its zone
+    /// first, then by a hash.
+    pub fn rank(cell: &cell::Id, own: (&Name, &Name), schedulers: &[(&Name, &Name)]) -> u32 {
+        let place = |(name, zone): (&Name, &Name)| {
+            (*zone != cell.zone, xxh3_64(format!("{cell} {name}").as_bytes()), name.clone())
+        };
+        let own = place(own);
+        schedulers.iter().filter(|scheduler| place(**scheduler) < own).count() as u32
+    }
+
+    fn divide(&mut self, zone: &Name, racks: &BTreeMap<&Name, Vec<&config::Vm>>) {
+        let total: usize = racks.values().map(Vec::len).sum();
+        let count = match total {
+            0..=MAX_WORKERS => 1,
+            _ => total.div_ceil(MEAN_WORKERS) as u16,
+        };
+        for (rack, vms) in racks {
+            let first = (0..count)
+                .max_by_key(|index| xxh3_64(format!("{rack} {index}").as_bytes()))
+                .unwrap_or(0);
+            let index = (first..u16::MAX)
+                .find(|index| self.room(zone, *index) >= vms.len())
+                .unwrap_or(first);
+            let cell = cell::Id { index, zone: zone.clone() };
+            self.cells.entry(cell).or_default().extend(vms.iter().map(|vm| (*vm).clone()));
+        }
+    }
+
+    /// Returns how many workers a cell can take; an empty one takes a rack of any size.
+    fn room(&self, zone: &Name, index: u16) -> usize {
+        match self.cells.get(&cell::Id { index, zone: zone.clone() }) {
+            None => usize::MAX,
+            Some(vms) => MAX_WORKERS.saturating_sub(vms.len()),
+        }
+    }
+}
--- a/crates/scheduler/src/main.rs
+++ b/crates/scheduler/src/main.rs
@@ -1,3 +1,5 @@
 //! Starts the program.
 
-fn main() {}
+fn main() -> miette::Result<()> {
+    oleanderstage_scheduler::run(std::env::args())
+}
--- /dev/null
+++ b/crates/scheduler/src/run.rs
@@ -0,0 +1,50 @@
+//! The program's command line.
+
+use super::*;
+
+/// Owns cells of workers and runs batch work on them.
+#[derive(Debug, FromArgs)]
+struct Arguments {
+    /// check the settings and exit
+    #[argh(switch)]
+    check: bool,
+    /// file of settings, JSON with comments
+    #[argh(option)]
+    settings: PathBuf,
+}
+
+/// Runs the program with the arguments, of which the first is its name.
+pub fn run(arguments: impl Iterator<Item = String>) -> miette::Result<()> {
+    let arguments: Vec<String> = arguments.collect();
+    let texts: Vec<&str> = arguments.iter().map(String::as_str).collect();
+    let (name, rest) = texts.split_first().unwrap_or((&"oleanderstage-scheduler", &[]));
+    let arguments = match Arguments::from_args(&[name], rest) {
+        Ok(arguments) => arguments,
+        Err(exit) if exit.status.is_ok() => {
+            println!("{}", exit.output);
+            return Ok(());
+        }
+        Err(exit) => return Err(miette::miette!("{}", exit.output.trim())),
+    };
+    let settings: settings::Scheduler =
+        settings::read(&arguments.settings).map_err(|error| *error)?;
+    if arguments.check {
+        return Ok(());
+    }
+    let _logs = oleanderstage_telemetry::logs::start().into_diagnostic()?;
+    let runtime =
+        tokio::runtime::Builder::new_multi_thread().enable_all().build().into_diagnostic()?;
+    runtime.block_on(until_terminated(settings))
+}
+
+/// Serves until `SIGTERM`, then hands the cells over.
+async fn until_terminated(settings: settings::Scheduler) -> miette::Result<()> {
+    let mut terminate = signal(SignalKind::terminate()).into_diagnostic()?;
+    let leave = CancellationToken::new();
+    let told = leave.clone();
+    tokio::spawn(async move {
+        terminate.recv().await;
+        told.cancel();
+    });
+    serve(settings, leave).await.into_diagnostic()
+}
