Tell everything that is wrong in a file at once

Settings and configurations were read by serde, which stops at the first error and has no place to show. The file is now parsed to a tree with places, checked against the schema derived from the types (keys, units, types, ranges, addresses, names), and a configuration also for contradictions: duplicate names and addresses, unknown services, services that no VM hosts or that no VM can hold, objectives later than deadlines, quotas that let nothing run, and the value limit. Contradictions are looked for also beside elements that have the wrong shape. A JSON-schema library was not taken: none of them keeps places in a file with comments.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -109,6 +109,7 @@
 #[serde(deny_unknown_fields)]
 pub struct Vm {
     /// Where its worker and its endpoints listen, as `IP:PORT`.
+    #[schemars(extend("format" = "ip-port"))]
     pub address: SocketAddr,
     /// Connections that it takes, at least 1.
     #[schemars(range(min = 1))]
--- a/crates/settings/src/error.rs
+++ b/crates/settings/src/error.rs
@@ -1,21 +1,32 @@
-//! Why settings were not taken.
+//! Why a file was not taken.
 
 use super::*;
 
-/// Why settings were not taken, with the place in the file.
+/// Why a file was not taken: everything that is wrong in it, in the order of the file.
 #[derive(Debug, Diagnostic)]
-#[diagnostic(help("{help}"))]
 pub struct Error {
-    /// What to change.
-    pub help: String,
     /// What is wrong.
+    #[related]
+    pub faults: Vec<Fault>,
+    /// Says which file, and how many faults it has.
     pub message: String,
     /// The file's text.
     #[source_code]
     pub source: NamedSource<String>,
-    /// Where it is wrong.
-    #[label("here")]
-    pub span: Option<SourceSpan>,
+}
+
+impl Error {
+    pub(crate) fn new(name: &str, text: &str, mut faults: Vec<Fault>) -> Self {
+        faults.sort_by_key(|fault| (fault.span.offset(), fault.message.clone()));
+        let errors = if faults.len() == 1 { "error" } else { "errors" };
+        let message = format!("`{name}` has {} {errors}", faults.len());
+        Self { faults, message, source: NamedSource::new(name, text.into()) }
+    }
+
+    pub(crate) fn unreadable(name: &str, cause: &std::io::Error) -> Self {
+        let message = format!("cannot read `{name}`: {cause}; name a readable file");
+        Self { faults: vec![], message, source: NamedSource::new(name, String::new()) }
+    }
 }
 
 impl Display for Error {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,10 +1,23 @@
-//! Settings of every program: JSON with comments, one file a process, read into checked types.
+//! Settings of every program and the operators' configuration: JSON with comments, read into
+//! checked types, every error told at once.
 
 use {
+    jsonc_parser::{
+        CollectOptions, ParseOptions,
+        ast::{Array, NumberLit, Object, StringLit, Value},
+        common::{Range, Ranged},
+        parse_to_ast,
+    },
     miette::{Diagnostic, NamedSource, SourceSpan},
-    oleanderstage_core::Name,
+    oleanderstage_core::{
+        Name, Resources,
+        config::{Config, Service, Team, Vm},
+    },
+    schemars::{JsonSchema, Schema},
     serde::{Deserialize, Serialize, de::DeserializeOwned},
+    serde_json::Value as Json,
     std::{
+        collections::BTreeSet,
         fmt::{self, Display, Formatter},
         fs,
         net::SocketAddr,
@@ -12,11 +25,24 @@
     },
 };
 
-pub use {entry::Entry, error::Error, peer::Peer, read::read, scheduler::Scheduler, tls::Tls};
+pub use {
+    configuration::configuration,
+    entry::Entry,
+    error::Error,
+    fault::Fault,
+    peer::Peer,
+    read::{parse, read},
+    scheduler::Scheduler,
+    tls::Tls,
+};
 
+pub mod configuration;
+mod document;
 pub mod entry;
 pub mod error;
+pub mod fault;
 pub mod peer;
 pub mod read;
 pub mod scheduler;
+mod shape;
 pub mod tls;
--- a/crates/settings/src/read.rs
+++ b/crates/settings/src/read.rs
@@ -2,23 +2,18 @@
 
 use super::*;
 
-/// Reads the settings at `path`: JSON with comments and trailing commas.
-pub fn read<T: DeserializeOwned>(path: &Path) -> Result<T, Box<Error>> {
+/// Reads the settings at `path`: JSON with comments and trailing commas. An error tells everything
+/// that is wrong in the file.
+pub fn read<T: DeserializeOwned + JsonSchema>(path: &Path) -> Result<T, Box<Error>> {
     let name = path.display().to_string();
-    let text = fs::read_to_string(path).map_err(|error| {
-        Box::new(Error {
-            help: "name a readable file of settings with `--settings`".into(),
-            message: format!("cannot read `{name}`: {error}"),
-            source: NamedSource::new(&name, String::new()),
-            span: None,
-        })
-    })?;
-    jsonc_parser::parse_to_serde_value(&text, &Default::default()).map_err(|error| {
-        Box::new(Error {
-            help: "see docs/operators/settings.md for each setting".into(),
-            message: error.to_string(),
-            source: NamedSource::new(&name, text.clone()),
-            span: None,
-        })
-    })
+    let text =
+        fs::read_to_string(path).map_err(|cause| Box::new(Error::unreadable(&name, &cause)))?;
+    parse(&name, &text)
+}
+
+/// Reads the settings `text` of the file `name`, as `read` does.
+pub fn parse<T: DeserializeOwned + JsonSchema>(name: &str, text: &str) -> Result<T, Box<Error>> {
+    let document = document::parse(name, text)?;
+    let faults = shape::check(&document, &schemars::schema_for!(T));
+    document::decode(name, text, document, faults)
 }
--- a/crates/settings/src/tls.rs
+++ b/crates/settings/src/tls.rs
@@ -3,7 +3,7 @@
 use super::*;
 
 /// PEM files of a process. `oleanderstage keys` prints a set for tests.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Tls {
     /// The certificate that every peer's certificate must be signed by.
