--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,7 +5,7 @@
     rand::{Rng, SeedableRng},
     rand_pcg::Pcg64Mcg,
     schemars::{JsonSchema, Schema, SchemaGenerator, json_schema},
-    serde::{Deserialize, Serialize},
+    serde::{Deserialize, Serialize, de::DeserializeOwned},
     std::{
         borrow::Cow,
         collections::{BTreeMap, BTreeSet},
@@ -23,15 +23,23 @@
 
 pub mod admission;
 pub mod cell;
+pub mod chart;
 pub mod config;
 pub mod follow;
 pub mod instant;
+pub mod interference;
 pub mod job;
 pub mod name;
 pub mod outcome;
+pub mod placement;
+pub mod probation;
+pub mod quota;
+pub mod request;
 pub mod resources;
 pub mod retry;
 pub mod route;
+pub mod share;
+pub mod sizing;
 pub mod task;
 pub mod worker;
 
