standin: pass over commands that come too late by the worker's clock

The agreed batch now carries a validity; without it, a command held up in a socket took effect after its sender had counted it as over. The worker tells its clock, refuses another incarnation's batch, and carries nothing out without a validity.

--- a/crates/standin/src/machine.rs
+++ b/crates/standin/src/machine.rs
@@ -21,6 +21,7 @@
     seen: Instant,
     /// Slots in use.
     slots: u32,
+    started: Instant,
 }
 
 /// A run in progress.
@@ -70,6 +71,7 @@
             running: BTreeMap::new(),
             seen: now,
             slots: 0,
+            started: now,
             vm,
         }
     }
@@ -95,7 +97,7 @@
         }
     }
 
-    /// Carries out commands and reports, or returns the higher epoch that was seen.
+    /// Carries out commands that are not too late and reports, or returns the higher epoch that was seen.
     pub(crate) fn carry_out(
         &mut self,
         batch: protocol::Batch,
@@ -105,9 +107,11 @@
             return Err(*highest);
         }
         *highest = batch.epoch;
-        let now = Instant::now();
-        for command in batch.commands {
-            self.command(command, batch.epoch, now);
+        if batch.validity.is_some_and(|validity| self.holds(&validity)) {
+            let now = Instant::now();
+            for command in batch.commands {
+                self.command(command, batch.epoch, now);
+            }
         }
         Ok(self.report(&batch.cell))
     }
@@ -138,6 +142,7 @@
         let over = self.over.iter().filter(|(run, _)| of_cell(&run.task));
         protocol::Report {
             age_ms,
+            clock_ms: self.clock_ms(),
             epoch: self.epochs.get(cell).copied().unwrap_or_default(),
             incarnation: self.incarnation,
             over: over
@@ -275,6 +280,16 @@
         (!fits).then_some("no-room")
     }
 
+    /// Returns the time since the process started, in milliseconds.
+    fn clock_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
+    /// Returns whether commands may still be carried out.
+    fn holds(&self, validity: &protocol::Validity) -> bool {
+        validity.incarnation == self.incarnation && self.clock_ms() <= validity.until_ms
+    }
+
     fn used(&self) -> Resources {
         self.running.values().fold(Resources::default(), |sum, run| sum + run.resources)
     }
--- a/crates/standin/tests/worker.rs
+++ b/crates/standin/tests/worker.rs
@@ -5,7 +5,7 @@
 use {
     oleanderstage_core::{
         Name, Resources, cell, config, job, task,
-        worker::{Batch, Command, Report, Run},
+        worker::{Batch, Command, Report, Run, Validity},
     },
     oleanderstage_platform::workers::{Answer, Client},
     oleanderstage_standin::{Behaviour, Worker, faults::Fault, summary::Summary},
@@ -40,7 +40,18 @@
     }
 
     async fn send(&mut self, epoch: u64, commands: &[Command]) {
-        let batch = Batch { cell: cell(), commands: commands.into(), epoch: cell::Epoch(epoch) };
+        let report = self.client.report(self.worker.address(), &cell(), LIMIT).await.unwrap();
+        let validity = Validity { incarnation: report.incarnation, until_ms: u64::MAX };
+        self.send_until(epoch, commands, validity).await;
+    }
+
+    async fn send_until(&mut self, epoch: u64, commands: &[Command], validity: Validity) {
+        let batch = Batch {
+            cell: cell(),
+            commands: commands.into(),
+            epoch: cell::Epoch(epoch),
+            validity: Some(validity),
+        };
         match self.client.send(self.worker.address(), &batch, LIMIT).await.unwrap() {
             Answer::Report(report) => self.say_report(&report),
             Answer::Stale { highest } => self.say(&format!("stale, highest {}", highest.0)),
@@ -160,6 +171,20 @@
     insta::assert_snapshot!(bench.text);
 }
 
+#[tokio::test]
+async fn late_commands_are_passed_over() {
+    let mut bench = Bench::start(8, 64).await;
+    let report = bench.client.report(bench.worker.address(), &cell(), LIMIT).await.unwrap();
+    let Report { clock_ms, incarnation, .. } = report;
+    let commands = [start(1, 600_000, 600_000)];
+    tokio::time::sleep(Duration::from_millis(5)).await;
+    bench.send_until(1, &commands, Validity { incarnation, until_ms: clock_ms }).await;
+    let other = Validity { incarnation: incarnation + 1, until_ms: u64::MAX };
+    bench.send_until(2, &commands, other).await;
+    bench.send_until(2, &commands, Validity { incarnation, until_ms: u64::MAX }).await;
+    insta::assert_snapshot!(bench.text);
+}
+
 #[tokio::test]
 async fn a_guard_refuses_beyond_the_slots() {
     let mut bench = Bench::start(1, 64).await;
