--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,10 +4,13 @@
 use {
     rand::{Rng, SeedableRng},
     rand_pcg::Pcg64Mcg,
+    schemars::{JsonSchema, Schema, SchemaGenerator, json_schema},
     serde::{Deserialize, Serialize, de::DeserializeOwned},
     std::{
+        borrow::Cow,
         collections::{BTreeMap, BTreeSet},
         fmt::{self, Display, Formatter},
+        net::SocketAddr,
         ops::{Add, Sub},
         str::FromStr,
         sync::Arc,
@@ -22,6 +25,8 @@
 pub mod cell;
 pub mod chart;
 pub mod config;
+pub mod drain;
+pub mod follow;
 pub mod instant;
 pub mod job;
 pub mod name;
