Answer callers: admit, route, attempt, pass the answer on, and drain

The entry streams urgent requests to endpoints and their answers back, in one of three outcomes. Bodies up to 64 KiB are held for another attempt, longer ones are streamed once. A failed dial proves that nothing ran; any later failure is unknown. Only an answer that echoes the request's id is passed on, and a refusal of a guard counts only with that echo too. A connection without an answer within the bound takes its pool generation out, while requests in progress keep theirs. Dot segments in a path are refused, because they would lead past the admission of another service.

Ran out: one idle pool for all VMs (a silent connection could not be retired alone), and trusting hyper's cancelled-request retry (it hides whether something was sent), which is switched off.

--- /dev/null
+++ b/crates/entry/src/args.rs
@@ -0,0 +1,14 @@
+//! The command line.
+
+use super::*;
+
+/// Answers callers, routes urgent requests and takes batch jobs in.
+#[derive(argh::FromArgs, Debug)]
+pub(crate) struct Args {
+    /// check the settings and exit
+    #[argh(switch)]
+    pub(crate) check: bool,
+    /// file of settings, JSON with comments
+    #[argh(option)]
+    pub(crate) settings: PathBuf,
+}
--- /dev/null
+++ b/crates/entry/src/clock.rs
@@ -0,0 +1,25 @@
+//! The process's monotonic clock.
+
+use super::*;
+
+/// The process's monotonic clock.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Clock {
+    origin: std::time::Instant,
+}
+
+impl Clock {
+    pub(crate) fn new() -> Self {
+        Self { origin: std::time::Instant::now() }
+    }
+
+    /// Returns the time since the clock was made.
+    pub(crate) fn now(&self) -> Instant {
+        Instant(self.origin.elapsed().as_micros() as u64)
+    }
+
+    /// Returns the same point for the runtime's timers.
+    pub(crate) fn timer(&self, instant: Instant) -> tokio::time::Instant {
+        (self.origin + Duration::from_micros(instant.0)).into()
+    }
+}
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -1,3 +1,5 @@
-//! Starts the program.
+//! Starts the entry.
 
-fn main() {}
+fn main() -> std::process::ExitCode {
+    oleanderstage_entry::run()
+}
--- /dev/null
+++ b/crates/entry/src/node.rs
@@ -0,0 +1,133 @@
+//! What every part of an entry shares.
+
+use super::*;
+use {
+    cells::Cells, clock::Clock, counters::Counters, drain::Drain, hosts::Hosts, pool::Pools,
+    service::Service,
+};
+
+/// What every part of an entry shares.
+#[derive(Debug)]
+pub(crate) struct Node {
+    pub(crate) cells: Cells,
+    pub(crate) clock: Clock,
+    pub(crate) counters: Counters,
+    pub(crate) drain: Drain,
+    pub(crate) follower: Follower,
+    pub(crate) hosts: Hosts,
+    /// Changes at each start of the process.
+    pub(crate) incarnation: u64,
+    pub(crate) metrics: StatsdClient,
+    pub(crate) pools: Pools,
+    pub(crate) schedulers: Vec<Link>,
+    pub(crate) settings: settings::Entry,
+    services: Mutex<BTreeMap<Name, Arc<Service>>>,
+}
+
+/// What a node is made of.
+pub(crate) struct Parts {
+    pub(crate) follower: Follower,
+    pub(crate) leave: CancellationToken,
+    pub(crate) listener: Listener,
+    pub(crate) settings: settings::Entry,
+}
+
+impl Node {
+    pub(crate) fn new(parts: Parts) -> Result<Arc<Self>, Error> {
+        let Parts { follower, leave, listener, settings } = parts;
+        let link = |peer: &settings::Peer| listener.link(&peer.name, peer.address);
+        let clock = Clock::new();
+        let metrics = oleanderstage_telemetry::metrics::client("oleanderstage", settings.metrics)
+            .map_err(Error::Metrics)?;
+        Ok(Arc::new(Self {
+            cells: Cells::default(),
+            clock,
+            counters: Counters::default(),
+            drain: Drain::new(leave),
+            follower,
+            hosts: Hosts::default(),
+            incarnation: uuid::Uuid::new_v4().as_u64_pair().0,
+            metrics,
+            pools: Pools::new()?,
+            schedulers: settings.schedulers.iter().map(link).collect(),
+            services: Mutex::default(),
+            settings,
+        }))
+    }
+
+    /// Counts an answer passed on whole.
+    pub(crate) fn answered(&self, service: &Name, latency: Duration, in_time: bool) {
+        let cause = match in_time {
+            true => counters::Cause::Answered,
+            false => counters::Cause::AnsweredLate,
+        };
+        self.counters.count(service, cause);
+        let metric = format!("service.{service}.latency");
+        let _ = self.metrics.time(&metric, latency.as_millis() as u64);
+    }
+
+    /// Puts a configuration in force.
+    pub(crate) fn apply(&self, config: &config::Config) {
+        let now = self.clock.now();
+        let own = &self.settings.name;
+        let entries: Vec<Name> =
+            self.settings.peers.iter().map(|peer| &peer.name).chain([own]).cloned().collect();
+        self.hosts.apply(own, &entries, &config.vms);
+        let vms: Vec<Name> = config.vms.iter().map(|vm| vm.name.clone()).collect();
+        self.pools.keep(&vms);
+        let mut services = lock(&self.services);
+        services.retain(|name, _| config.services.iter().any(|service| service.name == *name));
+        for service in &config.services {
+            let next = match services.get(&service.name) {
+                Some(old) => old.revise(service.clone()),
+                None => Service::new(service.clone(), &self.settings.zone, self.incarnation),
+            };
+            next.apply(now, &self.endpoints(&service.name, &config.vms));
+            services.insert(service.name.clone(), Arc::new(next));
+        }
+    }
+
+    /// Gives the VMs on the list that leave nothing new, and the others work again.
+    pub(crate) fn apply_list(&self, vms: &[vms::Vm]) {
+        let now = self.clock.now();
+        for service in lock(&self.services).values() {
+            let mut table = lock(&service.state.table);
+            for vm in vms {
+                match vm.state {
+                    vms::State::Leaving => table.leave(now, &vm.name),
+                    vms::State::Live => table.stay(now, &vm.name),
+                }
+            }
+        }
+    }
+
+    /// Returns the service of that name.
+    pub(crate) fn service(&self, name: &Name) -> Option<Arc<Service>> {
+        lock(&self.services).get(name).cloned()
+    }
+
+    /// Takes out the connections that an answer has not come over within the bound.
+    pub(crate) fn silent(&self, vm: &Name, generation: u64, connections: u32) {
+        if !self.pools.retire(vm, generation, connections) {
+            return;
+        }
+        self.counters.retired();
+        log::warn!(generation, vm = vm.to_string(); "connections_retired");
+        let _ = self.metrics.incr("connections.retired");
+    }
+
+    fn endpoints(&self, service: &Name, vms: &[config::Vm]) -> Vec<route::Endpoint> {
+        let hosting = vms.iter().filter(|vm| vm.services.contains(service));
+        let endpoint = |vm: &config::Vm| {
+            let share = self.hosts.share(&vm.name);
+            route::Endpoint {
+                connections: share.connections,
+                rack: vm.rack.clone(),
+                slots: share.slots,
+                vm: vm.name.clone(),
+                zone: vm.zone.clone(),
+            }
+        };
+        hosting.map(endpoint).filter(|endpoint| endpoint.slots > 0).collect()
+    }
+}
--- /dev/null
+++ b/crates/entry/src/run.rs
@@ -0,0 +1,41 @@
+//! The program: reads its settings, serves until told to leave, and drains.
+
+use super::*;
+
+/// Runs the program and returns its exit code.
+pub fn run() -> ExitCode {
+    let args: args::Args = argh::from_env();
+    match start(&args) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("{report:?}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start(args: &args::Args) -> miette::Result<()> {
+    let settings: settings::Entry = settings::read(&args.settings).map_err(|error| *error)?;
+    if args.check {
+        println!("`{}` is in order", args.settings.display());
+        return Ok(());
+    }
+    let _logs = oleanderstage_telemetry::logs::start().map_err(|e| miette::miette!("{e}"))?;
+    let runtime = tokio::runtime::Runtime::new().map_err(|e| miette::miette!("{e}"))?;
+    runtime.block_on(async {
+        let leave = CancellationToken::new();
+        tokio::spawn(until_told(leave.clone()));
+        serve(settings, leave).await.map_err(|error| miette::miette!("{error}"))
+    })
+}
+
+async fn until_told(leave: CancellationToken) {
+    use tokio::signal::unix::{SignalKind, signal};
+    let Ok(mut terminate) = signal(SignalKind::terminate()) else { return };
+    let Ok(mut interrupt) = signal(SignalKind::interrupt()) else { return };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    leave.cancel();
+}
--- /dev/null
+++ b/crates/entry/src/urgent.rs
@@ -0,0 +1,75 @@
+//! Urgent requests: admission, attempts, and the answer or refusal to the caller.
+
+use super::*;
+use {
+    attempt::{Admitted, Attempts},
+    body::Body,
+    inbound::Inbound,
+    node::Node,
+    oleanderstage_core::request::Id,
+    refusal::{Reason, Refusal},
+    service::Service,
+    ticket::Ticket,
+};
+
+/// Answers one urgent request.
+pub(crate) async fn serve(node: &Arc<Node>, request: &mut Request, response: &mut Response) {
+    let id = Id(uuid::Uuid::new_v4().as_u128());
+    let inbound = match Inbound::try_from(&*request) {
+        Ok(inbound) => inbound,
+        Err(refusal) => return refusal.write(response),
+    };
+    let service = inbound.service.clone();
+    let answer = match admit(node, id, inbound) {
+        Ok(admitted) => run(node, admitted, request.take_body()).await,
+        Err(refusal) => Err(refusal),
+    };
+    match answer {
+        Ok(answer) => answer.write(id, response),
+        Err(refusal) => {
+            if node.service(&service).is_some() {
+                node.counters.refused(&service, &refusal);
+            }
+            let (outcome, reason) = (refusal.outcome.as_str(), refusal.reason.as_str());
+            let service = service.to_string();
+            log::info!(request = id.to_string(), service, outcome, reason; "request_refused");
+            refusal.write(response);
+        }
+    }
+}
+
+/// Admits a request, or refuses it for good before anything of it is sent.
+fn admit(node: &Arc<Node>, id: Id, inbound: Inbound) -> Result<Admitted, Refusal> {
+    let service = find(node, &inbound.service)?;
+    let started = node.clock.now();
+    let configured = Duration::from_millis(service.config.deadline_ms);
+    let left = inbound.deadline.map_or(configured, |deadline| deadline.min(configured));
+    let ticket = Ticket::admit(&service.state, &inbound.caller, left).map_err(|refusal| {
+        let text = format!("service `{}` can't take this request now", inbound.service);
+        Refusal::later(refusal.reason.into(), refusal.retry, text)
+    })?;
+    lock(&service.state.budget).request();
+    Ok(Admitted { deadline: started + left, id, inbound, service, started, ticket })
+}
+
+fn find(node: &Arc<Node>, name: &Name) -> Result<Arc<Service>, Refusal> {
+    if !node.drain.state().takes() {
+        let text = "this entry is leaving: send the request again, to another entry";
+        return Err(Refusal::later(Reason::Leaving, Duration::ZERO, text));
+    }
+    if let Some(service) = node.service(name) {
+        return Ok(service);
+    }
+    if node.follower.current().is_none() {
+        let text = "this entry has learned no configuration yet: come back later";
+        return Err(Refusal::later(Reason::NoConfiguration, Duration::from_secs(1), text));
+    }
+    let text = format!("no service `{name}` is configured: check the name, or submit one");
+    Err(Refusal::never(StatusCode::NOT_FOUND, Reason::UnknownName, text))
+}
+
+async fn run(node: &Arc<Node>, admitted: Admitted, body: ReqBody) -> Result<pass::Answer, Refusal> {
+    let limit = admitted.service.config.body_limit_bytes;
+    let body = Body::read(body, admitted.inbound.length, limit, body::HELD_BYTES).await?;
+    Attempts::new(node, admitted, body).run().await
+}
--- /dev/null
+++ b/crates/entry/tests/urgent.rs
@@ -0,0 +1,193 @@
+//! Urgent requests through a running entry.
+
+#![allow(clippy::unwrap_used)]
+
+use {
+    bench::{Bench, Plan, send, until},
+    oleanderstage_core::outcome,
+    std::time::Duration,
+    tokio::io::{AsyncReadExt, AsyncWriteExt},
+};
+
+mod bench;
+
+/// Writes `text` to the entry as it is, and returns the start of its answer.
+async fn raw(bench: &Bench, text: &str) -> String {
+    let mut caller = tokio::net::TcpStream::connect(bench.entries[0].address).await.unwrap();
+    caller.write_all(text.as_bytes()).await.unwrap();
+    let mut answer = [0; 2_048];
+    let read = tokio::time::timeout(bench::PATIENCE, caller.read(&mut answer)).await;
+    String::from_utf8_lossy(&answer[..read.unwrap().unwrap()]).into_owned()
+}
+
+#[tokio::test]
+async fn an_answer_is_passed_on_whole() {
+    let bench = Plan::new("whole").start().await;
+    let body = "x".repeat(150_000);
+    let got = send(bench.post(0, "/services/site/publish?a=1", &body)).await;
+    assert_eq!((got.status, got.outcome.as_str()), (200, "answered"));
+    let (id, echo) = got.body.split_once('\n').unwrap();
+    assert_eq!(echo, body);
+    let ran = bench.ran();
+    assert_eq!(ran.requests.len(), 1);
+    assert_eq!(ran.requests[0].request, id);
+}
+
+#[tokio::test]
+async fn what_is_malformed_is_refused_and_not_run() {
+    let bench = Plan::new("malformed").start().await;
+    let long = "x".repeat(300);
+    let requests = [
+        bench.post(0, "/services/none/a", ""),
+        bench.post(0, "/services/Site/a", ""),
+        bench.post(0, "/services/site/a", "").header(outcome::DEADLINE_HEADER, "soon"),
+        bench.post(0, "/services/site/a", "").header(outcome::IDEMPOTENT_HEADER, "maybe"),
+        bench.post(0, "/services/site/a", "").header("idempotency-key", &long),
+        bench.post(0, "/services/site/a", &"x".repeat(200_001)),
+        bench.post(0, "/elsewhere", ""),
+        bench.post(0, "/jobs", "{"),
+    ];
+    let mut text = String::new();
+    for request in requests {
+        let got = send(request).await;
+        text += &format!("{} {} {}: {}\n", got.status, got.outcome, got.reason, got.body);
+    }
+    insta::assert_snapshot!(text);
+    assert_eq!(bench.ran().requests.len(), 0);
+}
+
+#[tokio::test]
+async fn a_path_that_leads_to_another_service_is_refused() {
+    let bench = Plan::new("dots").start().await;
+    for path in ["/services/site/../other/a", "/services/site/%2e%2E/other/a"] {
+        let text = raw(&bench, &format!("GET {path} HTTP/1.1\r\nhost: a\r\n\r\n")).await;
+        assert!(text.starts_with("HTTP/1.1 400"), "{text}");
+    }
+}
+
+#[tokio::test]
+async fn a_body_without_length_is_cut_off_at_the_limit() {
+    let bench = Plan::new("chunked").service(|s| s.body_limit_bytes = 1_000).start().await;
+    let parts = (0..100).map(|_| Ok::<_, std::io::Error>("x".repeat(100)));
+    let body = reqwest::Body::wrap_stream(futures_util::stream::iter(parts));
+    let got = send(bench.http.post(bench.url(0, "/services/site/a")).body(body)).await;
+    assert_eq!((got.status, got.outcome.as_str()), (413, "not-run"));
+    assert_eq!(bench.ran().requests.len(), 0);
+}
+
+#[tokio::test]
+async fn a_head_above_the_limit_is_refused() {
+    let bench = Plan::new("head").start().await;
+    let request = bench.post(0, "/services/site/a", "").header("x-long", "x".repeat(64 << 10));
+    let response = request.send().await.unwrap();
+    assert_eq!(response.status().as_u16(), 431);
+    assert_eq!(bench.ran().requests.len(), 0);
+}
+
+#[tokio::test]
+async fn a_caller_gone_half_way_leaves_nothing_behind() {
+    let bench = Plan::new("gone").start().await;
+    let mut caller = tokio::net::TcpStream::connect(bench.entries[0].address).await.unwrap();
+    let head = "POST /services/site/a HTTP/1.1\r\nhost: a\r\ncontent-length: 100\r\n\r\nhalf";
+    caller.write_all(head.as_bytes()).await.unwrap();
+    drop(caller);
+    // All slots are free afterwards: as many requests as there are slots run at once.
+    let requests = (0..8).map(|_| send(bench.post(0, "/services/site/a?work_ms=200", "")));
+    let got = futures_util::future::join_all(requests).await;
+    assert!(got.iter().all(|got| got.outcome == "answered"), "{got:?}");
+    assert_eq!(bench.ran().requests.len(), 8);
+}
+
+#[tokio::test]
+async fn a_caller_gone_while_waiting_gives_its_slot_back() {
+    let bench = Plan::new("waiting").slots(1).start().await;
+    let mut caller = tokio::net::TcpStream::connect(bench.entries[0].address).await.unwrap();
+    let head = "POST /services/site/a?work_ms=100 HTTP/1.1\r\nhost: a\r\ncontent-length: 0\r\n\r\n";
+    caller.write_all(head.as_bytes()).await.unwrap();
+    until(async || bench.ran().requests.len() == 1).await;
+    drop(caller);
+    until(async || send(bench.post(0, "/services/site/a", "")).await.outcome == "answered").await;
+}
+
+#[tokio::test]
+async fn a_stalled_caller_is_told_so() {
+    let bench = Plan::new("stalled").start().await;
+    let head = "POST /services/site/a HTTP/1.1\r\nhost: a\r\ncontent-length: 100\r\n\r\nhalf";
+    let text = raw(&bench, head).await;
+    assert!(text.starts_with("HTTP/1.1 408"), "{text}");
+    assert!(text.contains("oleanderstage-outcome: not-run"), "{text}");
+    assert_eq!(bench.ran().requests.len(), 0);
+}
+
+#[tokio::test]
+async fn beyond_the_slots_requests_are_refused_at_once_and_not_run() {
+    let bench = Plan::new("slots").slots(2).start().await;
+    let requests = (0..6).map(|_| send(bench.post(0, "/services/site/a?work_ms=500", "")));
+    let got = futures_util::future::join_all(requests).await;
+    let answered = got.iter().filter(|got| got.outcome == "answered").count();
+    let refused = got.iter().filter(|got| got.outcome == "not-run" && got.status == 503).count();
+    assert_eq!((answered, refused), (2, 4), "{got:?}");
+    assert!(got.iter().all(|got| got.status == 200 || !got.retry_after.is_empty()));
+    assert_eq!(bench.ran().requests.len(), 2);
+}
+
+#[tokio::test]
+async fn a_flooding_caller_is_limited_alone() {
+    let plan = Plan::new("flood").service(|service| service.caller_concurrency = 2);
+    let bench = plan.start().await;
+    let flood = (0..5).map(|_| {
+        let request = bench.post(0, "/services/site/a?work_ms=500", "");
+        send(request.header(outcome::CALLER_HEADER, "flood"))
+    });
+    let other = async {
+        until(async || bench.ran().requests.len() == 2).await;
+        send(bench.post(0, "/services/site/a", "").header(outcome::CALLER_HEADER, "other")).await
+    };
+    let (flood, other) = tokio::join!(futures_util::future::join_all(flood), other);
+    let limited: Vec<_> = flood.iter().filter(|got| got.status == 429).collect();
+    assert_eq!(limited.len(), 3, "{flood:?}");
+    assert!(limited.iter().all(|got| got.reason == "caller-limit" && got.outcome == "not-run"));
+    assert_eq!(other.outcome, "answered");
+}
+
+#[tokio::test]
+async fn a_request_past_its_deadline_is_unknown() {
+    let bench = Plan::new("deadline").start().await;
+    let request = bench.post(0, "/services/site/a?work_ms=2000", "");
+    let got = send(request.header(outcome::DEADLINE_HEADER, "100")).await;
+    assert_eq!(
+        (got.status, got.outcome.as_str(), got.reason.as_str()),
+        (504, "unknown", "deadline")
+    );
+}
+
+#[tokio::test]
+async fn an_endpoint_that_is_down_ran_nothing_and_others_answer() {
+    let bench = Plan::new("down").workers(3).start().await;
+    bench.workers[0].stop().await;
+    let mut answered = 0;
+    for _ in 0..20 {
+        let got = send(bench.post(0, "/services/site/a", "")).await;
+        assert!(["answered", "not-run"].contains(&got.outcome.as_str()), "{got:?}");
+        answered += usize::from(got.outcome == "answered");
+    }
+    // The retry budget pays for two attempts before the endpoint is ejected.
+    assert!(answered >= 17, "{answered} answered");
+    assert_eq!(bench.ran().requests.len(), answered);
+}
+
+#[tokio::test]
+async fn a_leaving_endpoint_gets_nothing_new() {
+    let bench = Plan::new("leaving").workers(2).start().await;
+    bench.platform.vms().set_lag(Duration::ZERO);
+    let leaving = bench::name("vm-0");
+    let state = oleanderstage_platform::vms::State::Leaving;
+    bench.platform.vms().set(&leaving, Some(state));
+    tokio::time::sleep(Duration::from_millis(2_000)).await;
+    let before = bench.ran().requests.len();
+    for _ in 0..20 {
+        assert_eq!(send(bench.post(0, "/services/site/a", "")).await.outcome, "answered");
+    }
+    let after = &bench.ran().requests[before..];
+    assert!(after.len() == 20 && after.iter().all(|request| request.vm != leaving));
+}
