--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod cell;
 pub mod chart;
 pub mod config;
+pub mod drain;
 pub mod follow;
 pub mod instant;
 pub mod interference;
