Add the operators' commands

Each subcommand is a file. A submission is decided by a machine in the core: one compare-and-swap over the value that was read first, under a submission id that the value and its successors remember, so that a lost answer is found out by reading also when another operator's submission came after it. A log of submissions under keys of their own was ruled out: it needs compaction and a second read. Exit codes tell wrong input, conflict, nothing done, unknown and not yet in force apart. The demonstration is a stub.

--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,1 +1,50 @@
-//! placeholder
+//! The operators' command line.
+
+use {
+    argh::FromArgs,
+    exit::Exit,
+    miette::Diagnostic,
+    oleanderstage_core::{
+        Name,
+        change::Change,
+        config::{Accepted, Config, Revision},
+        submission::{Action, End, Event, Held, Machine},
+    },
+    oleanderstage_follow::follower::KEY,
+    oleanderstage_platform::{
+        http,
+        store::{self, Client, Condition, Kind, Operation, Txn},
+    },
+    oleanderstage_settings as settings,
+    oleanderstage_wire::keys,
+    serde::{Deserialize, Serialize, de::DeserializeOwned},
+    std::{
+        fmt::{self, Display, Formatter, Write as _},
+        fs,
+        io::{self, Write as _},
+        path::{Path, PathBuf},
+        process::ExitCode,
+        sync::Arc,
+        time::Duration,
+    },
+};
+
+pub use {command::Command, error::Error, run::run};
+
+pub mod cancel;
+pub mod check;
+pub mod command;
+pub mod demo;
+pub mod diff;
+pub mod drain;
+mod entries;
+pub mod error;
+pub mod exit;
+pub mod explain;
+mod held;
+pub mod keys_command;
+pub mod run;
+pub mod schema;
+pub mod status;
+pub mod submit;
+mod wait;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,3 +1,5 @@
 //! Starts the program.
 
-fn main() {}
+fn main() -> std::process::ExitCode {
+    oleanderstage::run()
+}
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -25,12 +25,25 @@
     pub by: String,
     /// What was submitted.
     pub config: Arc<Config>,
+    /// The submissions before it, oldest first; the oldest are dropped.
+    #[serde(default)]
+    pub past: Vec<Past>,
     /// Its place in the order of submissions.
     pub revision: Revision,
     /// Names the submission, so that its writer recognises it after a lost answer.
     pub submission: String,
 }
 
+/// An earlier submission.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Past {
+    /// The revision that it had.
+    pub revision: Revision,
+    /// The submission.
+    pub submission: String,
+}
+
 /// Counts the accepted configurations; a process refuses any revision lower than its own.
 #[derive(
     Clone,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -23,6 +23,7 @@
 
 pub mod admission;
 pub mod cell;
+pub mod change;
 pub mod chart;
 pub mod config;
 pub mod follow;
@@ -40,6 +41,7 @@
 pub mod route;
 pub mod share;
 pub mod sizing;
+pub mod submission;
 pub mod task;
 pub mod worker;
 
--- a/crates/settings/src/configuration.rs
+++ b/crates/settings/src/configuration.rs
@@ -4,7 +4,7 @@
 
 /// The largest configuration, in bytes of compact JSON: the value limit of the key-value service,
 /// less room for the revision and the submission.
-pub const MAX_BYTES: usize = 999_000;
+pub const MAX_BYTES: usize = 990_000;
 
 /// Reads the configuration `text` of the file `name`. An error tells everything that is wrong.
 pub fn configuration(name: &str, text: &str) -> Result<Config, Box<Error>> {
