--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -22,7 +22,7 @@
 
 pub mod error;
 pub mod gateway;
-mod http;
+pub mod http;
 pub mod store;
 pub mod txn;
 pub mod value;
