--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod admission;
 pub mod answer;
 pub mod cell;
+pub mod change;
 pub mod chart;
 pub mod config;
 pub mod contact;
@@ -73,6 +74,7 @@
 pub mod sizing;
 pub mod stage;
 pub mod store;
+pub mod submission;
 pub mod task;
 pub mod tenure;
 pub mod worker;
