--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -49,6 +49,7 @@
 pub mod config;
 pub mod contact;
 pub mod dispatcher;
+pub mod drain;
 pub mod faults;
 pub mod follow;
 pub mod instant;
