--- a/crates/capacity/src/lib.rs
+++ b/crates/capacity/src/lib.rs
@@ -2,7 +2,8 @@
 
 use {
     oleanderstage_core::{
-        Instant, Name, Resources, admission, cell, config, job, route, task, worker,
+        Instant, Name, Resources, admission, cell, config, job, journal, ledger, placement, route,
+        sealed, task, worker,
     },
     oleanderstage_wire::{Call, call},
     std::{fmt::Display, fs, hint, time},
@@ -13,4 +14,5 @@
 pub mod entries;
 pub mod messages;
 pub mod sample;
+pub mod schedulers;
 pub mod slope;
