--- a/crates/core/src/contact.rs
+++ b/crates/core/src/contact.rs
@@ -57,8 +57,8 @@
     pub sent: bool,
     /// The group that makes its start durable.
     pub sequence: u64,
-    /// Whether it is to stop.
-    pub stop: bool,
+    /// The group after which it is to stop.
+    pub stop: Option<u64>,
     /// Thousandths of its processors that it may use, until told.
     pub throttle: Option<u32>,
 }
@@ -228,7 +228,7 @@
             renewed: now,
             sent: false,
             sequence,
-            stop: false,
+            stop: None,
             throttle: None,
         }
     }
@@ -250,7 +250,7 @@
         if !self.sent {
             return self.start(now, mode, run, key, ledger);
         }
-        if self.stop {
+        if self.stop.is_some_and(|sequence| sequence <= mode.committed) {
             return due.then_some(worker::Command::Stop { run });
         }
         if self.evict {
@@ -278,7 +278,7 @@
         key: Key,
         ledger: &Ledger,
     ) -> Option<worker::Command> {
-        if self.stop || !mode.start || self.sequence > mode.committed {
+        if self.stop.is_some() || !mode.start || self.sequence > mode.committed {
             return None;
         }
         let spec = &ledger.job(key.serial)?.spec;
--- a/crates/core/src/dispatcher.rs
+++ b/crates/core/src/dispatcher.rs
@@ -182,7 +182,7 @@
                 (None, None) => self.end(now, key, attempt, worker::End::Lapsed),
             }
         }
-        self.tidy(vm, report);
+        self.tidy(now, vm, report);
         self.judge(vm);
     }
 
@@ -233,7 +233,8 @@
             let Some(vm) = vm.filter(|_| stage.may_run()) else { continue };
             self.open_tasks += 1;
             let held = contact::Held {
-                stop: matches!(stage, Stage::Cancelling | Stage::Stopping),
+                stop: matches!(stage, Stage::Cancelling | Stage::Settling | Stage::Stopping)
+                    .then_some(0),
                 ..contact::Held::adopted(attempt, proven)
             };
             self.contacts.entry(vm).or_default().runs.insert(key, held);
@@ -324,7 +325,7 @@
             self.waits.remove(&change.key.serial);
         }
         match change.action {
-            stage::Action::Halt => self.halt(now, change),
+            stage::Action::Halt => self.halt(now, change, sequence),
             stage::Action::Hold | stage::Action::Keep => (),
             stage::Action::Release => self.release(change, &team, &resources, sequence, record),
             stage::Action::Requeue => {
@@ -340,12 +341,12 @@
     }
 
     /// Stops a run of a job that is over.
-    fn halt(&mut self, now: Instant, change: &Change) {
+    fn halt(&mut self, now: Instant, change: &Change, sequence: u64) {
         let contact = change.vm.as_ref().and_then(|vm| self.contacts.get_mut(vm));
         let Some(contact) = contact else { return };
         contact.wake();
         let Some(held) = contact.runs.get_mut(&change.key) else { return };
-        held.stop = true;
+        held.stop = Some(sequence);
         if !held.sent {
             let attempt = held.attempt;
             self.end(now, change.key, attempt, worker::End::Lapsed);
@@ -428,7 +429,7 @@
     /// Applies a record, hands it to the writer, and returns its group.
     fn record(&mut self, now: Instant, record: Record) -> u64 {
         let Ok(changes) = self.ledger.apply(&record) else {
-            return self.writer.committed();
+            return self.writer.last();
         };
         let sequence = self.writer.push(record.clone());
         for change in changes {
@@ -495,21 +496,32 @@
     }
 
     /// Has a worker forget what is durable, and stop what it should not have.
-    fn tidy(&mut self, vm: &Name, report: &worker::Report) {
+    fn tidy(&mut self, now: Instant, vm: &Name, report: &worker::Report) {
+        let Some(contact) = self.contacts.get(vm) else { return };
+        let known = |run: &worker::Run| contact.acks.contains_key(run) || contact.holds(run);
+        let late: Vec<&worker::Over> =
+            report.over.iter().filter(|over| !known(&over.run)).collect();
+        let strays = report.running.iter().map(|running| &running.run);
+        let strays: Vec<worker::Run> = strays.filter(|run| !contact.holds(run)).cloned().collect();
+        let acks: Vec<(worker::Run, u64)> =
+            late.into_iter().map(|over| (over.run.clone(), self.late(now, over))).collect();
         let Some(contact) = self.contacts.get_mut(vm) else { return };
-        for over in &report.over {
-            let known = contact.acks.contains_key(&over.run);
-            if !known && !contact.holds(&over.run) {
-                contact.acks.insert(over.run.clone(), 0);
-                contact.wake();
-            }
+        if !acks.is_empty() || !strays.is_empty() {
+            contact.wake();
         }
-        for running in &report.running {
-            if !contact.holds(&running.run) {
-                contact.strays.insert(running.run.clone());
-                contact.wake();
-            }
+        contact.acks.extend(acks);
+        contact.strays.extend(strays);
+    }
+
+    /// Takes the end of a run that was counted as over, and returns the group after which its worker
+    /// may forget it: whatever led to counting it as over has to be durable too.
+    fn late(&mut self, now: Instant, over: &worker::Over) -> u64 {
+        let task = &over.run.task;
+        let key = Key { index: task.index, serial: task.job.serial };
+        if over.end == worker::End::Finished {
+            self.record(now, Record::Overtake { attempt: over.run.attempt, key });
         }
+        self.writer.last()
     }
 }
 
--- a/crates/core/src/journal.rs
+++ b/crates/core/src/journal.rs
@@ -33,6 +33,13 @@
         /// The task.
         key: Key,
     },
+    /// A run that was counted as over without a word turns out to have done all its work.
+    Overtake {
+        /// The run's attempt.
+        attempt: task::Attempt,
+        /// The task.
+        key: Key,
+    },
     /// A run is about to be started.
     Start {
         /// The run's attempt.
--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -109,6 +109,7 @@
                 self.close(*serial, state, stage::Event::Abandon)
             }
             Record::Over { attempt, end, key } => self.end(*key, *attempt, end),
+            Record::Overtake { attempt, key } => self.overtake(*key, *attempt),
             Record::Start { attempt, key, vm } => self.start(*key, *attempt, vm),
         }
     }
@@ -220,11 +221,32 @@
             job.evictions += u64::from(to == Stage::Queued);
         }
         let mut changes = vec![Change { action, from, key, to, vm }];
-        changes.extend(job.settle(key.serial, &chart, to, event, end));
+        let reason = match (event, end) {
+            (stage::Event::Exhaust, worker::End::Failed { reason }) => Some(reason.as_str()),
+            _ => None,
+        };
+        changes.extend(job.settle(key.serial, &chart, to, reason));
         self.retire(key.serial);
         Ok(changes)
     }
 
+    fn overtake(&mut self, key: Key, attempt: task::Attempt) -> Result<Vec<Change>, Error> {
+        let chart = self.chart.clone();
+        let job = self.content.jobs.get_mut(&key.serial).ok_or(Error::Unknown(key))?;
+        let task = job.tasks.get_mut(key.index as usize).ok_or(Error::Unknown(key))?;
+        if attempt > task.attempt {
+            return Err(Error::Attempt(key));
+        }
+        let from = task.stage;
+        let step = chart.step(from, stage::Event::Overtake);
+        let Step { action, to } = step.ok_or(Error::Stage(key))?;
+        task.stage = to;
+        let vm = task.vm.clone();
+        job.settle(key.serial, &chart, to, None);
+        self.retire(key.serial);
+        Ok(vec![Change { action, from, key, to, vm }])
+    }
+
     /// Drops what nobody needs of a job that is over, and the oldest such jobs.
     fn retire(&mut self, serial: u128) {
         let Some(job) = self.content.jobs.get_mut(&serial) else { return };
@@ -262,14 +284,13 @@
 }
 
 impl Job {
-    /// Moves the job on after one of its tasks came to `to`.
+    /// Moves the job on after one of its tasks came to `to`, for good if it failed for `reason`.
     fn settle(
         &mut self,
         serial: u128,
         chart: &stage::Life,
         to: Stage,
-        event: stage::Event,
-        end: &worker::End,
+        reason: Option<&str>,
     ) -> Vec<Change> {
         if !to.is_final() {
             return Vec::new();
@@ -282,9 +303,7 @@
         if self.finished == self.spec.tasks {
             self.state = job::State::Finished;
         }
-        let (stage::Event::Exhaust, worker::End::Failed { reason }) = (event, end) else {
-            return Vec::new();
-        };
+        let Some(reason) = reason else { return Vec::new() };
         let reason = format!("a task failed {MAX_FAILURES} times, the last with `{reason}`");
         self.state = job::State::Failed { reason };
         self.shift_all(serial, chart, stage::Event::Abandon)
--- a/crates/core/src/stage.rs
+++ b/crates/core/src/stage.rs
@@ -20,6 +20,8 @@
     Queued,
     /// Reported by its worker.
     Running,
+    /// An earlier run turned out to have done all the work; the run is not yet proven over.
+    Settling,
     /// Its start is durable; whether the worker has taken it is not known.
     Starting,
     /// Its job has failed; the run is not yet proven over.
@@ -48,6 +50,8 @@
     Finish,
     /// Its run is proven over, without a word on how.
     Lapse,
+    /// An earlier run, counted as over without a word, turns out to have done all its work.
+    Overtake,
     /// Its worker did not start it.
     Refuse,
     /// A worker was chosen for it.
@@ -79,7 +83,7 @@
 
 impl Event {
     /// Every event.
-    pub const ALL: [Self; 12] = [
+    pub const ALL: [Self; 13] = [
         Self::Abandon,
         Self::Cancel,
         Self::Checkpoint,
@@ -89,6 +93,7 @@
         Self::Fail,
         Self::Finish,
         Self::Lapse,
+        Self::Overtake,
         Self::Refuse,
         Self::Start,
         Self::Stop,
@@ -113,9 +118,12 @@
     /// Returns whether a run of the task may exist.
     pub fn may_run(self) -> bool {
         match self {
-            Self::Cancelling | Self::Evicting | Self::Running | Self::Starting | Self::Stopping => {
-                true
-            }
+            Self::Cancelling
+            | Self::Evicting
+            | Self::Running
+            | Self::Settling
+            | Self::Starting
+            | Self::Stopping => true,
             Self::Cancelled | Self::Failed | Self::Finished | Self::Queued => false,
         }
     }
--- a/crates/core/tests/world/fake_store.rs
+++ b/crates/core/tests/world/fake_store.rs
@@ -34,11 +34,7 @@
         self.calls += 1;
         *self.seconds.entry(now.0 / 1_000_000).or_default() += 1;
         if now < self.down_until {
-            let reply = match request {
-                store::Request::Commit(_) | store::Request::KeepAlive(_) => store::Reply::Doubt,
-                _ => store::Reply::Refused,
-            };
-            return (reply, Duration::from_secs(2));
+            return Self::unreached(request);
         }
         self.expire(now);
         let reply = self.carry_out(now, request);
@@ -49,6 +45,15 @@
         (reply, ROUND_TRIP)
     }
 
+    /// Returns what a caller makes of a call without an answer.
+    pub fn unreached(request: &store::Request) -> (store::Reply, Duration) {
+        let reply = match request {
+            store::Request::Commit(_) | store::Request::KeepAlive(_) => store::Reply::Doubt,
+            _ => store::Reply::Refused,
+        };
+        (reply, Duration::from_secs(2))
+    }
+
     pub fn apply(&mut self, now: Instant, txn: &store::Txn) -> bool {
         self.expire(now);
         if !txn.conditions.iter().all(|condition| self.holds(condition)) {
--- a/crates/core/tests/world/fake_worker.rs
+++ b/crates/core/tests/world/fake_worker.rs
@@ -14,6 +14,7 @@
     pub ran: Vec<Ran>,
     /// Most processors in use at once.
     pub top: u64,
+    checks_epochs: bool,
     epoch: cell::Epoch,
     incarnation: u64,
     over: BTreeMap<worker::Run, worker::End>,
@@ -24,7 +25,7 @@
 /// A run that really took place.
 #[derive(Clone, Debug)]
 pub struct Ran {
-    pub acknowledged: bool,
+    pub acknowledged: Option<Instant>,
     pub checkpoint: Option<String>,
     pub end: Option<(Instant, worker::End)>,
     pub run: worker::Run,
@@ -38,9 +39,10 @@
 }
 
 impl Worker {
-    pub fn new(capacity: Resources) -> Self {
+    pub fn new(capacity: Resources, checks_epochs: bool) -> Self {
         Self {
             capacity,
+            checks_epochs,
             cut_until: Instant::default(),
             dead: false,
             died: None,
@@ -93,7 +95,7 @@
 
     /// Carries a batch out and reports, or refuses it for its epoch.
     pub fn take(&mut self, now: Instant, batch: &worker::Batch) -> Option<worker::Report> {
-        if batch.epoch < self.epoch {
+        if self.checks_epochs && batch.epoch < self.epoch {
             return None;
         }
         self.epoch = batch.epoch;
@@ -128,7 +130,7 @@
             worker::Command::Acknowledge { run } => {
                 self.over.remove(run);
                 let ran = self.ran.iter_mut().rev().find(|ran| ran.run == *run);
-                ran.into_iter().for_each(|ran| ran.acknowledged = true);
+                ran.into_iter().for_each(|ran| ran.acknowledged = ran.acknowledged.or(Some(now)));
             }
             worker::Command::Checkpoint { run } => {
                 let token = format!("token-{}-{}", run.task.index, run.attempt.0);
@@ -149,7 +151,7 @@
                 self.running.insert(run.clone(), Running { done, lease_end, resources });
                 let checkpoint = checkpoint.clone();
                 let run = run.clone();
-                self.ran.push(Ran { acknowledged: false, checkpoint, end: None, run, start: now });
+                self.ran.push(Ran { acknowledged: None, checkpoint, end: None, run, start: now });
                 let used = self.running.values().map(|r| r.resources.processors_milli).sum();
                 self.top = self.top.max(used);
             }
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -21,8 +21,8 @@
 
 pub use {fake_store::Store, fake_worker::Worker};
 
-mod fake_store;
-mod fake_worker;
+pub mod fake_store;
+pub mod fake_worker;
 
 pub const TICK: Duration = Duration::from_millis(100);
 const ROUND_TRIP: Duration = Duration::from_millis(2);
@@ -33,6 +33,7 @@
 #[derive(Clone, Debug)]
 pub enum Upset {
     Cancel(usize),
+    CutStore { index: usize, span: Duration },
     CutWorker { vm: usize, span: Duration },
     DelayBatches(Duration),
     Evict,
@@ -55,6 +56,7 @@
     outbox: Vec<Action>,
     pub owner: Owner,
     paused_until: Instant,
+    store_cut_until: Instant,
 }
 
 #[derive(Clone, Debug)]
@@ -143,7 +145,9 @@
             told: BTreeMap::new(),
             trace: String::new(),
             traced: false,
-            workers: (0..workers).map(|_| Worker::new(amount(4))).collect(),
+            workers: (0..workers)
+                .map(|_| Worker::new(amount(4), faults != Faults::NoEpochCheck))
+                .collect(),
         };
         for index in 0..schedulers {
             let scheduler = world.scheduler(index, index as u64 + 1);
@@ -204,6 +208,7 @@
     /// is over or `span` has passed.
     pub fn settle(&mut self, span: Duration) {
         self.store.heal();
+        self.schedulers.iter_mut().for_each(|s| s.store_cut_until = Instant::default());
         self.delay_batches_until = Instant::default();
         self.workers.iter_mut().for_each(Worker::heal);
         let end = self.now + span;
@@ -370,6 +375,7 @@
                 self.after(late, Delivery::StoreWrite(txn));
                 (store::Reply::Doubt, Duration::from_secs(2))
             }
+            None if self.now < self.schedulers[to.0].store_cut_until => Store::unreached(&request),
             None => self.store.answer(self.now, &request),
         };
         let event = Event::Store { call, reply };
@@ -412,6 +418,7 @@
             outbox: Vec::new(),
             owner: Owner::new(cell_id(), holder, index as u32, self.faults).unwrap(),
             paused_until: Instant::default(),
+            store_cut_until: Instant::default(),
         }
     }
 
@@ -424,6 +431,7 @@
                     self.cancel(&id);
                 }
             }
+            Upset::CutStore { index, span } => self.schedulers[index].store_cut_until = now + span,
             Upset::CutWorker { vm, span } => self.workers[vm].cut_until = now + span,
             Upset::DelayBatches(span) => self.delay_batches_until = now + span,
             Upset::DelayWrites(span) => self.store.delay_until = now + span,
