Run the whole path in one process: the demo

The demo starts stand-ins, two entries, two schedulers and twelve workers, sends urgent requests from twelve callers and runs a job of 80 tasks while a worker that runs some of them fails.

An accepted job is now answered with its id, which the demo needed. A job's cell is chosen among the configured cells rather than among those that have an owner: with the latter, a retry with the same key while a cell had no owner would have met another cell and doubled the job.

--- /dev/null
+++ b/crates/demo/src/lib.rs
@@ -0,0 +1,44 @@
+//! The demo: the whole system in one process, on stand-ins of the platform and of workers.
+
+use {
+    hdrhistogram::Histogram,
+    miette::{IntoDiagnostic, Result, bail, ensure},
+    oleanderstage_core::{
+        Name, Resources,
+        config::{self, Config},
+        job,
+        outcome::{self, Outcome},
+    },
+    oleanderstage_platform::{
+        http,
+        store::{Client, Condition, Operation, Txn},
+    },
+    oleanderstage_settings::{self as settings, Peer, Tls},
+    oleanderstage_standin as standin,
+    oleanderstage_wire::keys::Set,
+    serde::{Deserialize, Serialize, de::DeserializeOwned},
+    serde_json::json,
+    std::{
+        fs,
+        net::{SocketAddr, TcpListener},
+        path::PathBuf,
+        process,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::{Duration, Instant},
+    },
+    tokio::task::JoinHandle,
+    tokio_util::sync::CancellationToken,
+};
+
+pub use {caller::Caller, plan::Plan, run::run, stage::Stage, tally::Tally};
+
+pub mod caller;
+mod plan;
+pub mod run;
+pub mod stage;
+pub mod tally;
+
+/// Locks `mutex`, also after a panic of another holder.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/entry/src/jobs.rs
+++ b/crates/entry/src/jobs.rs
@@ -15,6 +15,12 @@
 /// When to come back after no owner answered.
 const RETRY: Duration = Duration::from_secs(2);
 
+/// An accepted job.
+#[derive(Serialize)]
+struct Accepted {
+    id: job::Id,
+}
+
 /// What a job's caller wants.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Verb {
@@ -31,8 +37,13 @@
 
 /// Accepts a job: answered once it is durable.
 pub(crate) async fn submit(node: &Arc<Node>, request: &mut Request, response: &mut Response) {
-    let created = accept(node, request).await;
-    answer(created, StatusCode::CREATED, response);
+    match accept(node, request).await {
+        Ok(accepted) => {
+            let page = serde_json::to_vec(&accepted).unwrap_or_default();
+            front::write_json(StatusCode::CREATED, page, response);
+        }
+        Err(refusal) => refusal.write(response),
+    }
 }
 
 /// Shows, explains or cancels the job called `id`.
@@ -50,10 +61,10 @@
             call_owner(node, &id.cell, &call).await
         }
     };
-    answer(reply, StatusCode::OK, response);
+    answer(reply, response);
 }
 
-async fn accept(node: &Arc<Node>, request: &mut Request) -> Result<Reply, Refusal> {
+async fn accept(node: &Arc<Node>, request: &mut Request) -> Result<Accepted, Refusal> {
     if !node.drain.state().takes() {
         let text = "this entry is leaving: send the job again, to another entry";
         return Err(Refusal::later(Reason::Leaving, Duration::ZERO, text));
@@ -69,14 +80,15 @@
         .map_err(|error| inbound::invalid(format!("the job can't be read: {error}")))?;
     let serial = key.map_or_else(|| uuid::Uuid::new_v4().as_u128(), |key| serial(&caller, &key));
     let cell = choose(node, serial).ok_or_else(|| {
-        let text = "no scheduler owns a cell yet: come back later";
+        let text = "no configuration with VMs is in force: come back later";
         Refusal::later(Reason::SchedulerUnavailable, RETRY, text)
     })?;
     let id = job::Id { cell: cell.clone(), serial };
-    call_owner(node, &cell, &Call::Submit { id, spec }).await
+    call_owner(node, &cell, &Call::Submit { id: id.clone(), spec }).await?;
+    Ok(Accepted { id })
 }
 
-fn answer(reply: Result<Reply, Refusal>, status: StatusCode, response: &mut Response) {
+fn answer(reply: Result<Reply, Refusal>, response: &mut Response) {
     let page = match reply {
         Ok(Reply::Job(job)) => serde_json::to_vec(&job),
         Ok(Reply::Explain(lines)) => serde_json::to_vec(&Explanation { lines }),
@@ -87,7 +99,7 @@
         }
         Err(refusal) => return refusal.write(response),
     };
-    front::write_json(status, page.unwrap_or_default(), response);
+    front::write_json(StatusCode::OK, page.unwrap_or_default(), response);
 }
 
 /// Calls the scheduler that owns `cell`: the known owner first, then the others in turn.
@@ -116,13 +128,15 @@
     }
 }
 
-/// Chooses the cell by rendezvous hash, so that one key always meets one cell.
+/// Chooses among the configured cells by rendezvous hash, so that one key always meets one cell,
+/// also while that cell has no owner.
 fn choose(node: &Arc<Node>, serial: u128) -> Option<cell::Id> {
     let weight = |cell: &cell::Id| {
         let digest = Sha256::digest(format!("{cell}/{serial:032x}"));
         digest[..8].to_vec()
     };
-    node.cells.known().into_iter().max_by_key(weight)
+    let in_force = node.follower.current()?;
+    Partition::new(&in_force.config).cells.into_keys().max_by_key(weight)
 }
 
 fn refused(reason: Why, retry_ms: Option<u64>, text: String) -> Refusal {
--- a/crates/entry/tests/bench/mod.rs
+++ b/crates/entry/tests/bench/mod.rs
@@ -252,6 +252,7 @@
     let accepted = config::Accepted {
         by: "test".into(),
         config: std::sync::Arc::new(config.clone()),
+        past: Vec::new(),
         revision: config::Revision(revision),
         submission: format!("submission-{revision}"),
     };
