standin: describe the settings by a schema, as reading them now asks

Settings are checked against their schema before they are read, so that every fault is told at once; the stand-in's own had none and no longer compiled. Also lists keys from outside, for proofs.

--- /dev/null
+++ b/crates/proof/src/fleet.rs
@@ -0,0 +1,285 @@
+//! A whole system on loopback: the programs as processes, the platform and the workers as stand-ins
+//! in this process, and relays between them.
+
+use super::*;
+
+use {
+    plan::{name, vm},
+    process::Role,
+    tcp_relay::TcpRelay,
+    udp_relay::UdpRelay,
+};
+
+/// How long anything may take to come about.
+pub const LIMIT: Duration = Duration::from_secs(100);
+/// How often something awaited is looked at.
+pub const POLL_INTERVAL: Duration = Duration::from_millis(25);
+/// Key of the operators' configuration.
+const CONFIG_KEY: &str = "oleanderstage/config";
+/// Ports of each kind of listener, on the fleet's own loopback address.
+const ENTRY_HTTP_PORT: u16 = 8_000;
+const ENTRY_QUIC_PORT: u16 = 8_100;
+const ENTRY_RELAY_PORT: u16 = 8_200;
+const SCHEDULER_QUIC_PORT: u16 = 8_300;
+const SCHEDULER_RELAY_PORT: u16 = 8_400;
+
+/// Tells the fleets of this process apart.
+static FLEETS: AtomicU32 = AtomicU32::new(0);
+
+/// A whole system on loopback, stopped when dropped.
+#[derive(Debug)]
+pub struct Fleet {
+    /// Addresses at which callers reach the entries.
+    pub callers: Vec<SocketAddr>,
+    /// What the workers ran.
+    pub ledger: Ledger,
+    /// The key-value service and the VM list.
+    pub platform: Platform,
+    /// Relays from each process, by its name, to the platform.
+    pub store_relays: BTreeMap<Name, TcpRelay>,
+    /// Relays to the workers.
+    pub worker_relays: Vec<TcpRelay>,
+    /// The workers.
+    pub workers: Vec<Worker>,
+    http: reqwest::Client,
+    ip: IpAddr,
+    keys: BTreeMap<Name, Tls>,
+    plan: Plan,
+    processes: BTreeMap<Name, Process>,
+    quic_relays: BTreeMap<Name, UdpRelay>,
+}
+
+/// The part of an entry's `GET /status` that proofs look at.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default)]
+struct Status {
+    /// Cells with an owner.
+    cells: Vec<serde_json::Value>,
+}
+
+impl Fleet {
+    /// Starts everything, and waits until every entry is healthy and knows a cell.
+    pub async fn start(plan: Plan) -> Result<Self, Error> {
+        let mut fleet = Self::prepare(plan).await?;
+        for index in 0..fleet.plan.schedulers {
+            fleet.start_scheduler(index)?;
+        }
+        for index in 0..fleet.plan.entries {
+            fleet.start_entry(index)?;
+        }
+        for index in 0..fleet.plan.entries {
+            fleet.ready(index).await?;
+        }
+        Ok(fleet)
+    }
+
+    /// Returns a caller that knows every entry.
+    pub fn caller(&self) -> Result<Caller, Error> {
+        Caller::new(&self.callers)
+    }
+
+    /// Returns the process of that name, such as `entry-0`.
+    pub fn process(&mut self, name: &str) -> Result<&mut Process, Error> {
+        let missing = || Error::new(format!("find `{name}`"), "it was not started");
+        self.processes.get_mut(&plan::name(name)).ok_or_else(missing)
+    }
+
+    /// Returns the relay of UDP to the process of that name.
+    pub fn quic_relay(&self, name: &str) -> Option<&UdpRelay> {
+        self.quic_relays.get(&plan::name(name))
+    }
+
+    /// Waits until the entry is healthy and knows a cell.
+    pub async fn ready(&self, index: u16) -> Result<(), Error> {
+        let address = self.callers[usize::from(index)];
+        until(&format!("see entry {index} ready"), async || self.is_ready(address).await).await
+    }
+
+    /// Starts the entry, afresh if it ran before.
+    pub fn start_entry(&mut self, index: u16) -> Result<(), Error> {
+        let name = name(&format!("entry-{index}"));
+        let settings = settings::Entry {
+            http: self.at(ENTRY_HTTP_PORT + index),
+            metrics: None,
+            name: name.clone(),
+            peers: self.peers(Role::Entry, Some(index)),
+            quic: self.at(ENTRY_QUIC_PORT + index),
+            schedulers: self.peers(Role::Scheduler, None),
+            store: self.store_address(&name),
+            tls: self.keys[&name].clone(),
+            vm_list: format!("{}/vms", self.store_address(&name)),
+            zone: plan::name("zone-1"),
+        };
+        self.spawn(Role::Entry, name, &settings)
+    }
+
+    /// Starts the scheduler, afresh if it ran before.
+    pub fn start_scheduler(&mut self, index: u16) -> Result<(), Error> {
+        let name = name(&format!("scheduler-{index}"));
+        let settings = settings::Scheduler {
+            entries: self.peers(Role::Entry, None),
+            metrics: None,
+            name: name.clone(),
+            peers: self.peers(Role::Scheduler, Some(index)),
+            quic: self.at(SCHEDULER_QUIC_PORT + index),
+            store: self.store_address(&name),
+            tls: self.keys[&name].clone(),
+            vm_list: format!("{}/vms", self.store_address(&name)),
+            zone: plan::name("zone-1"),
+        };
+        self.spawn(Role::Scheduler, name, &settings)
+    }
+
+    /// Starts the worker again at its address, after it was stopped.
+    pub async fn start_worker(&mut self, index: usize) -> Result<(), Error> {
+        let address = self.workers[index].address();
+        let vm = vm(index as u16, address);
+        let ledger = self.ledger.clone();
+        self.workers[index] = Worker::start_with(vm, self.plan.behaviour.clone(), ledger).await?;
+        Ok(())
+    }
+
+    /// Puts `config` in force from outside, under `revision`.
+    pub fn submit(&self, revision: u64, config: Config) -> Result<(), Error> {
+        let accepted = Accepted {
+            by: "proof".into(),
+            config: Arc::new(config),
+            revision: Revision(revision),
+            submission: format!("proof-{revision}"),
+        };
+        self.platform.store().put(CONFIG_KEY, &serde_json::to_vec(&accepted)?);
+        Ok(())
+    }
+
+    fn at(&self, port: u16) -> SocketAddr {
+        SocketAddr::new(self.ip, port)
+    }
+
+    async fn is_ready(&self, address: SocketAddr) -> bool {
+        let health = self.http.get(format!("http://{address}/health")).send().await;
+        let status = self.http.get(format!("http://{address}/status")).send().await;
+        let (Ok(health), Ok(status)) = (health, status) else { return false };
+        let status: Status = status.json().await.unwrap_or_default();
+        health.status().is_success() && !status.cells.is_empty()
+    }
+
+    fn peers(&self, role: Role, but: Option<u16>) -> Vec<Peer> {
+        let (text, port, count) = match role {
+            Role::Entry => ("entry", ENTRY_RELAY_PORT, self.plan.entries),
+            Role::Scheduler => ("scheduler", SCHEDULER_RELAY_PORT, self.plan.schedulers),
+        };
+        let peer = |index| Peer {
+            address: self.at(port + index),
+            name: name(&format!("{text}-{index}")),
+            zone: name("zone-1"),
+        };
+        (0..count).filter(|index| Some(*index) != but).map(peer).collect()
+    }
+
+    async fn prepare(plan: Plan) -> Result<Self, Error> {
+        let _ = fs::remove_dir_all(&plan.directory);
+        fs::create_dir_all(&plan.directory)?;
+        let ip = own_ip();
+        let any = SocketAddr::new(ip, 0);
+        let vms = Vms::default();
+        vms.set_lag(Duration::from_millis(500));
+        let platform = Platform::start_with(any, Store::default(), vms).await?;
+        let mut fleet = Self {
+            callers: (0..plan.entries)
+                .map(|index| SocketAddr::new(ip, ENTRY_HTTP_PORT + index))
+                .collect(),
+            http: client("entries", LIMIT)?,
+            ip,
+            keys: make_keys(&plan)?,
+            ledger: Ledger::default(),
+            plan,
+            platform,
+            processes: BTreeMap::new(),
+            quic_relays: BTreeMap::new(),
+            store_relays: BTreeMap::new(),
+            worker_relays: Vec::new(),
+            workers: Vec::new(),
+        };
+        fleet.start_workers().await?;
+        fleet.start_relays().await?;
+        let addresses: Vec<_> = fleet.worker_relays.iter().map(|relay| relay.address).collect();
+        fleet.submit(1, fleet.plan.config(|index| addresses[usize::from(index)]))?;
+        Ok(fleet)
+    }
+
+    fn spawn(&mut self, role: Role, name: Name, settings: &impl Serialize) -> Result<(), Error> {
+        let Plan { directory, program, .. } = &self.plan;
+        let process = Process::start(program, role, &name, directory, settings)?;
+        self.processes.insert(name, process);
+        Ok(())
+    }
+
+    async fn start_relays(&mut self) -> Result<(), Error> {
+        let entries =
+            (0..self.plan.entries).map(|index| ("entry", index, ENTRY_RELAY_PORT, ENTRY_QUIC_PORT));
+        let schedulers = (0..self.plan.schedulers)
+            .map(|index| ("scheduler", index, SCHEDULER_RELAY_PORT, SCHEDULER_QUIC_PORT));
+        let all: Vec<_> = entries.chain(schedulers).collect();
+        for (text, index, relay, quic) in all {
+            let name = name(&format!("{text}-{index}"));
+            let udp = UdpRelay::start(self.at(relay + index), self.at(quic + index)).await?;
+            let tcp = TcpRelay::start(self.at(0), self.platform.address()).await?;
+            self.quic_relays.insert(name.clone(), udp);
+            self.store_relays.insert(name, tcp);
+        }
+        Ok(())
+    }
+
+    async fn start_workers(&mut self) -> Result<(), Error> {
+        for index in 0..self.plan.workers {
+            let vm = vm(index, self.at(0));
+            self.platform.vms().add(&vm.name);
+            let ledger = self.ledger.clone();
+            let worker = Worker::start_with(vm, self.plan.behaviour.clone(), ledger).await?;
+            self.worker_relays.push(TcpRelay::start(self.at(0), worker.address()).await?);
+            self.workers.push(worker);
+        }
+        Ok(())
+    }
+
+    fn store_address(&self, name: &Name) -> String {
+        format!("http://{}", self.store_relays[name].address)
+    }
+}
+
+/// Waits until `holds` returns true, at most `LIMIT`.
+pub async fn until(step: &str, holds: impl AsyncFn() -> bool) -> Result<(), Error> {
+    let deadline = Instant::now() + LIMIT;
+    while Instant::now() < deadline {
+        if holds().await {
+            return Ok(());
+        }
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+    Err(Error::new(step, format!("not after {LIMIT:?}")))
+}
+
+fn make_keys(plan: &Plan) -> Result<BTreeMap<Name, Tls>, Error> {
+    let entries = (0..plan.entries).map(|index| format!("entry-{index}"));
+    let schedulers = (0..plan.schedulers).map(|index| format!("scheduler-{index}"));
+    let names: Vec<Name> = entries.chain(schedulers).map(|text| name(&text)).collect();
+    let set = keys::Set::generate(&names).map_err(|cause| Error::new("make keys", cause))?;
+    let authority = plan.directory.join("authority.pem");
+    fs::write(&authority, &set.authority)?;
+    let mut all = BTreeMap::new();
+    for (name, pair) in names.into_iter().zip(set.pairs) {
+        let certificate = plan.directory.join(format!("{name}.pem"));
+        let key = plan.directory.join(format!("{name}.key"));
+        fs::write(&certificate, pair.certificate)?;
+        fs::write(&key, pair.key)?;
+        all.insert(name, Tls { authority: authority.clone(), certificate, key });
+    }
+    Ok(all)
+}
+
+/// Returns a loopback address that no other fleet on this machine has.
+fn own_ip() -> IpAddr {
+    let fleet = FLEETS.fetch_add(1, Ordering::Relaxed);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, 1 + (fleet % 250) as u8, high, low).into()
+}
--- a/crates/standin/src/behaviour.rs
+++ b/crates/standin/src/behaviour.rs
@@ -3,7 +3,7 @@
 use super::*;
 
 /// How a worker behaves. The scheduler is told none of it.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, JsonSchema, PartialEq, Serialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Behaviour {
     /// Time that an urgent request takes on an idle worker, in milliseconds.
@@ -15,7 +15,7 @@
 }
 
 /// How much one run of a batch class slows a service on the same worker.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Slowdown {
     /// The batch class.
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -17,6 +17,7 @@
         fuse::ArcFusePolicy,
         http::{ResBody, StatusCode},
     },
+    schemars::JsonSchema,
     serde::{Deserialize, Serialize},
     std::{
         collections::{BTreeMap, BTreeSet, VecDeque},
--- a/crates/standin/src/settings.rs
+++ b/crates/standin/src/settings.rs
@@ -3,7 +3,7 @@
 use super::*;
 
 /// Settings of one process of stand-ins.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug, Deserialize, JsonSchema, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// The key-value service and the VM list, if this process plays them.
@@ -15,7 +15,7 @@
 }
 
 /// The key-value service and the VM list.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug, Deserialize, JsonSchema, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Platform {
     /// Where they listen, as `IP:PORT`.
@@ -35,7 +35,7 @@
 }
 
 /// One worker.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug, Deserialize, JsonSchema, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Worker {
     /// How it behaves.
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -111,6 +111,13 @@
         self.inner().keys.get(key.as_bytes()).map(|kv| kv.value.0.clone())
     }
 
+    /// Returns every key that starts with `prefix`, with its value, without a call.
+    pub fn peek_all(&self, prefix: &str) -> Vec<(String, Vec<u8>)> {
+        let answer = self.range(&gateway::Range::prefix(prefix));
+        let text = |key: &[u8]| String::from_utf8_lossy(key).into_owned();
+        answer.kvs.into_iter().map(|kv| (text(&kv.key.0), kv.value.0)).collect()
+    }
+
     /// Writes `key` from outside, without a call; for damaged values.
     pub fn put(&self, key: &str, bytes: &[u8]) {
         let put = gateway::Put { key: key.into(), lease: Long(0), value: Blob(bytes.to_vec()) };
