--- a/crates/standin/src/settings.rs
+++ b/crates/standin/src/settings.rs
@@ -19,6 +19,7 @@
 #[serde(deny_unknown_fields)]
 pub struct Platform {
     /// Where they listen, as `IP:PORT`.
+    #[schemars(extend("format" = "ip-port"))]
     pub address: SocketAddr,
     /// Reads and waiting watches that are taken a second.
     #[serde(default = "reads")]
