--- a/crates/proof/src/fleet.rs
+++ b/crates/proof/src/fleet.rs
@@ -78,6 +78,20 @@
         Caller::new(&self.callers)
     }
 
+    /// Returns the index of the scheduler that owns a cell, and waits until there is one.
+    pub async fn owner(&self) -> Result<u16, Error> {
+        until("see an owner of a cell", async || self.find_owner().is_some()).await?;
+        self.find_owner().ok_or_else(|| Error::new("see an owner of a cell", "it is gone"))
+    }
+
+    /// Returns the index of the scheduler that owns a cell now, if any does.
+    pub fn find_owner(&self) -> Option<u16> {
+        let keys = self.platform.store().peek_all("oleanderstage/cells/");
+        let (_, value) = keys.into_iter().find(|(key, _)| key.ends_with("/owner"))?;
+        let text = String::from_utf8_lossy(&value);
+        (0..self.plan.schedulers).find(|index| text.contains(&format!("scheduler-{index}")))
+    }
+
     /// Returns the process of that name, such as `entry-0`.
     pub fn process(&mut self, name: &str) -> Result<&mut Process, Error> {
         let missing = || Error::new(format!("find `{name}`"), "it was not started");
@@ -144,6 +158,7 @@
         let accepted = Accepted {
             by: "proof".into(),
             config: Arc::new(config),
+            past: Default::default(),
             revision: Revision(revision),
             submission: format!("proof-{revision}"),
         };
--- a/crates/proof/src/udp_relay.rs
+++ b/crates/proof/src/udp_relay.rs
@@ -61,15 +61,17 @@
         if *lock(&swallow) {
             continue;
         }
-        if !senders.contains_key(&sender) {
-            let Ok(far) = dial(target).await else { continue };
-            let far = Arc::new(far);
-            senders.insert(sender, far.clone());
-            answers.spawn(backward(near.clone(), far, sender, swallow.clone()));
-        }
-        if let Some(far) = senders.get(&sender) {
-            let _ = far.send(&datagram[..read]).await;
-        }
+        let far = match senders.get(&sender) {
+            Some(far) => far.clone(),
+            None => {
+                let Ok(far) = dial(target).await else { continue };
+                let far = Arc::new(far);
+                senders.insert(sender, far.clone());
+                answers.spawn(backward(near.clone(), far.clone(), sender, swallow.clone()));
+                far
+            }
+        };
+        let _ = far.send(&datagram[..read]).await;
     }
 }
 
