--- a/crates/core/src/follow.rs
+++ b/crates/core/src/follow.rs
@@ -18,7 +18,7 @@
 pub const CALL_LIMIT: Duration = Duration::from_millis(700);
 /// The time within which an accepted configuration is in force.
 pub const IN_FORCE_LIMIT: Duration = Duration::from_millis(5_000);
-/// How long a peer counts as gone after its first unanswered call; doubles with each further one.
+/// The pause before a peer that did not answer is asked again; doubles with each further time.
 pub const GONE: Duration = Duration::from_millis(4_000);
 /// Doublings of `GONE` at most.
 pub const MAX_DOUBLINGS: u32 = 3;
@@ -125,8 +125,8 @@
     asked: bool,
     /// Unanswered calls since the last answer.
     failures: u32,
-    /// When it counts as alive again.
-    gone_until: Instant,
+    /// When to ask again after a call without an answer.
+    ask_after: Instant,
     /// Whether it has answered while nothing was in force here.
     heard: bool,
     name: Name,
@@ -163,8 +163,8 @@
     }
 
     /// Returns whether this process reads the key-value service.
-    pub fn watches(&self, now: Instant) -> bool {
-        let alive = self.peers[..self.before].iter().filter(|peer| peer.alive(now));
+    pub fn watches(&self) -> bool {
+        let alive = self.peers[..self.before].iter().filter(|peer| peer.alive());
         alive.count() < WATCHERS
     }
 
@@ -175,19 +175,18 @@
         peer.asked = false;
         if answer == Answer::Failed {
             peer.fail(now);
-            return self.settle(now);
+            return self.settle();
         }
         peer.failures = 0;
-        peer.gone_until = now;
         peer.heard = true;
         match answer {
             Answer::Newer(offer) if self.current.is_some() => self.take(offer),
             Answer::Newer(offer) => {
                 let better = self.offer.as_ref().is_none_or(|o| o.revision < offer.revision);
                 self.offer = if better { Some(offer) } else { self.offer.take() };
-                self.settle(now)
+                self.settle()
             }
-            Answer::Nothing | Answer::Failed => self.settle(now),
+            Answer::Nothing | Answer::Failed => self.settle(),
         }
     }
 
@@ -200,11 +199,11 @@
     }
 
     /// Takes the best offer once each live peer of the sweep has answered.
-    fn settle(&mut self, now: Instant) -> Vec<Action> {
+    fn settle(&mut self) -> Vec<Action> {
         if self.current.is_some() || self.offer.is_none() {
             return vec![];
         }
-        let live = self.peers.iter().filter(|peer| peer.alive(now));
+        let live = self.peers.iter().filter(|peer| peer.alive());
         if live.clone().any(|peer| peer.asked) {
             return vec![];
         }
@@ -238,8 +237,8 @@
 
     fn tick(&mut self, now: Instant) -> Vec<Action> {
         self.ticks += 1;
-        let mut actions = self.settle(now);
-        if self.watches(now) && !self.reading {
+        let mut actions = self.settle();
+        if self.watches() && !self.reading {
             self.reading = true;
             actions.push(Action::Read);
         }
@@ -250,26 +249,28 @@
         actions
     }
 
-    /// Returns whom to ask: while nothing is in force the next few peers of a sweep over all;
-    /// else one watcher, and now and then one of all.
+    /// Returns whom to ask: one watcher, now and then one of all, and one that is gone; while
+    /// nothing is in force all watchers and a sweep over all.
     fn questions(&self, now: Instant) -> Vec<usize> {
-        let alive: Vec<usize> =
-            (0..self.peers.len()).filter(|index| self.peers[*index].alive(now)).collect();
-        if alive.is_empty() {
-            return vec![];
-        }
+        let ranks = 0..self.peers.len();
+        let alive: Vec<usize> = ranks.clone().filter(|rank| self.peers[*rank].alive()).collect();
+        let due = |rank: &usize| !self.peers[*rank].alive() && self.peers[*rank].due(now);
+        let mut chosen: Vec<usize> = ranks.filter(due).take(1).collect();
         let turn = self.ticks as usize;
-        let mut chosen: Vec<usize> = if self.current.is_none() {
-            (0..WATCHERS).map(|step| alive[((turn - 1) * WATCHERS + step) % alive.len()]).collect()
+        let watchers = &alive[..alive.len().min(WATCHERS)];
+        if self.current.is_none() {
+            let sweep = (0..WATCHERS).map(|step| turn * WATCHERS + step);
+            chosen.extend(sweep.filter_map(|step| at(&alive, step)));
+            chosen.extend(watchers);
         } else {
-            vec![alive[turn % alive.len().min(WATCHERS)]]
-        };
+            chosen.extend(at(watchers, turn));
+        }
         if self.ticks.is_multiple_of(SWEEP_TICKS) {
-            chosen.push(alive[(self.ticks / SWEEP_TICKS) as usize % alive.len()]);
+            chosen.extend(at(&alive, (self.ticks / SWEEP_TICKS) as usize));
         }
         chosen.sort_unstable();
         chosen.dedup();
-        chosen.retain(|index| !self.peers[*index].asked);
+        chosen.retain(|rank| !self.peers[*rank].asked);
         chosen
     }
 }
@@ -279,22 +280,32 @@
         Self {
             asked: false,
             failures: 0,
-            gone_until: Instant::default(),
+            ask_after: Instant::default(),
             heard: false,
             name: name.clone(),
         }
     }
 
-    fn alive(&self, now: Instant) -> bool {
-        self.gone_until <= now
+    fn alive(&self) -> bool {
+        self.failures == 0
+    }
+
+    /// Returns whether a peer that is gone is to be asked again.
+    fn due(&self, now: Instant) -> bool {
+        self.ask_after <= now
     }
 
     fn fail(&mut self, now: Instant) {
-        self.gone_until = now + GONE * 2u32.pow(self.failures.min(MAX_DOUBLINGS));
+        self.ask_after = now + GONE * 2u32.pow(self.failures.min(MAX_DOUBLINGS));
         self.failures += 1;
     }
 }
 
+/// Returns the element at `turn`, round and round.
+fn at(list: &[usize], turn: usize) -> Option<usize> {
+    list.get(turn.checked_rem(list.len())?).copied()
+}
+
 fn rank(name: &Name) -> (u64, &Name) {
     (xxhash_rust::xxh3::xxh3_64(name.as_str().as_bytes()), name)
 }
