--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,7 +8,7 @@
     serde::{Deserialize, Serialize, de::DeserializeOwned},
     std::{
         borrow::Cow,
-        collections::{BTreeMap, BTreeSet},
+        collections::{BTreeMap, BTreeSet, VecDeque},
         fmt::{self, Display, Formatter},
         net::SocketAddr,
         ops::{Add, Sub},
@@ -17,32 +17,70 @@
         time::Duration,
     },
     target::Target,
+    xxhash_rust::xxh3::xxh3_64,
 };
 
-pub use {instant::Instant, name::Name, resources::Resources};
+pub use {
+    answer::{Answer, Ticket},
+    chart::Chart,
+    config::Config,
+    contact::Contact,
+    dispatcher::{Dispatcher, Relief},
+    faults::Faults,
+    instant::Instant,
+    journal::{Group, Head, Holder, Key, Record, Term},
+    ledger::{Change, Ledger},
+    listing::Listing,
+    name::Name,
+    owner::Owner,
+    partition::Partition,
+    queue::Queue,
+    resources::Resources,
+    restored::Restored,
+    stage::Stage,
+    tenure::Tenure,
+    writer::Writer,
+};
 
 pub mod admission;
+pub mod answer;
 pub mod cell;
 pub mod change;
 pub mod chart;
 pub mod config;
+pub mod contact;
+pub mod dispatcher;
+pub mod drain;
+pub mod faults;
 pub mod follow;
 pub mod instant;
 pub mod interference;
 pub mod job;
+pub mod journal;
+pub mod ledger;
+pub mod listing;
 pub mod name;
 pub mod outcome;
+pub mod owner;
+pub mod partition;
 pub mod placement;
 pub mod probation;
+pub mod queue;
 pub mod quota;
 pub mod request;
 pub mod resources;
+pub mod restored;
 pub mod retry;
 pub mod route;
+pub mod sealed;
 pub mod share;
 pub mod sizing;
+pub mod stage;
+pub mod store;
 pub mod submission;
 pub mod task;
+pub mod tenure;
 pub mod worker;
+pub mod writer;
 
 mod target;
