--- a/crates/cli/src/status.rs
+++ b/crates/cli/src/status.rs
@@ -49,7 +49,11 @@
         };
         rows.push(Row { address, error, status });
     }
-    Ok(if options.json { json(&rows) } else { table(&rows) })
+    let text = if options.json { json(&rows) } else { table(&rows) };
+    if rows.iter().all(|row| row.status.is_none()) {
+        return Err(Error::new(Exit::NotDone, text, "check the addresses"));
+    }
+    Ok(text)
 }
 
 fn json(rows: &[Row]) -> String {
--- a/crates/cli/src/submit.rs
+++ b/crates/cli/src/submit.rs
@@ -71,7 +71,7 @@
         End::Accepted(revision) => Ok(revision),
         End::Conflict { changes, winner } => Err(conflict(&changes, &winner)),
         End::NotDone(cause) => {
-            let help = "nothing was changed; try again once the key-value service answers";
+            let help = "nothing was changed; try again once that is mended";
             Err(Error::new(Exit::NotDone, cause, help))
         }
         End::Replaced { revision, winner } => {
