--- /dev/null
+++ b/python/oleanderstage/mistake.py
@@ -0,0 +1,5 @@
+"""Errors of a declaration."""
+
+
+class Mistake(ValueError):
+    """A declaration is wrong; the message names the thing and the mend."""
