Ask the interference model and the probation judge where tasks may run

Reports feed the model, whose advice throttles, evicts and holds; ends feed the judge, which shuts out workers that fail everything and gives up jobs that can never run.

--- a/crates/core/src/contact.rs
+++ b/crates/core/src/contact.rs
@@ -25,6 +25,8 @@
     pub acks: BTreeMap<worker::Run, u64>,
     /// Since when the VM list lacks it.
     pub gone: Option<Instant>,
+    /// Whether its services leave no room for more.
+    pub held: bool,
     /// Whether it will go soon.
     pub leaving: bool,
     /// Runs that it may have, by task.
@@ -55,6 +57,8 @@
     pub renewed: Instant,
     /// Whether the worker was told to start it.
     pub sent: bool,
+    /// When it was started or taken over.
+    pub since: Instant,
     /// The group that makes its start durable.
     pub sequence: u64,
     /// The group after which it is to stop.
@@ -87,7 +91,7 @@
 impl Contact {
     /// Returns whether new tasks may be placed on the worker.
     pub fn is_open(&self) -> bool {
-        self.fenced && self.reachable && !self.leaving && self.gone.is_none()
+        self.fenced && self.reachable && !self.held && !self.leaving && self.gone.is_none()
     }
 
     /// Returns whether the worker has answered the last batch.
@@ -227,6 +231,7 @@
             lease_end: now,
             renewed: now,
             sent: false,
+            since: now,
             sequence,
             stop: None,
             throttle: None,
--- a/crates/core/src/dispatcher.rs
+++ b/crates/core/src/dispatcher.rs
@@ -2,14 +2,13 @@
 
 use super::*;
 
+#[path = "dispatcher_calls.rs"]
+mod calls;
+
 /// Tasks that are started in one step.
 pub const MAX_STARTS: usize = 256;
-/// Tasks of one job.
-pub const MAX_JOB_TASKS: u32 = 10_000;
 /// Tasks of a cell that are not over.
 pub const MAX_OPEN_TASKS: u64 = 100_000;
-/// Longest payload, in bytes.
-pub const MAX_PAYLOAD_BYTES: usize = 4 << 10;
 /// Tasks that an explanation lists.
 pub const MAX_EXPLAINED: usize = 64;
 /// Pause of a task after its first failed run; it doubles up to `MAX_FAILURE_PAUSE`.
@@ -31,6 +30,7 @@
     config: Arc<Config>,
     contacts: BTreeMap<Name, Contact>,
     faults: Faults,
+    health: Health,
     open_tasks: u64,
     placer: placement::Placer,
     queue: Queue,
@@ -54,6 +54,7 @@
             config: Arc::default(),
             contacts: BTreeMap::new(),
             faults,
+            health: Health::new(),
             ledger,
             open_tasks: 0,
             placer: placement::Placer::new(seed),
@@ -65,59 +66,11 @@
         dispatcher
     }
 
-    /// Accepts a job, or says why not. The job is accepted once the group returned is durable.
-    pub fn submit(&mut self, serial: u128, spec: &job::Spec) -> Result<u64, Answer> {
-        if let Some(job) = self.ledger.job(serial) {
-            return self.submit_again(job, serial, spec);
-        }
-        self.check(spec).map_err(|text| Answer::refuse(answer::Refusal::Invalid, text))?;
-        if self.open_tasks + u64::from(spec.tasks) > MAX_OPEN_TASKS {
-            let text =
-                format!("cell `{}` has {} open tasks: try again later", self.cell, self.open_tasks);
-            return Err(Answer::refuse(answer::Refusal::Overloaded, text));
-        }
-        let record = Record::Accept { serial, spec: spec.clone() };
-        let sequence = self.record(Instant::default(), record);
-        self.open_tasks += u64::from(spec.tasks);
-        for index in 0..spec.tasks {
-            self.enqueue(Key { index, serial }, None);
-        }
-        Ok(sequence)
-    }
-
-    /// Cancels a job, or says why not. It is cancelled once the group returned is durable.
-    pub fn cancel(&mut self, now: Instant, serial: u128) -> Result<u64, Answer> {
-        let Some(job) = self.ledger.job(serial) else {
-            let text = format!("job `{serial:032x}` is not known: check its id");
-            return Err(Answer::refuse(answer::Refusal::Unknown, text));
-        };
-        match job.state {
-            job::State::Open => Ok(self.record(now, Record::Cancel { serial })),
-            _ => Ok(self.writer.last()),
-        }
-    }
-
-    /// Returns the decisions behind a job's state, one a line.
-    pub fn explain(&self, id: &job::Id) -> Option<Vec<String>> {
-        let job = self.ledger.job(id.serial)?;
-        let mut lines = vec![format!("job `{id}` of team `{}` is {:?}", job.spec.team, job.state)];
-        lines.extend(self.waits.get(&id.serial).cloned());
-        for (index, task) in job.tasks.iter().enumerate().take(MAX_EXPLAINED) {
-            let place = task.vm.as_ref().map(|vm| format!(" on `{vm}`")).unwrap_or_default();
-            let attempt = task.attempt.0;
-            let failures = task.failures;
-            lines.push(format!(
-                "task {index} is {:?}{place}, {attempt} starts, {failures} failures",
-                task.stage
-            ));
-        }
-        Some(lines)
-    }
-
     /// Puts a configuration in force, of which `vms` belong to the cell.
     pub fn configure(&mut self, config: &Arc<Config>, vms: &[config::Vm]) {
         self.config = config.clone();
         self.queue.apply(&config.teams);
+        self.health.apply(vms);
         let workers: Vec<placement::Worker> = vms.iter().map(|vm| self.place_of(vm)).collect();
         self.placer.apply(&workers);
         self.contacts.retain(|name, contact| {
@@ -183,6 +136,7 @@
             }
         }
         self.tidy(now, vm, report);
+        self.protect(now, vm, report);
         self.judge(vm);
     }
 
@@ -254,35 +208,6 @@
         }
     }
 
-    fn check(&self, spec: &job::Spec) -> Result<(), String> {
-        let team = self.config.teams.iter().find(|team| team.name == spec.team);
-        let team = team.ok_or_else(|| format!("team `{}` is not configured", spec.team))?;
-        if !self.config.classes.iter().any(|class| class.name == spec.class) {
-            return Err(format!("batch class `{}` is not configured", spec.class));
-        }
-        if !(1..=MAX_JOB_TASKS).contains(&spec.tasks) {
-            let tasks = spec.tasks;
-            return Err(format!("`tasks` is {tasks}: give 1 to {MAX_JOB_TASKS}"));
-        }
-        if spec.payload.len() > MAX_PAYLOAD_BYTES {
-            let bytes = spec.payload.len();
-            return Err(format!("`payload` has {bytes} bytes: give at most {MAX_PAYLOAD_BYTES}"));
-        }
-        if spec.resources.processors_milli == 0 || spec.resources.memory_mib == 0 {
-            return Err(format!(
-                "`resources` are `{}`: give processors and memory",
-                spec.resources
-            ));
-        }
-        if !spec.resources.fits(&team.quota) {
-            return Err(format!(
-                "a task of `{}` is above the quota of `{}`",
-                spec.resources, team.name
-            ));
-        }
-        Ok(())
-    }
-
     fn confirm(&mut self, now: Instant, vm: &Name, key: Key, lease_ms: u64) {
         let lease_end = now + Duration::from_millis(lease_ms) + tenure::DRIFT_MARGIN;
         let contact = self.contacts.get_mut(vm);
@@ -293,7 +218,13 @@
     }
 
     fn end(&mut self, now: Instant, key: Key, attempt: task::Attempt, end: worker::End) {
+        let vm = self.ledger.task(key).and_then(|task| task.vm.clone());
+        let job = key.task(&self.cell).job;
+        let given_up = vm.map(|vm| self.health.ended(now, &vm, &job, &end)).unwrap_or_default();
         self.record(now, Record::Over { attempt, end, key });
+        for (job, reason) in given_up {
+            self.record(now, Record::Fail { reason, serial: job.serial });
+        }
     }
 
     fn enqueue(&mut self, key: Key, ready: Option<Instant>) {
@@ -323,6 +254,9 @@
         if change.to.is_final() {
             self.open_tasks = self.open_tasks.saturating_sub(1);
             self.waits.remove(&change.key.serial);
+            if self.ledger.job(change.key.serial).is_some_and(|job| job.left == 0) {
+                self.health.close(&change.key.task(&self.cell).job);
+            }
         }
         match change.action {
             stage::Action::Halt => self.halt(now, change, sequence),
@@ -389,7 +323,10 @@
             self.waits.insert(key.serial, text);
             return false;
         }
-        match self.placer.place(&demand) {
+        let (contacts, health) = (&self.contacts, &self.health);
+        let busy = |vm: &Name| contacts.get(vm).is_some_and(|contact| !contact.runs.is_empty());
+        let judge = |vm: &Name| health.judge(now, vm, busy(vm), &demand);
+        match self.placer.place_by(&demand, judge) {
             Ok(vm) => self.start(now, waiting, &demand, vm),
             Err(placement::Refusal::NoRoom) => {
                 self.waits.insert(key.serial, placement::Refusal::NoRoom.to_string());
@@ -413,6 +350,33 @@
         }
     }
 
+    /// Lets the runs on a worker make room for its services, as a report advises.
+    fn protect(&mut self, now: Instant, vm: &Name, report: &worker::Report) {
+        let Some(contact) = self.contacts.get(vm) else { return };
+        let runs = contact.runs.iter().filter(|(_, held)| held.sent);
+        let running: Vec<interference::Running> =
+            runs.filter_map(|(key, held)| self.running(*key, held)).collect();
+        let orders = self.health.report(now, vm, report, &running);
+        for (run, relief) in orders.reliefs {
+            self.relieve(&run.task, relief);
+        }
+        if let Some(contact) = self.contacts.get_mut(vm) {
+            contact.held = orders.hold;
+        }
+    }
+
+    fn running(&self, key: Key, held: &contact::Held) -> Option<interference::Running> {
+        let spec = &self.ledger.job(key.serial)?.spec;
+        let class = self.config.classes.iter().find(|class| class.name == spec.class);
+        Some(interference::Running {
+            checkpoints: class.is_some_and(|class| class.checkpoints),
+            class: spec.class.clone(),
+            processors_milli: spec.resources.processors_milli,
+            run: worker::Run { attempt: held.attempt, task: key.task(&self.cell) },
+            since: held.since,
+        })
+    }
+
     fn ready(&self, now: Instant, key: Key, record: &Record) -> Option<Instant> {
         let Record::Over { end, .. } = record else { return None };
         match end {
@@ -480,21 +444,6 @@
         contact.wake();
     }
 
-    fn submit_again(
-        &self,
-        job: &ledger::Job,
-        serial: u128,
-        spec: &job::Spec,
-    ) -> Result<u64, Answer> {
-        let same = job::Spec { payload: String::new(), ..job.spec.clone() }
-            == job::Spec { payload: String::new(), ..spec.clone() };
-        if !same {
-            let text = format!("job `{serial:032x}` is another job: use another idempotency key");
-            return Err(Answer::refuse(answer::Refusal::Invalid, text));
-        }
-        Ok(self.writer.last())
-    }
-
     /// Has a worker forget what is durable, and stop what it should not have.
     fn tidy(&mut self, now: Instant, vm: &Name, report: &worker::Report) {
         let Some(contact) = self.contacts.get(vm) else { return };
@@ -525,19 +474,6 @@
     }
 }
 
-/// What a run is made to do for the sake of a service.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Relief {
-    /// Write a checkpoint and stop.
-    Evict,
-    /// Use less of its processors.
-    Throttle {
-        /// Thousandths of its processors, 1 to 1,000.
-        share_milli: u32,
-    },
-}
-
 fn demand(cell: &cell::Id, ledger: &Ledger, key: Key) -> Option<placement::Demand> {
     let spec = &ledger.job(key.serial)?.spec;
     Some(placement::Demand {
--- /dev/null
+++ b/crates/core/src/health.rs
@@ -0,0 +1,116 @@
+//! What is known of the workers of a cell beyond their room: how batch work slows their services
+//! down, and whether they fail what they start.
+
+use {super::*, placement::Judgement, probation::Standing};
+
+/// What is known of the workers of a cell beyond their room.
+#[derive(Clone, Debug)]
+pub struct Health {
+    judge: probation::Judge,
+    model: interference::Model,
+}
+
+/// What follows from a report or an end.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Orders {
+    /// Whether nothing more may be started on the worker.
+    pub hold: bool,
+    /// What runs are made to do.
+    pub reliefs: Vec<(worker::Run, Relief)>,
+}
+
+impl Health {
+    /// Returns what is known of workers that have reported nothing.
+    pub fn new() -> Self {
+        let limits = interference::Limits::default();
+        Self { judge: probation::Judge::default(), model: interference::Model::new(limits) }
+    }
+
+    /// Replaces the workers.
+    pub fn apply(&mut self, vms: &[config::Vm]) {
+        let worker = |vm: &config::Vm| interference::Worker {
+            processors_milli: vm.resources.processors_milli,
+            slots: vm.slots,
+            vm: vm.name.clone(),
+        };
+        self.model.apply(&vms.iter().map(worker).collect::<Vec<_>>());
+    }
+
+    /// Forgets a job that is over.
+    pub fn close(&mut self, job: &job::Id) {
+        self.judge.close(job);
+    }
+
+    /// Takes in the end of a run, and returns the jobs that can never run, each with the reason.
+    pub fn ended(
+        &mut self,
+        now: Instant,
+        vm: &Name,
+        job: &job::Id,
+        end: &worker::End,
+    ) -> Vec<(job::Id, String)> {
+        let verdicts: Vec<probation::Verdict> = match end {
+            worker::End::Failed { reason } => {
+                self.judge.failed(now, vm, job, reason).into_iter().collect()
+            }
+            worker::End::Finished => self.judge.succeeded(vm, job),
+            _ => Vec::new(),
+        };
+        verdicts
+            .into_iter()
+            .filter_map(|verdict| match verdict {
+                probation::Verdict::GiveUp { job, reason } => Some((job, reason)),
+                probation::Verdict::Probation { .. } | probation::Verdict::Return { .. } => None,
+            })
+            .collect()
+    }
+
+    /// Judges a worker, which may have runs now, as a place for a task.
+    pub fn judge(
+        &self,
+        now: Instant,
+        vm: &Name,
+        busy: bool,
+        demand: &placement::Demand,
+    ) -> Judgement {
+        match self.judge.standing(now, vm) {
+            Standing::Probation => Judgement::Refuse,
+            Standing::Trial if busy => Judgement::Refuse,
+            Standing::Good | Standing::Trial => {
+                self.model.judge(vm, &demand.class, demand.resources.processors_milli)
+            }
+        }
+    }
+
+    /// Takes in a report, with the runs on the worker now.
+    pub fn report(
+        &mut self,
+        now: Instant,
+        vm: &Name,
+        report: &worker::Report,
+        running: &[interference::Running],
+    ) -> Orders {
+        let age = Duration::from_millis(report.age_ms);
+        self.model.report(now, vm, age, &report.usage, running);
+        let mut orders = Orders { hold: false, reliefs: Vec::new() };
+        for advice in self.model.advise(now, vm) {
+            match advice {
+                interference::Advice::Evict { run } => orders.reliefs.push((run, Relief::Evict)),
+                interference::Advice::Hold => orders.hold = true,
+                interference::Advice::Release { run } => {
+                    orders.reliefs.push((run, Relief::Throttle { share_milli: 1_000 }));
+                }
+                interference::Advice::Throttle { run, share_milli } => {
+                    orders.reliefs.push((run, Relief::Throttle { share_milli }));
+                }
+            }
+        }
+        orders
+    }
+}
+
+impl Default for Health {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -2,6 +2,11 @@
 
 use super::*;
 
+/// Tasks of one job.
+pub const MAX_TASKS: u32 = 10_000;
+/// Longest payload, in bytes.
+pub const MAX_PAYLOAD_BYTES: usize = 4 << 10;
+
 /// Names a job: `ZONE.INDEX.SERIAL`, so that any entry can tell the cell that holds it.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(try_from = "String", into = "String")]
@@ -73,6 +78,39 @@
     text: String,
 }
 
+impl Spec {
+    /// Checks the job against a configuration, and says what to change.
+    ///
+    /// # Errors
+    ///
+    /// The job can never run as it is.
+    pub fn check(&self, config: &Config) -> Result<(), String> {
+        let team = config.teams.iter().find(|team| team.name == self.team);
+        let team = team.ok_or_else(|| format!("team `{}` is not configured", self.team))?;
+        if !config.classes.iter().any(|class| class.name == self.class) {
+            return Err(format!("batch class `{}` is not configured", self.class));
+        }
+        if !(1..=MAX_TASKS).contains(&self.tasks) {
+            return Err(format!("`tasks` is {}: give 1 to {MAX_TASKS}", self.tasks));
+        }
+        if self.payload.len() > MAX_PAYLOAD_BYTES {
+            let bytes = self.payload.len();
+            return Err(format!("`payload` has {bytes} bytes: give at most {MAX_PAYLOAD_BYTES}"));
+        }
+        if self.resources.processors_milli == 0 || self.resources.memory_mib == 0 {
+            return Err(format!(
+                "`resources` are `{}`: give processors and memory",
+                self.resources
+            ));
+        }
+        if !self.resources.fits(&team.quota) {
+            let (needs, team) = (self.resources, &self.team);
+            return Err(format!("a task of `{needs}` is above the quota of team `{team}`"));
+        }
+        Ok(())
+    }
+}
+
 impl TryFrom<String> for Id {
     type Error = Error;
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -25,8 +25,9 @@
     chart::Chart,
     config::Config,
     contact::Contact,
-    dispatcher::{Dispatcher, Relief},
+    dispatcher::Dispatcher,
     faults::Faults,
+    health::Health,
     instant::Instant,
     journal::{Group, Head, Holder, Key, Record, Term},
     ledger::{Change, Ledger},
@@ -35,6 +36,7 @@
     owner::Owner,
     partition::Partition,
     queue::Queue,
+    relief::Relief,
     resources::Resources,
     restored::Restored,
     stage::Stage,
@@ -53,6 +55,7 @@
 pub mod drain;
 pub mod faults;
 pub mod follow;
+pub mod health;
 pub mod instant;
 pub mod interference;
 pub mod job;
@@ -67,6 +70,7 @@
 pub mod probation;
 pub mod queue;
 pub mod quota;
+pub mod relief;
 pub mod request;
 pub mod resources;
 pub mod restored;
--- a/crates/core/src/owner.rs
+++ b/crates/core/src/owner.rs
@@ -2,6 +2,13 @@
 
 use super::*;
 
+pub use message::{Action, Call, Event, Note};
+
+#[path = "owner_message.rs"]
+mod message;
+#[path = "owner_takeover.rs"]
+mod takeover;
+
 /// How often a scheduler looks whether a cell has an owner.
 pub const LOOK: Duration = Duration::from_secs(2);
 /// How long a scheduler leaves a vacant cell to each of those that come before it.
@@ -39,138 +46,6 @@
     vacant: Option<Instant>,
 }
 
-/// What happens to an owner.
-#[derive(Clone, Debug, PartialEq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Event {
-    /// A call about a job came in.
-    Call {
-        /// The call.
-        call: Call,
-        /// Its ticket.
-        ticket: Ticket,
-    },
-    /// A configuration came in force.
-    Configured {
-        /// The configuration.
-        #[serde(skip)]
-        config: Arc<Config>,
-        /// The VMs of the cell.
-        #[serde(skip)]
-        vms: Arc<[config::Vm]>,
-    },
-    /// The process is told to leave.
-    Leave,
-    /// The VM list was read.
-    Listed(Vec<Listing>),
-    /// A run is to make room for a service.
-    Relieve {
-        /// How.
-        relief: Relief,
-        /// The task.
-        task: task::Id,
-    },
-    /// A worker answered a batch.
-    Reported {
-        /// The batch's epoch.
-        epoch: cell::Epoch,
-        /// The answer.
-        report: worker::Report,
-        /// The worker's VM.
-        vm: Name,
-    },
-    /// A worker refused a batch, for it has seen a higher epoch.
-    Stale {
-        /// The batch's epoch.
-        epoch: cell::Epoch,
-        /// The worker's VM.
-        vm: Name,
-    },
-    /// The key-value service answered, or failed to.
-    Store {
-        /// Which call.
-        call: u64,
-        /// The answer.
-        reply: store::Reply,
-    },
-    /// Time went by.
-    Tick,
-    /// A worker did not answer a batch.
-    Unreached {
-        /// The batch's epoch.
-        epoch: cell::Epoch,
-        /// The worker's VM.
-        vm: Name,
-    },
-}
-
-/// A call about a job.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Call {
-    /// Cancel it.
-    Cancel(job::Id),
-    /// Say why it stands where it stands.
-    Explain(job::Id),
-    /// Say where it stands.
-    Job(job::Id),
-    /// Accept it.
-    Submit {
-        /// Its name.
-        id: job::Id,
-        /// The job.
-        spec: job::Spec,
-    },
-}
-
-/// What an owner has done.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Action {
-    /// Answer a call.
-    Answer {
-        /// The answer.
-        answer: Answer,
-        /// The call's ticket.
-        ticket: Ticket,
-    },
-    /// Tell operators.
-    Note(Note),
-    /// Send a batch to a worker.
-    Send {
-        /// The batch.
-        batch: worker::Batch,
-        /// The worker's VM.
-        vm: Name,
-    },
-    /// Call the key-value service.
-    Store {
-        /// Names the call.
-        call: u64,
-        /// The call.
-        request: store::Request,
-    },
-}
-
-/// An event for operators.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Note {
-    /// The cell has another owner, or none.
-    Lost,
-    /// A value in the key-value service is refused.
-    Refused(String),
-    /// The cell is handed over.
-    Released,
-    /// The cell is owned from now on.
-    TookOver {
-        /// The epoch.
-        epoch: cell::Epoch,
-        /// Jobs in the ledger.
-        jobs: usize,
-    },
-}
-
 #[derive(Clone, Debug, PartialEq)]
 enum Phase {
     /// The takeover was asked for, and its fate is to be read back if `doubt`.
@@ -325,50 +200,6 @@
         }
     }
 
-    /// Claims the vacant cell.
-    fn claim(&mut self, asked: Instant, lease: i64, term: Option<store::Value>) {
-        let before = match term.as_ref().map(|value| sealed::open(&value.key, &value.bytes)) {
-            Some(Ok(before)) => before,
-            Some(Err(error)) => return self.refuse(asked, &error),
-            None => Term::default(),
-        };
-        self.holder.epoch = cell::Epoch(before.epoch.0 + 1);
-        let key = journal::epoch(&self.cell);
-        let after = Term { epoch: self.holder.epoch, released: false };
-        let epoch = store::Value { bytes: sealed::seal(&after), key: key.clone() };
-        let vacant = store::Condition::Absent(journal::owner(&self.cell));
-        let same = term.map_or(store::Condition::Absent(key), store::Condition::Equals);
-        self.ask(store::Request::Commit(store::Txn {
-            conditions: vec![vacant, same],
-            operations: vec![
-                store::Operation::Put { lease: Some(lease), value: self.own() },
-                store::Operation::Put { lease: None, value: epoch },
-            ],
-        }));
-        let released = before.released || before.epoch.0 == 0;
-        self.phase = Phase::Claiming { asked, doubt: false, lease, released };
-    }
-
-    fn claimed(&mut self, now: Instant, reply: &store::Reply) {
-        let Phase::Claiming { asked, doubt, lease, released } = self.phase else { return };
-        let own = self.own();
-        match reply {
-            store::Reply::Committed => self.hold(asked, lease, released),
-            store::Reply::Values(values) if values.contains(&own) => {
-                self.hold(asked, lease, released);
-            }
-            store::Reply::Doubt => {
-                self.phase = Phase::Claiming { asked, doubt: true, lease, released };
-                self.pause(now, LOOK / 4);
-            }
-            store::Reply::Refused if doubt => self.pause(now, LOOK / 4),
-            _ => self.seek(now),
-        }
-        if asked + tenure::LEASE < now && matches!(self.phase, Phase::Claiming { .. }) {
-            self.seek(now);
-        }
-    }
-
     fn configure(&mut self, config: Arc<Config>, vms: Arc<[config::Vm]>) {
         if let Some(dispatcher) = &mut self.dispatcher {
             dispatcher.configure(&config, &vms);
@@ -388,23 +219,6 @@
         self.actions.push(Action::Note(Note::Released));
     }
 
-    fn granted(&mut self, now: Instant, reply: &store::Reply) {
-        let Phase::Granting { asked, term } = std::mem::replace(&mut self.phase, Phase::Seeking)
-        else {
-            return;
-        };
-        match reply {
-            store::Reply::Granted(lease) => self.claim(asked, *lease, term),
-            _ => self.seek(now),
-        }
-    }
-
-    fn hold(&mut self, asked: Instant, lease: i64, released: bool) {
-        self.tenure = Some(Tenure::new(lease, asked));
-        self.phase = Phase::Loading { released };
-        self.next = asked;
-    }
-
     /// Keeps the lease alive, if it is due.
     fn keep(&mut self, now: Instant) {
         let Some(tenure) = &mut self.tenure else { return };
@@ -435,46 +249,6 @@
         self.listed = listed;
     }
 
-    fn load(&mut self, now: Instant) {
-        match self.covers(now) {
-            true => self.ask(store::Request::List(journal::prefix(&self.cell))),
-            false => self.seek(now),
-        }
-    }
-
-    fn loaded(&mut self, now: Instant, reply: &store::Reply) {
-        let Phase::Loading { released } = self.phase else { return };
-        let store::Reply::Values(values) = reply else { return self.pause(now, LOOK / 4) };
-        if !self.covers(now) || !values.contains(&self.own()) {
-            return self.lose(now);
-        }
-        match Restored::read(&self.cell, values, &self.chart) {
-            Ok(restored) => self.own_from(now, restored, released),
-            Err(error) => self.refuse(now, &error),
-        }
-    }
-
-    /// Looks whether the cell is vacant.
-    fn looked(&mut self, now: Instant, reply: &store::Reply) {
-        let store::Reply::Values(values) = reply else { return self.seek(now) };
-        let find = |key: String| values.iter().find(|value| value.key == key);
-        if let Some(value) = find(journal::owner(&self.cell)) {
-            self.vacant = None;
-            let other = sealed::open::<Holder>(&value.key, &value.bytes);
-            if other.is_ok_and(|other| other.scheduler != self.holder.scheduler) {
-                self.dispatcher = None;
-            }
-            return self.seek(now);
-        }
-        let vacant = *self.vacant.get_or_insert(now);
-        if now < vacant + RANK_DELAY * self.rank {
-            return self.seek(now);
-        }
-        let term = find(journal::epoch(&self.cell)).cloned();
-        self.ask(store::Request::Grant);
-        self.phase = Phase::Granting { asked: now, term };
-    }
-
     /// Gives the lease up, and goes on to keep running tasks alive.
     fn lose(&mut self, now: Instant) {
         if let Some(tenure) = self.tenure.take() {
@@ -490,28 +264,6 @@
         store::Value { bytes: sealed::seal(&self.holder), key: journal::owner(&self.cell) }
     }
 
-    fn own_from(&mut self, now: Instant, restored: Restored, released: bool) {
-        let lease = contact::SEND_LIMIT + contact::TASK_LEASE + tenure::DRIFT_MARGIN;
-        let grace = if released { Duration::ZERO } else { contact::OUTAGE_GRACE };
-        let writer = Writer::new(&self.cell, self.holder.clone(), &restored, self.faults);
-        let jobs = restored.content.jobs.len();
-        let ledger = Ledger::new(self.chart.clone(), restored.content);
-        let proven = now + grace + lease;
-        let seed = self.random.random();
-        let mut dispatcher = Dispatcher::new(&self.cell, ledger, writer, seed, proven, self.faults);
-        if let Some((config, vms)) = &self.config {
-            dispatcher.configure(config, vms);
-        }
-        if !self.listed.is_empty() {
-            dispatcher.listed(now, &self.listed);
-        }
-        self.dispatcher = Some(dispatcher);
-        self.phase = Phase::Owning;
-        self.vacant = None;
-        let epoch = self.holder.epoch;
-        self.actions.push(Action::Note(Note::TookOver { epoch, jobs }));
-    }
-
     fn pause(&mut self, now: Instant, pause: Duration) {
         self.next = now + pause.mul_f64(self.random.random_range(0.5..1.5));
     }
@@ -535,13 +287,6 @@
         }
     }
 
-    /// Leaves the cell alone after a value that was refused.
-    fn refuse(&mut self, now: Instant, error: &sealed::Error) {
-        self.actions.push(Action::Note(Note::Refused(error.to_string())));
-        self.lose(now);
-        self.next = now + REFUSED_PAUSE;
-    }
-
     /// Hands the cell over.
     fn release(&mut self, now: Instant) {
         if self.main_call.is_some() || now < self.next {
