Give a claim up that was confirmed too late

A claim in doubt that was read back as taken after its lease no longer covered loading left the lease in the hands of a scheduler that sought the cell, which kept it alive for good: the cell had an owner key and no owner.

--- a/crates/core/src/owner_takeover.rs
+++ b/crates/core/src/owner_takeover.rs
@@ -67,7 +67,7 @@
     pub(super) fn load(&mut self, now: Instant) {
         match self.covers(now) {
             true => self.ask(store::Request::List(journal::prefix(&self.cell))),
-            false => self.seek(now),
+            false => self.lose(now),
         }
     }
 
--- a/crates/core/tests/batch_invariants.rs
+++ b/crates/core/tests/batch_invariants.rs
@@ -221,6 +221,19 @@
     QuickCheck::new().rng(generator).tests(count).max_tests(count).quickcheck(property);
 }
 
+/// Found by seed 5: the lease of a claim that was confirmed too late was kept alive for good.
+#[test]
+fn a_claim_that_was_confirmed_too_late_is_given_up() {
+    let span = Duration::from_millis;
+    let upsets = vec![
+        (65_594, Upset::StoreDown(span(37_541))),
+        (86_050, Upset::LoseAnswers(span(44_818))),
+        (107_318, Upset::PauseScheduler { index: 0, span: span(6_066) }),
+    ];
+    let plan = Plan { seed: 5_093_361_716_808_776_554, upsets };
+    assert_eq!(check(&plan, Faults::None), Ok(()));
+}
+
 #[test]
 fn random_sessions_keep_the_invariants() {
     fn property(plan: Plan) -> Result<(), String> {
