--- /dev/null
+++ b/crates/proof/benches/path.rs
@@ -0,0 +1,116 @@
+//! What an entry adds to a request: latency beside direct calls in the same run, processor time, and
+//! the resident memory of each program, idle and under load.
+
+#![allow(clippy::unwrap_used)]
+
+use {
+    hdrhistogram::Histogram,
+    oleanderstage_platform::http,
+    oleanderstage_proof::Plan,
+    std::{
+        fs,
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+};
+
+/// Requests in progress at once, one a connection.
+const CONNECTIONS: usize = 64;
+/// Requests of each round.
+const REQUESTS: usize = 12_800;
+/// Rounds of direct calls, each followed by a round through the entry.
+const ROUNDS: usize = 3;
+/// Clock ticks a second in `/proc/PID/stat`.
+const TICKS_PER_SECOND: f64 = 100.0;
+/// Workers; their slots are more than the connections.
+const WORKERS: u16 = 16;
+
+/// Latency of the requests that were answered, in microseconds, and how many were not.
+struct Round {
+    latency: Histogram<u64>,
+    refused: u64,
+}
+
+#[tokio::main]
+async fn main() {
+    let program = env!("CARGO_BIN_EXE_oleanderstage-proof");
+    let plan = Plan::new(program, env!("CARGO_TARGET_TMPDIR"), "path").workers(WORKERS);
+    let mut fleet = plan.start().await.unwrap();
+    let entry = fleet.process("entry-0").unwrap().id();
+    let scheduler = fleet.process("scheduler-0").unwrap().id();
+    println!("idle: entry {:.1} MB, scheduler {:.1} MB", memory(entry), memory(scheduler));
+    let direct: Vec<SocketAddr> = fleet.worker_relays.iter().map(|relay| relay.address).collect();
+    let through = fleet.callers.clone();
+    round(&through).await;
+    for number in 0..ROUNDS {
+        print(&format!("round {number}, direct"), &round(&direct).await);
+        print_entry(number, entry, &through).await;
+    }
+    println!("after load: entry {:.1} MB, scheduler {:.1} MB", memory(entry), memory(scheduler));
+}
+
+async fn print_entry(number: usize, entry: u32, through: &[SocketAddr]) {
+    let before = processor_seconds(entry);
+    let round = round(through).await;
+    let spent = processor_seconds(entry) - before;
+    print(&format!("round {number}, through the entry"), &round);
+    let rate = round.latency.len() as f64 / spent;
+    println!("    {rate:.0} requests a second a core of the entry, {:.1} MB", memory(entry));
+}
+
+async fn round(targets: &[SocketAddr]) -> Round {
+    let start = Instant::now();
+    let callers: Vec<_> =
+        (0..CONNECTIONS).map(|index| tokio::spawn(call(targets[index % targets.len()]))).collect();
+    let mut round = Round { latency: Histogram::new(3).unwrap(), refused: 0 };
+    for caller in callers {
+        let one = caller.await.unwrap();
+        round.latency.add(one.latency).unwrap();
+        round.refused += one.refused;
+    }
+    println!("    took {:?}", start.elapsed());
+    round
+}
+
+async fn call(target: SocketAddr) -> Round {
+    let http = http::client("path", Duration::from_secs(5)).unwrap();
+    let mut round = Round { latency: Histogram::new(3).unwrap(), refused: 0 };
+    for _ in 0..REQUESTS / CONNECTIONS {
+        let start = Instant::now();
+        let url = format!("http://{target}/services/bulletin/path?work_ms=1");
+        let answer = http.post(url).body("x").send().await.unwrap();
+        let answered = answer.status().is_success();
+        answer.bytes().await.unwrap();
+        match answered {
+            true => round.latency.record(start.elapsed().as_micros() as u64).unwrap(),
+            false => round.refused += 1,
+        }
+    }
+    round
+}
+
+fn print(label: &str, round: &Round) {
+    let millis = |quantile| round.latency.value_at_quantile(quantile) as f64 / 1_000.0;
+    println!(
+        "{label}: median {:.2} ms, p99 {:.2} ms, {} answered, {} refused",
+        millis(0.5),
+        millis(0.99),
+        round.latency.len(),
+        round.refused
+    );
+}
+
+/// Resident memory of a process, in MB.
+fn memory(pid: u32) -> f64 {
+    let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap();
+    let line = status.lines().find(|line| line.starts_with("VmRSS:")).unwrap();
+    line.split_whitespace().nth(1).unwrap().parse::<f64>().unwrap() / 1_000.0
+}
+
+/// Processor time that a process has had, in seconds.
+fn processor_seconds(pid: u32) -> f64 {
+    let stat = fs::read_to_string(format!("/proc/{pid}/stat")).unwrap();
+    let fields: Vec<&str> = stat.rsplit_once(')').unwrap().1.split_whitespace().collect();
+    let ticks = |at: usize| fields[at].parse::<f64>().unwrap();
+    (ticks(11) + ticks(12)) / TICKS_PER_SECOND
+}
--- a/crates/proof/src/process.rs
+++ b/crates/proof/src/process.rs
@@ -47,6 +47,11 @@
         Ok(Self { child, name: name.clone() })
     }
 
+    /// Returns its process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Kills it with SIGKILL and waits for its end.
     pub fn kill(&mut self) -> Result<(), Error> {
         self.child.kill()?;
