--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -34,9 +34,11 @@
 };
 
 pub use {
-    caller::Caller, error::Error, fleet::Fleet, load::Load, plan::Plan, process::Process, run::run,
+    balancer::Balancer, caller::Caller, error::Error, fleet::Fleet, load::Load, plan::Plan,
+    process::Process, run::run,
 };
 
+pub mod balancer;
 pub mod caller;
 pub mod error;
 pub mod fleet;
--- /dev/null
+++ b/crates/proof/tests/urgent.rs
@@ -0,0 +1,122 @@
+//! Urgent requests through real processes, while parts of the system die, leave and fall silent.
+
+#![allow(clippy::unwrap_used)]
+
+use {
+    oleanderstage_proof::{Load, Plan, load::Tally},
+    oleanderstage_standin::faults::{Faults, Outage},
+    std::time::{Duration, Instant},
+};
+
+/// How long a program that was told to leave may take.
+const LEAVE_LIMIT: Duration = Duration::from_secs(60);
+
+fn plan(test: &str) -> Plan {
+    Plan::new(env!("CARGO_BIN_EXE_oleanderstage-proof"), env!("CARGO_TARGET_TMPDIR"), test)
+}
+
+/// Asserts that no caller got nothing, or an answer that was not its own.
+fn assert_served(tally: &Tally) {
+    assert_eq!((tally.lost, tally.wrong), (0, 0), "{tally:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_killed_entry_repeats_no_request() {
+    let mut fleet = plan("entry_killed").entries(3).workers(3).start().await.unwrap();
+    let load = Load::start(&fleet.caller().unwrap(), "publish", 8, 100);
+    load.grow(40).await.unwrap();
+    let killed = Instant::now();
+    fleet.process("entry-1").unwrap().kill().unwrap();
+    load.grow(60).await.unwrap();
+    fleet.start_entry(1).unwrap();
+    fleet.ready(1).await.unwrap();
+    load.grow(40).await.unwrap();
+    let tally = load.stop().await;
+    println!("longest time without an answer after an entry died: {:?}", tally.longest_gap(killed));
+    assert_served(&tally);
+    assert!(tally.cut > 0, "the kill hit no request in progress: {tally:?}");
+    let summary = fleet.ledger.summary();
+    assert_eq!(summary.repeated, 0, "{summary:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_rolling_replacement_cuts_off_no_request() {
+    let mut fleet = plan("rolling").entries(3).workers(3).start().await.unwrap();
+    let caller = fleet.caller().unwrap();
+    let load = Load::start(&caller, "publish", 8, 30);
+    let slow = Load::start(&caller, "publish", 4, 2_500);
+    for index in 0..3 {
+        load.grow(40).await.unwrap();
+        let entry = fleet.process(&format!("entry-{index}")).unwrap();
+        entry.terminate().unwrap();
+        let status = entry.wait(LEAVE_LIMIT).await.unwrap();
+        assert!(status.success(), "{status}");
+        fleet.start_entry(index).unwrap();
+        fleet.ready(index).await.unwrap();
+    }
+    load.grow(40).await.unwrap();
+    let tally = load.stop().await;
+    let slow = slow.stop().await;
+    println!("requests cut off by a rolling replacement: {}", tally.cut + slow.cut);
+    for tally in [tally, slow] {
+        assert_served(&tally);
+        assert_eq!((tally.cut, tally.unknown), (0, 0), "{tally:?}");
+    }
+    assert_eq!(fleet.ledger.summary().repeated, 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn urgent_requests_go_on_without_the_key_value_service() {
+    let fleet = plan("store_down").entries(2).workers(2).start().await.unwrap();
+    let load = Load::start(&fleet.caller().unwrap(), "bulletin", 4, 20);
+    load.grow(40).await.unwrap();
+    for outage in [Outage::Silent, Outage::Refusing] {
+        let faults = Faults { outage, ..Faults::default() };
+        fleet.platform.store().set_faults(faults);
+        tokio::time::sleep(Duration::from_secs(6)).await;
+        load.grow(100).await.unwrap();
+    }
+    let before = fleet.platform.store().counters();
+    fleet.platform.store().set_faults(Faults::default());
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let after = fleet.platform.store().counters();
+    load.grow(40).await.unwrap();
+    let tally = load.stop().await;
+    println!("calls within 2 s of the key-value service's return: {before:?} to {after:?}");
+    assert_served(&tally);
+    assert_eq!((tally.unknown, tally.refused, after.refused), (0, 0, 0), "{tally:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_connections_are_taken_out() {
+    const PARALLEL: usize = 8;
+    let fleet = plan("silent").workers(2).start().await.unwrap();
+    let load = Load::start(&fleet.caller().unwrap(), "publish", PARALLEL, 20);
+    load.grow(100).await.unwrap();
+    let swallowed = Instant::now();
+    fleet.worker_relays.iter().for_each(|relay| relay.swallow());
+    let fresh = Load::start(&fleet.caller().unwrap(), "publish", PARALLEL, 20);
+    fresh.grow(100).await.unwrap();
+    println!("time to 100 fresh answers after silence: {:?}", swallowed.elapsed());
+    assert_served(&fresh.stop().await);
+    load.grow(100).await.unwrap();
+    let tally = load.stop().await;
+    println!("longest time without an answer, older callers: {:?}", tally.longest_gap(swallowed));
+    assert_served(&tally);
+    assert!(tally.unknown > 0, "the silence hit no request in progress: {tally:?}");
+    assert!(tally.unknown <= PARALLEL as u64, "{tally:?}");
+    assert_eq!(fleet.ledger.summary().repeated, 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_killed_worker_stops_no_service() {
+    let fleet = plan("worker_killed").entries(2).workers(3).start().await.unwrap();
+    let load = Load::start(&fleet.caller().unwrap(), "bulletin", 8, 20);
+    load.grow(100).await.unwrap();
+    let killed = Instant::now();
+    fleet.workers[0].stop().await;
+    load.grow(200).await.unwrap();
+    let tally = load.stop().await;
+    println!("longest time without an answer after a worker died: {:?}", tally.longest_gap(killed));
+    assert_served(&tally);
+}
