Permit runs of keyed requests by partitions that entries own

Each record is held by two members before its run begins, so that a new owner that hears from all others knows every run since its horizon, and answers unknown where it doesn't.

--- /dev/null
+++ b/crates/core/src/key_record.rs
@@ -0,0 +1,121 @@
+//! What entries know of the runs of keyed requests.
+
+use super::*;
+use {
+    key::{Fingerprint, Id, RECORD_MS},
+    key_map::Member,
+};
+
+/// Names one permission to run: unique for a key, as no epoch is given twice.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Grant {
+    /// The owner's epoch of the partition.
+    pub epoch: u64,
+    /// Counts the grants of one owner.
+    pub serial: u64,
+}
+
+/// How a run ended.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum End {
+    /// An endpoint answered.
+    Answered,
+    /// Proven: nothing ran.
+    NotRun,
+    /// It may have run, and the answer is lost.
+    Unknown,
+}
+
+/// One run of a keyed request.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Record {
+    /// How it ended; `None` while it may be running.
+    pub end: Option<End>,
+    /// What repetitions must have alike.
+    pub fingerprint: Fingerprint,
+    /// The permission.
+    pub grant: Grant,
+    /// When the permission was given, in milliseconds since 1970.
+    pub granted_ms: u64,
+    /// The key.
+    pub id: Id,
+    /// Who runs it.
+    pub runner: Member,
+}
+
+/// The records that an entry holds as owner, runner or witness.
+#[derive(Clone, Debug, Default)]
+pub struct Table {
+    /// By age, so that old ones are dropped first.
+    ages: BTreeSet<(u64, Id)>,
+    records: BTreeMap<Id, Record>,
+}
+
+impl Record {
+    /// Returns whether another run may follow this one.
+    pub fn may_follow(&self, idempotent: bool) -> bool {
+        match self.end {
+            Some(End::NotRun) => true,
+            Some(End::Unknown) => idempotent,
+            Some(End::Answered) | None => false,
+        }
+    }
+}
+
+impl Table {
+    /// Drops records that no key in force can need.
+    pub fn expire(&mut self, wall_ms: u64) {
+        while let Some((granted_ms, id)) = self.ages.first().copied() {
+            if granted_ms + RECORD_MS > wall_ms {
+                return;
+            }
+            self.ages.pop_first();
+            self.records.remove(&id);
+        }
+    }
+
+    /// Notes how a run ended; a record of another grant stays as it is.
+    pub fn finish(&mut self, id: &Id, grant: Grant, end: End) {
+        if let Some(record) = self.records.get_mut(id).filter(|record| record.grant == grant) {
+            record.end.get_or_insert(end);
+        }
+    }
+
+    /// Returns the record of a key.
+    pub fn get(&self, id: &Id) -> Option<&Record> {
+        self.records.get(id)
+    }
+
+    /// Returns the number of records.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Returns whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Takes a record, unless one of a newer grant is held; of one grant, the end is kept.
+    pub fn insert(&mut self, record: Record) {
+        if let Some(held) = self.records.get_mut(&record.id) {
+            if held.grant > record.grant {
+                return;
+            }
+            if held.grant == record.grant {
+                held.end = held.end.or(record.end);
+                return;
+            }
+            self.ages.remove(&(held.granted_ms, held.id));
+        }
+        self.ages.insert((record.granted_ms, record.id));
+        self.records.insert(record.id, record);
+    }
+
+    /// Returns the records of `partitions`.
+    pub fn of(&self, partitions: &BTreeSet<u16>) -> Vec<Record> {
+        let wanted = |record: &&Record| partitions.contains(&record.id.partition());
+        self.records.values().filter(wanted).cloned().collect()
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -30,6 +30,12 @@
 pub mod instant;
 pub mod interference;
 pub mod job;
+pub mod key;
+pub mod key_call;
+pub mod key_event;
+pub mod key_map;
+pub mod key_owner;
+pub mod key_record;
 pub mod name;
 pub mod outcome;
 pub mod placement;
@@ -44,4 +50,5 @@
 pub mod task;
 pub mod worker;
 
+mod key_tenure;
 mod target;
