--- a/crates/capacity/benches/capacity.rs
+++ b/crates/capacity/benches/capacity.rs
@@ -1,6 +1,6 @@
 //! Prints every slope that `docs/CAPACITY.md` is worked out from.
 
-use oleanderstage_capacity::{entries, messages};
+use oleanderstage_capacity::{Slope, entries, messages, schedulers};
 
 fn main() {
     println!("| cost | measured at sizes | line |");
@@ -15,6 +15,12 @@
         entries::table_memory(),
         entries::choice(),
         entries::limiter_memory(),
+        schedulers::journal(),
+        schedulers::snapshot(),
+        schedulers::snapshot_decode(),
+        schedulers::ledger_memory(),
+        schedulers::placement(),
+        schedulers::placement_memory(),
     ];
-    slopes.iter().for_each(oleanderstage_capacity::Slope::print);
+    slopes.iter().for_each(Slope::print);
 }
--- a/crates/core/tests/keys.rs
+++ b/crates/core/tests/keys.rs
@@ -4,11 +4,11 @@
 #![allow(clippy::unwrap_used)]
 
 use {
-    fleet::{Fleet, Weather},
+    key_fleet::{Fleet, Weather},
     std::env,
 };
 
-mod fleet;
+mod key_fleet;
 
 /// Seconds of each session.
 const SECONDS: u64 = 90;
