--- /dev/null
+++ b/crates/core/benches/policy/batch.rs
@@ -0,0 +1,360 @@
+//! Batch jobs, their tasks and their runs.
+
+use super::*;
+
+/// Time between two passes over the queue.
+const TICK: Duration = Duration::from_secs(1);
+/// Tasks of a job, at most.
+const JOB_TASKS_MAX: u32 = 8;
+/// Length of a task alone, in seconds.
+const LENGTH: std::ops::Range<f64> = 20.0..60.0;
+/// Memory of a task for each core, in GiB.
+const GIB_PER_CORE: u64 = 2;
+/// Share of the jobs that can never run.
+const IMPOSSIBLE_SHARE: f64 = 0.01;
+/// How soon a run fails, in seconds.
+const FAILS_AFTER: f64 = 1.0;
+/// Pause of a task after its first failure; each further one doubles it.
+const REST: Duration = Duration::from_secs(2);
+/// Failures after which a baseline gives a task up.
+const FAILURES_MAX: u32 = 10;
+/// Work done again after a checkpoint, in seconds.
+const CHECKPOINT_LOSS: f64 = 1.0;
+
+impl World {
+    /// Makes the batch work that has arrived into jobs, and places what waits.
+    pub(crate) fn tick(&mut self) {
+        self.clock.at(self.now + TICK, Event::Tick);
+        let hold = self.trial.deployment.shared_cores() as f64 * TICK.as_secs_f64();
+        self.offered[0] += self.trial.scenario.demand() * hold;
+        self.offered[1] += self.trial.scenario.wave(self.now) * hold;
+        while self.offered[0] > 0.0 {
+            let class = self.draw_class();
+            self.offered[0] -= self.submit(class);
+        }
+        while self.offered[1] > 0.0 {
+            let class = self.random.random_range(class::NOISY..self.truth.classes.len());
+            self.offered[1] -= self.submit(class);
+        }
+        self.open_trials();
+        self.place_all();
+    }
+
+    /// Brings the work done by a unit's run up to now.
+    pub(crate) fn advance(&mut self, unit: usize) {
+        let now = self.now;
+        if let Some(run) = self.units[unit].run.as_mut() {
+            run.advance(now);
+        }
+    }
+
+    /// Checkpoints and stops a run; its unit goes to the head of its lane.
+    pub(crate) fn evict(&mut self, unit: usize) {
+        self.advance(unit);
+        let checkpoints = self.truth.classes[self.units[unit].class].checkpoints;
+        let done = self.units[unit].run.as_ref().map_or(0.0, |run| run.done);
+        let kept = if checkpoints { done - CHECKPOINT_LOSS } else { 0.0 };
+        self.figures.evictions += u64::from(self.counts());
+        self.interrupt(unit, kept);
+    }
+
+    /// Takes in that the lease of a run on a lost VM has run out.
+    pub(crate) fn lapse(&mut self, unit: usize) {
+        self.interrupt(unit, 0.0);
+    }
+
+    /// Takes in the end of a run, unless its generation has passed.
+    pub(crate) fn run_end(&mut self, unit: usize, generation: u32) {
+        if self.units[unit].generation != generation {
+            return;
+        }
+        let Some(run) = self.units[unit].run.clone() else { return };
+        self.leave_vm(unit);
+        if run.fails {
+            self.fail(unit, run.vm);
+        } else {
+            self.finish(unit, &run);
+        }
+    }
+
+    /// Lets a run use a share of its processors.
+    pub(crate) fn set_share(&mut self, unit: usize, share: f64) {
+        self.advance(unit);
+        let Some(run) = self.units[unit].run.as_mut() else { return };
+        run.share = share;
+        let vm = run.vm;
+        self.schedule_end(unit);
+        self.refresh_pressure(vm);
+    }
+
+    fn draw_class(&mut self) -> usize {
+        let mut at = self.random.random::<f64>();
+        for (i, class) in self.truth.classes.iter().enumerate() {
+            at -= class.mix;
+            if at < 0.0 {
+                return i;
+            }
+        }
+        0
+    }
+
+    fn fail(&mut self, unit: usize, vm: usize) {
+        self.figures.failures += u64::from(self.counts());
+        let job = self.units[unit].demand.task.job.clone();
+        let waiting = &mut self.units[unit];
+        waiting.failures += 1;
+        waiting.rests_until = self.now + REST * (1 << waiting.failures.min(5));
+        let given_up = waiting.failures >= FAILURES_MAX;
+        if self.trial.policy == Policy::Ours {
+            self.requeue(unit, false);
+            let name = self.vms[vm].name.clone();
+            let verdict = self.judge.failed(self.now, &name, &job, "exit status 1");
+            verdict.iter().for_each(|verdict| self.carry_out_verdict(verdict));
+        } else if given_up {
+            self.give_up(unit);
+        } else {
+            self.requeue(unit, false);
+        }
+    }
+
+    fn finish(&mut self, unit: usize, run: &Run) {
+        self.units[unit].over = true;
+        let work = self.units[unit].cores() * self.units[unit].length;
+        if self.counts() {
+            self.figures.batch += work / 3_600.0;
+            if self.units[unit].class >= class::NOISY {
+                self.figures.noisy[1] += work / 3_600.0;
+            }
+        }
+        if self.trial.policy == Policy::Ours {
+            let job = self.units[unit].demand.task.job.clone();
+            let name = self.vms[run.vm].name.clone();
+            let verdicts = self.judge.succeeded(run.since, &name, &job);
+            verdicts.iter().for_each(|verdict| self.carry_out_verdict(verdict));
+        }
+    }
+
+    fn carry_out_verdict(&mut self, verdict: &probation::Verdict) {
+        match verdict {
+            probation::Verdict::GiveUp { job, .. } => {
+                let task = |index| task::Id { index, job: job.clone() };
+                let units: Vec<usize> = (0..JOB_TASKS_MAX)
+                    .filter_map(|index| self.tasks.get(&task(index)).copied())
+                    .collect();
+                units.into_iter().for_each(|unit| self.give_up(unit));
+            }
+            probation::Verdict::Probation { vm, .. } => {
+                self.probation.insert(self.vm_numbers[vm]);
+                self.placer.close(vm, true);
+            }
+            probation::Verdict::Return { vm } => {
+                self.probation.remove(&self.vm_numbers[vm]);
+                self.placer.close(vm, false);
+            }
+        }
+    }
+
+    fn give_up(&mut self, unit: usize) {
+        if self.units[unit].over {
+            return;
+        }
+        if self.units[unit].run.is_some() {
+            self.leave_vm(unit);
+        }
+        self.units[unit].over = true;
+        self.figures.wronged += u64::from(!self.units[unit].impossible);
+    }
+
+    /// Stops a run; `kept` seconds of its work need not be done again.
+    fn interrupt(&mut self, unit: usize, kept: f64) {
+        let Some(run) = self.units[unit].run.clone() else { return };
+        let kept = kept.max(self.units[unit].done);
+        if self.counts() {
+            self.figures.thrown += (run.done - kept) * self.units[unit].cores() / 3_600.0;
+        }
+        self.units[unit].done = kept;
+        self.leave_vm(unit);
+        self.requeue(unit, true);
+    }
+
+    fn leave_vm(&mut self, unit: usize) {
+        let Some(run) = self.units[unit].run.take() else { return };
+        self.units[unit].generation += 1;
+        self.vms[run.vm].units.remove(&unit);
+        let demand = &self.units[unit].demand;
+        self.placer.release(&demand.task);
+        self.quota.refund(&demand.team, &demand.resources);
+        self.refresh_pressure(run.vm);
+    }
+
+    fn open_trials(&mut self) {
+        for vm in &self.probation {
+            let name = &self.vms[*vm].name;
+            if self.judge.standing(self.now, name) == probation::Standing::Trial {
+                self.placer.close(name, false);
+            }
+        }
+    }
+
+    /// Places waiting units, the team first that uses least of its quota, until none fits.
+    fn place_all(&mut self) {
+        let mut blocked = BTreeSet::new();
+        let mut refused: BTreeMap<usize, u64> = BTreeMap::new();
+        loop {
+            let next = self.quota.order().find(|team| !blocked.contains(*team)).cloned();
+            let Some(team) = next else { return };
+            if !self.place_one(&team, &mut refused) {
+                blocked.insert(team);
+            }
+        }
+    }
+
+    /// Places one unit of a team, of the first lane whose head fits.
+    fn place_one(&mut self, team: &Name, refused: &mut BTreeMap<usize, u64>) -> bool {
+        for unit in self.queue.heads(team) {
+            let waiting = &self.units[unit];
+            let class = waiting.class;
+            let size = waiting.demand.resources.processors_milli;
+            if waiting.over {
+                self.queue.pop(team, class);
+                self.quota.dequeue(team, 1);
+                return true;
+            }
+            if waiting.rests_until > self.now {
+                self.queue.pop(team, class);
+                self.queue.push(unit, &self.units[unit]);
+                continue;
+            }
+            if refused.get(&class).is_some_and(|least| size >= *least) {
+                continue;
+            }
+            match self.choose(unit) {
+                Some(vm) => {
+                    self.queue.pop(team, class);
+                    self.quota.dequeue(team, 1);
+                    self.start(unit, vm);
+                    return true;
+                }
+                None => {
+                    refused.insert(class, size);
+                }
+            }
+        }
+        false
+    }
+
+    /// Picks a VM for a unit and charges its team.
+    fn choose(&mut self, unit: usize) -> Option<usize> {
+        let demand = self.units[unit].demand.clone();
+        self.quota.charge(&demand.team, &demand.resources).ok()?;
+        let vm = match self.trial.policy {
+            Policy::Ours => self.choose_protected(&demand),
+            Policy::Fixed => self.choose_below_threshold(&demand),
+            Policy::Blind | Policy::None => self.placer.place(&demand),
+        };
+        match vm {
+            Ok(name) => Some(self.vm_numbers[&name]),
+            Err(_) => {
+                self.quota.refund(&demand.team, &demand.resources);
+                None
+            }
+        }
+    }
+
+    fn refresh_pressure(&mut self, vm: usize) {
+        let cores = self.trial.deployment.cores as f64;
+        let mut pressure = vec![0.0; self.truth.classes.len()];
+        for unit in &self.vms[vm].units {
+            let unit = &self.units[*unit];
+            let share = unit.run.as_ref().map_or(0.0, |run| run.share);
+            pressure[unit.class] += unit.cores() * share / cores;
+        }
+        let total: f64 = pressure.iter().sum();
+        assert!(total <= 1.0 + 1e-9, "more processors than the worker has");
+        self.vms[vm].pressure = pressure;
+    }
+
+    fn requeue(&mut self, unit: usize, first: bool) {
+        let waiting = &self.units[unit];
+        if first {
+            self.queue.push_front(unit, waiting);
+        } else {
+            self.queue.push(unit, waiting);
+        }
+        let team = waiting.demand.team.clone();
+        self.quota.enqueue(&team, 1);
+    }
+
+    fn schedule_end(&mut self, unit: usize) {
+        let waiting = &mut self.units[unit];
+        waiting.generation += 1;
+        let generation = waiting.generation;
+        let Some(run) = waiting.run.as_ref() else { return };
+        let seconds = match run.fails {
+            true => FAILS_AFTER,
+            false => ((waiting.length - run.done) / run.share).max(0.0),
+        };
+        let at = self.now + Duration::from_secs_f64(seconds);
+        self.clock.at(at, Event::RunEnd { generation, unit });
+    }
+
+    fn start(&mut self, unit: usize, vm: usize) {
+        if self.vms[vm].health == vm::Health::Lost {
+            self.refuse_start(unit);
+            return;
+        }
+        let waiting = &mut self.units[unit];
+        waiting.attempt += 1;
+        let fails = waiting.impossible || self.vms[vm].health == vm::Health::Failing;
+        waiting.run = Some(Run {
+            done: waiting.done,
+            fails,
+            share: 1.0,
+            since: self.now,
+            updated: self.now,
+            vm,
+        });
+        self.vms[vm].units.insert(unit);
+        self.schedule_end(unit);
+        self.refresh_pressure(vm);
+        if self.trial.policy == Policy::Ours {
+            self.protect_from(unit, vm);
+        }
+    }
+
+    fn refuse_start(&mut self, unit: usize) {
+        let demand = self.units[unit].demand.clone();
+        self.placer.release(&demand.task);
+        self.quota.refund(&demand.team, &demand.resources);
+        self.units[unit].rests_until = self.now + REST;
+        self.requeue(unit, false);
+    }
+
+    /// Submits a job of a class. Returns its work in core-seconds.
+    fn submit(&mut self, class: usize) -> f64 {
+        self.jobs += 1;
+        let job = job::Id { cell: "fake.0".parse().expect("a cell"), serial: self.jobs };
+        let team = self.teams[self.random.random_range(0..world::TEAMS)].clone();
+        let impossible = self.random.random::<f64>() < IMPOSSIBLE_SHARE;
+        let cores = self.trial.deployment.task_cores << self.random.random_range(0..3);
+        let resources = deployment::amount(cores, cores * GIB_PER_CORE);
+        let tasks = self.random.random_range(1..=JOB_TASKS_MAX);
+        let mut work = 0.0;
+        for index in 0..tasks {
+            let task = task::Id { index, job: job.clone() };
+            let class_name = self.truth.classes[class].name.clone();
+            let demand =
+                placement::Demand { class: class_name, resources, task, team: team.clone() };
+            let length = self.random.random_range(LENGTH);
+            let unit = Unit::new(demand, class, impossible, length);
+            work += unit.cores() * unit.length;
+            self.tasks.insert(unit.demand.task.clone(), self.units.len());
+            self.units.push(unit);
+            self.requeue(self.units.len() - 1, false);
+        }
+        if self.counts() && class >= class::NOISY {
+            self.figures.noisy[0] += work / 3_600.0;
+        }
+        work
+    }
+}
--- /dev/null
+++ b/crates/core/benches/policy/bounds.rs
@@ -0,0 +1,124 @@
+//! The bounds that the policy is held to.
+
+use super::*;
+use std::fmt::{self, Display, Formatter};
+
+/// Urgent p99 over that of no sharing, at most, but for overload.
+const P99_RATIO_MAX: f64 = 1.10;
+/// Requests answered in time in overload over the capacity, at least.
+const OVERLOAD_SHARE_MIN: f64 = 0.95;
+/// Time to a refusal in overload, in milliseconds, at most.
+const REFUSED_MS_MAX: f64 = 10.0;
+/// Batch finished in calm over that of blind sharing, at least.
+const BATCH_OF_BLIND_MIN: f64 = 0.85;
+/// Batch finished in calm over that of no sharing, at least.
+const BATCH_OF_NONE_MIN: f64 = 1.5;
+/// Evictions in the noisy wave over those of the fixed threshold, at most.
+const EVICTIONS_RATIO_MAX: f64 = 1.0 / 3.0;
+
+/// What was checked.
+#[derive(Debug, Default)]
+pub(crate) struct Bounds {
+    lines: Vec<Line>,
+}
+
+#[derive(Debug)]
+struct Line {
+    held: bool,
+    text: String,
+}
+
+impl Bounds {
+    /// Checks the figures of the policy against those of the baselines.
+    pub(crate) fn check(results: &[Figures]) -> Self {
+        let mut bounds = Self::default();
+        let ours = results.iter().filter(|figures| figures.policy == Policy::Ours);
+        for ours in ours {
+            let other = |policy| {
+                results.iter().find(|figures| {
+                    figures.policy == policy
+                        && figures.scenario == ours.scenario
+                        && figures.deployment == ours.deployment
+                })
+            };
+            bounds.check_latency(ours, other(Policy::None));
+            bounds.check_batch(ours, other(Policy::Blind), other(Policy::None));
+            bounds.check_evictions(ours, other(Policy::Fixed));
+            bounds.check_overload(ours);
+        }
+        bounds
+    }
+
+    /// Returns how many bounds are broken.
+    pub(crate) fn broken(&self) -> usize {
+        self.lines.iter().filter(|line| !line.held).count()
+    }
+
+    fn check_batch(&mut self, ours: &Figures, blind: Option<&Figures>, none: Option<&Figures>) {
+        if ours.scenario != Scenario::Calm {
+            return;
+        }
+        if let Some(blind) = blind {
+            let ratio = ours.batch / blind.batch;
+            self.at_least(ours, "batch of blind sharing's", ratio, BATCH_OF_BLIND_MIN);
+        }
+        if let Some(none) = none {
+            let ratio = ours.batch / none.batch;
+            self.at_least(ours, "batch of no sharing's", ratio, BATCH_OF_NONE_MIN);
+        }
+    }
+
+    fn check_evictions(&mut self, ours: &Figures, fixed: Option<&Figures>) {
+        let (Scenario::NoisyWave, Some(fixed)) = (ours.scenario, fixed) else { return };
+        let allowed = fixed.evictions as f64 * EVICTIONS_RATIO_MAX;
+        self.at_most(
+            ours,
+            "evictions of a third of the fixed threshold's",
+            ours.evictions as f64,
+            allowed,
+        );
+    }
+
+    fn check_latency(&mut self, ours: &Figures, none: Option<&Figures>) {
+        let Some(none) = none.filter(|_| ours.scenario != Scenario::Overload) else { return };
+        let ratio = ours.quantile_ms(0.99) / none.quantile_ms(0.99);
+        self.at_most(ours, "p99 of no sharing's", ratio, P99_RATIO_MAX);
+    }
+
+    fn check_overload(&mut self, ours: &Figures) {
+        if ours.scenario != Scenario::Overload {
+            return;
+        }
+        let deployment =
+            Deployment::ALL.into_iter().find(|deployment| deployment.name == ours.deployment);
+        let Some(deployment) = deployment else { return };
+        let worth = deployment.capacity_rate() * Scenario::full_height_seconds();
+        let share = ours.in_time_at_height as f64 / worth;
+        self.at_least(ours, "answered in time of the capacity", share, OVERLOAD_SHARE_MIN);
+        self.at_most(ours, "milliseconds to a refusal", ours.refused_ms, REFUSED_MS_MAX);
+    }
+
+    fn at_least(&mut self, ours: &Figures, what: &str, value: f64, bound: f64) {
+        self.push(ours, what, value, ">=", bound, value >= bound);
+    }
+
+    fn at_most(&mut self, ours: &Figures, what: &str, value: f64, bound: f64) {
+        self.push(ours, what, value, "<=", bound, value <= bound);
+    }
+
+    fn push(&mut self, ours: &Figures, what: &str, value: f64, sign: &str, bound: f64, held: bool) {
+        let verdict = if held { "held" } else { "BROKEN" };
+        let (deployment, scenario) = (ours.deployment, ours.scenario.name());
+        let text =
+            format!("{verdict:<6} {deployment} {scenario}: {what} {value:.3} {sign} {bound:.3}");
+        self.lines.push(Line { held, text });
+    }
+}
+
+impl Display for Bounds {
+    fn fmt(&self, f: &mut Formatter) -> fmt::Result {
+        self.lines.iter().try_for_each(|line| writeln!(f, "{}", line.text))?;
+        let broken = self.broken();
+        writeln!(f, "bounds: {} held, {broken} broken", self.lines.len() - broken)
+    }
+}
--- /dev/null
+++ b/crates/core/benches/policy/main.rs
@@ -0,0 +1,111 @@
+//! Measures the policy against baselines, in virtual time from seeds: two runs print the same.
+
+use {
+    bounds::Bounds,
+    class::Class,
+    clock::Clock,
+    deployment::Deployment,
+    event::Event,
+    figures::Figures,
+    hdrhistogram::Histogram,
+    oleanderstage_core::{
+        Instant, Name, Resources, admission, config, interference, job, placement, probation,
+        quota, retry, route, task, worker,
+    },
+    policy::Policy,
+    queue::Queue,
+    rand::{Rng, SeedableRng},
+    rand_pcg::Pcg64Mcg,
+    request::Request,
+    run::Run,
+    scenario::Scenario,
+    std::{
+        cmp::Reverse,
+        collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque},
+        process::ExitCode,
+        sync::{
+            Mutex,
+            atomic::{AtomicUsize, Ordering},
+        },
+        time::Duration,
+    },
+    trial::Trial,
+    truth::Truth,
+    unit::Unit,
+    vm::Vm,
+    world::World,
+};
+
+mod batch;
+mod bounds;
+mod class;
+mod clock;
+mod deployment;
+mod event;
+mod figures;
+mod policy;
+mod protect;
+mod queue;
+mod request;
+mod run;
+mod scenario;
+mod trial;
+mod truth;
+mod unit;
+mod urgent;
+mod vm;
+mod world;
+
+/// Trials that run at once.
+const THREADS: usize = 4;
+
+fn main() -> ExitCode {
+    let plans = plans();
+    let results = run(&plans);
+    println!("{}", Figures::HEADER);
+    results.iter().for_each(|figures| println!("{figures}"));
+    let bounds = Bounds::check(&results);
+    print!("{bounds}");
+    if bounds.broken() == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
+/// Lists every trial, or those that `BENCH_ONLY` names by deployment, scenario and policy. All use
+/// the seed `BENCH_SEED`, or 1.
+fn plans() -> Vec<Trial> {
+    let only = std::env::var("BENCH_ONLY").unwrap_or_default();
+    let seed = std::env::var("BENCH_SEED").ok().and_then(|seed| seed.parse().ok()).unwrap_or(1);
+    let mut plans = Vec::new();
+    for deployment in Deployment::ALL {
+        for scenario in Scenario::ALL {
+            for policy in Policy::ALL {
+                let names = [deployment.name, scenario.name(), policy.name()];
+                if only.split(',').all(|word| word.is_empty() || names.contains(&word)) {
+                    plans.push(Trial { deployment, policy, scenario, seed });
+                }
+            }
+        }
+    }
+    plans
+}
+
+/// Runs the trials on some threads; the order of the results is that of the plans.
+fn run(plans: &[Trial]) -> Vec<Figures> {
+    let next = AtomicUsize::new(0);
+    let results = Mutex::new(BTreeMap::new());
+    std::thread::scope(|scope| {
+        for _ in 0..THREADS {
+            scope.spawn(|| {
+                while let Some((at, plan)) = claim(&next, plans) {
+                    let figures = plan.run();
+                    results.lock().expect("a trial panicked").insert(at, figures);
+                }
+            });
+        }
+    });
+    results.into_inner().expect("a trial panicked").into_values().collect()
+}
+
+fn claim<'a>(next: &AtomicUsize, plans: &'a [Trial]) -> Option<(usize, &'a Trial)> {
+    let at = next.fetch_add(1, Ordering::Relaxed);
+    plans.get(at).map(|plan| (at, plan))
+}
--- a/crates/core/src/interference_site.rs
+++ b/crates/core/src/interference_site.rs
@@ -41,6 +41,19 @@
         }
     }
 
+    /// Adds a run that starts now.
+    pub(super) fn add_run(&mut self, running: &Running, step: Step) {
+        self.runs.push(running.clone());
+        if step != Step::Full {
+            self.steps.insert(running.run.clone(), step);
+        }
+    }
+
+    /// Returns the largest share of the slots of any service that is expected soon.
+    pub(super) fn load_ahead(&self) -> f64 {
+        self.loads.values().map(Occupancy::ahead).fold(0.0, f64::max)
+    }
+
     /// Returns the shares of the classes that ran at `then`.
     pub(super) fn past(&self, then: Instant) -> Option<&[f64]> {
         let after = self.history.partition_point(|(since, _)| *since <= then);
--- a/crates/core/src/probation.rs
+++ b/crates/core/src/probation.rs
@@ -4,7 +4,7 @@
 
 /// Failures of different jobs, or of jobs that have run elsewhere, with no success between, that
 /// put a worker on probation.
-pub const STRIKES_TO_SUSPECT: u32 = 3;
+pub const STRIKES_TO_SUSPECT: usize = 3;
 /// Workers on which a job must fail, and each of which then does other work, before the job is
 /// given up.
 pub const VOUCHED_TO_GIVE_UP: usize = 3;
@@ -72,23 +72,28 @@
 /// What is held against a worker.
 #[derive(Clone, Debug, Default)]
 struct Record {
-    /// Jobs that failed there since its last success.
-    jobs: BTreeSet<job::Id>,
     /// Probations in a row.
     probations: u32,
-    /// Failures since its last success that count against it.
-    strikes: u32,
+    /// Failures that count against it, oldest first, at most `STRIKES_TO_SUSPECT`.
+    strikes: Vec<Strike>,
     /// End of the probation; a trial follows it.
     until: Option<Instant>,
 }
 
+/// A failure that counts against a worker.
+#[derive(Clone, Debug)]
+struct Strike {
+    at: Instant,
+    job: job::Id,
+}
+
 impl Judge {
     /// Forgets a job that is over.
     pub fn close(&mut self, job: &job::Id) {
         let Some(case) = self.jobs.remove(job) else { return };
         for vm in case.vms.keys() {
             if let Some(record) = self.workers.get_mut(vm) {
-                record.jobs.remove(job);
+                record.withdraw(job);
             }
         }
     }
@@ -103,11 +108,11 @@
     ) -> Option<Verdict> {
         let case = self.jobs.entry(job.clone()).or_default();
         let record = self.workers.entry(vm.clone()).or_default();
-        if record.jobs.insert(job.clone()) || case.succeeded {
-            record.strikes += 1;
+        if case.succeeded || record.strikes.iter().all(|strike| strike.job != *job) {
+            record.strikes.push(Strike { at: now, job: job.clone() });
         }
         let on_trial = record.until.is_some();
-        if on_trial || record.strikes >= STRIKES_TO_SUSPECT {
+        if on_trial || record.strikes.len() >= STRIKES_TO_SUSPECT {
             return Some(self.put_on_probation(now, vm));
         }
         if case.succeeded {
@@ -127,22 +132,26 @@
         }
     }
 
-    /// Takes in a success of a task on `vm`, which vouches for the worker against the jobs that
-    /// failed there before.
-    pub fn succeeded(&mut self, vm: &Name, job: &job::Id) -> Vec<Verdict> {
+    /// Takes in a success of a run on `vm` that had started at `started`. It vouches for the worker
+    /// against the jobs that failed there before that.
+    pub fn succeeded(&mut self, started: Instant, vm: &Name, job: &job::Id) -> Vec<Verdict> {
         let case = self.jobs.entry(job.clone()).or_default();
         case.succeeded = true;
         case.vms.clear();
-        let Some(record) = self.workers.remove(vm) else { return Vec::new() };
+        let Some(record) = self.workers.get_mut(vm) else { return Vec::new() };
+        let refuted: Vec<Strike> =
+            record.strikes.extract_if(.., |strike| strike.at <= started).collect();
         let mut verdicts = Vec::new();
-        if record.until.is_some() {
+        if record.until.is_some_and(|until| until <= started) {
+            self.workers.remove(vm);
             verdicts.push(Verdict::Return { vm: vm.clone() });
         }
-        for failed in &record.jobs {
-            if let Some(vouched) = self.jobs.get_mut(failed).and_then(|case| case.vms.get_mut(vm)) {
+        for strike in &refuted {
+            let case = self.jobs.get_mut(&strike.job);
+            if let Some(vouched) = case.and_then(|case| case.vms.get_mut(vm)) {
                 *vouched = true;
             }
-            verdicts.extend(self.give_up(failed));
+            verdicts.extend(self.give_up(&strike.job));
         }
         verdicts
     }
@@ -156,7 +165,7 @@
         let reason = case.text();
         for vm in case.vms.keys() {
             if let Some(record) = self.workers.get_mut(vm) {
-                record.strikes -= u32::from(record.jobs.remove(job)).min(record.strikes);
+                record.withdraw(job);
             }
         }
         self.jobs.remove(job);
@@ -166,20 +175,25 @@
     /// Puts a worker on probation, and withdraws its failures from the jobs.
     fn put_on_probation(&mut self, now: Instant, vm: &Name) -> Verdict {
         let record = self.workers.entry(vm.clone()).or_default();
-        for job in std::mem::take(&mut record.jobs) {
-            if let Some(case) = self.jobs.get_mut(&job) {
+        for strike in std::mem::take(&mut record.strikes) {
+            if let Some(case) = self.jobs.get_mut(&strike.job) {
                 case.vms.remove(vm);
             }
         }
         let length = PROBATION_STEP * (1 << record.probations.min(10));
         let until = now + length.min(PROBATION_LIMIT);
         record.probations += 1;
-        record.strikes = 0;
         record.until = Some(until);
         Verdict::Probation { until, vm: vm.clone() }
     }
 }
 
+impl Record {
+    fn withdraw(&mut self, job: &job::Id) {
+        self.strikes.retain(|strike| strike.job != *job);
+    }
+}
+
 impl Case {
     fn proven(&self) -> bool {
         let vouched = self.vms.values().filter(|vouched| **vouched).count();
