Start runs throttled where the model says so, and keep four more sessions

The merge with the policy's changes needs the start of a run for its success to vouch for its worker, and tells the share that a run starts with.

--- a/crates/core/src/contact.rs
+++ b/crates/core/src/contact.rs
@@ -193,7 +193,8 @@
                 break;
             }
             let run = worker::Run { attempt: held.attempt, task: key.task(cell) };
-            commands.extend(held.commands(now, mode, due, run, *key, ledger));
+            commands.extend(held.commands(now, mode, due, run.clone(), *key, ledger));
+            commands.extend(held.throttle(run));
         }
         commands
     }
@@ -262,10 +263,18 @@
         if self.evict {
             return due.then_some(worker::Command::Checkpoint { run });
         }
-        if mode.renew && now.since(self.renewed) >= RENEW {
-            self.extend(now);
-            let lease_ms = TASK_LEASE.as_millis() as u64;
-            return Some(worker::Command::Renew { lease_ms, run });
+        if !mode.renew || now.since(self.renewed) < RENEW {
+            return None;
+        }
+        self.extend(now);
+        let lease_ms = TASK_LEASE.as_millis() as u64;
+        Some(worker::Command::Renew { lease_ms, run })
+    }
+
+    /// Returns the change of its share that the worker was not told yet.
+    fn throttle(&mut self, run: worker::Run) -> Option<worker::Command> {
+        if !self.sent || self.evict || self.stop.is_some() {
+            return None;
         }
         let share_milli = self.throttle.take()?;
         Some(worker::Command::Throttle { run, share_milli })
--- a/crates/core/src/dispatcher.rs
+++ b/crates/core/src/dispatcher.rs
@@ -220,9 +220,13 @@
     fn end(&mut self, now: Instant, key: Key, attempt: task::Attempt, end: worker::End) {
         let vm = self.ledger.task(key).and_then(|task| task.vm.clone());
         let job = key.task(&self.cell).job;
-        let given_up = vm.map(|vm| self.health.ended(now, &vm, &job, &end)).unwrap_or_default();
+        let given_up = vm.map(|vm| {
+            let held = self.contacts.get(&vm).and_then(|contact| contact.runs.get(&key));
+            let started = held.map_or(now, |held| held.since);
+            self.health.ended(now, started, &vm, &job, &end)
+        });
         self.record(now, Record::Over { attempt, end, key });
-        for (job, reason) in given_up {
+        for (job, reason) in given_up.into_iter().flatten() {
             self.record(now, Record::Fail { reason, serial: job.serial });
         }
     }
@@ -439,8 +443,11 @@
         self.queue.take(&demand.team, &demand.resources);
         self.waits.remove(&key.serial);
         let sequence = self.record(now, Record::Start { attempt, key, vm: vm.clone() });
+        let mut held = contact::Held::new(now, attempt, sequence);
+        let running = self.running(key, &held);
+        held.throttle = running.and_then(|running| self.health.begin(now, &vm, &running));
         let contact = self.contacts.entry(vm).or_default();
-        contact.runs.insert(key, contact::Held::new(now, attempt, sequence));
+        contact.runs.insert(key, held);
         contact.wake();
     }
 
--- a/crates/core/src/health.rs
+++ b/crates/core/src/health.rs
@@ -41,10 +41,25 @@
         self.judge.close(job);
     }
 
-    /// Takes in the end of a run, and returns the jobs that can never run, each with the reason.
+    /// Takes in that a run starts on `vm`, and returns the thousandths of its processors to start it
+    /// with, if not all.
+    pub fn begin(
+        &mut self,
+        now: Instant,
+        vm: &Name,
+        running: &interference::Running,
+    ) -> Option<u32> {
+        match self.model.begin(now, vm, running)? {
+            interference::Advice::Throttle { share_milli, .. } => Some(share_milli),
+            _ => None,
+        }
+    }
+
+    /// Takes in the end of a run that was started at `started`, and returns the jobs that can never run, each with the reason.
     pub fn ended(
         &mut self,
         now: Instant,
+        started: Instant,
         vm: &Name,
         job: &job::Id,
         end: &worker::End,
@@ -53,7 +68,7 @@
             worker::End::Failed { reason } => {
                 self.judge.failed(now, vm, job, reason).into_iter().collect()
             }
-            worker::End::Finished => self.judge.succeeded(vm, job),
+            worker::End::Finished => self.judge.succeeded(started, vm, job),
             _ => Vec::new(),
         };
         verdicts
--- a/crates/core/tests/durable.rs
+++ b/crates/core/tests/durable.rs
@@ -7,8 +7,10 @@
 
 use {
     oleanderstage_core::{
-        Faults, Holder, Instant, Key, Ledger, Record, Restored, Stage, Writer, cell, job, journal,
+        Faults, Group, Holder, Instant, Key, Ledger, Record, Restored, Stage, Writer, cell, job,
+        journal,
         ledger::Content,
+        sealed,
         store::{self, Reply, Request},
         task, worker, writer,
     },
@@ -35,7 +37,7 @@
         let holder =
             Holder { epoch: cell::Epoch(1), incarnation: 1, scheduler: name("scheduler-0") };
         let mut store = Store::default();
-        let bytes = oleanderstage_core::sealed::seal(&holder);
+        let bytes = sealed::seal(&holder);
         let value = store::Value { bytes, key: journal::owner(&cell_id()) };
         let operations = vec![store::Operation::Put { lease: None, value }];
         store.apply(Instant(0), &store::Txn { conditions: Vec::new(), operations });
@@ -55,7 +57,7 @@
         self.past.insert(sequence, self.ledger.content().clone());
     }
 
-    fn restored(&self) -> Result<Restored, oleanderstage_core::sealed::Error> {
+    fn restored(&self) -> Result<Restored, sealed::Error> {
         let values: Vec<store::Value> = self
             .store
             .keys
@@ -140,6 +142,24 @@
     insta::assert_snapshot!(error, @"value of `oleanderstage/cells/kigali-1.0/journal/0000000000000003` is damaged, group 3 does not follow group 1: restore it from a backup");
 }
 
+/// Tells how many bytes of the journal each kind of record takes.
+fn journal_bytes(store: &Store) -> String {
+    let mut kinds: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
+    let journal = store.keys.iter().filter(|(key, _)| key.contains("/journal/"));
+    let groups: Vec<Group> =
+        journal.map(|(key, (bytes, _))| sealed::open(key, bytes).unwrap()).collect();
+    for record in groups.iter().flat_map(|group| &group.records) {
+        let kind = match record {
+            Record::Accept { .. } => "accepted",
+            Record::Start { .. } => "started",
+            _ => "other",
+        };
+        let sum = kinds.entry(kind).or_default();
+        *sum = (sum.0 + 1, sum.1 + sealed::encode(record).len());
+    }
+    format!("{} groups; records and bytes: {kinds:?}", groups.len())
+}
+
 #[test]
 fn a_cell_of_300_workers_and_5000_tasks_is_recovered_in_few_calls() {
     let mut world = World::new(3, 2, 300, Faults::None);
@@ -154,6 +174,7 @@
     };
     assert_eq!(running(&world), 5_000);
     let written = world.store.bytes_written;
+    println!("{}", journal_bytes(&world.store));
     world.upset(Duration::ZERO, Upset::KillScheduler { index: 0, span: seconds(600) });
     world.run(Duration::from_millis(200));
     let (calls, bytes, sent, killed) =
--- a/crates/core/tests/sessions.rs
+++ b/crates/core/tests/sessions.rs
@@ -80,3 +80,46 @@
     world.run(seconds(25));
     insta::assert_snapshot!(world.trace);
 }
+
+#[test]
+fn a_task_of_a_worker_out_of_reach_starts_elsewhere_after_its_lease() {
+    let mut world = world(1, 2);
+    world.submit(spec(2, 3, 50_000));
+    world.run(seconds(2));
+    world.upset(Duration::ZERO, Upset::CutWorker { vm: 0, span: seconds(60) });
+    world.run(seconds(90));
+    insta::assert_snapshot!(world.trace);
+}
+
+#[test]
+fn a_task_of_a_dead_vm_starts_elsewhere_after_a_takeover() {
+    let mut world = world(2, 2);
+    world.submit(spec(2, 3, 300_000));
+    world.run(seconds(2));
+    world.upset(Duration::ZERO, Upset::KillWorker(0));
+    world.upset(Duration::ZERO, Upset::KillScheduler { index: 0, span: seconds(600) });
+    world.run(seconds(145));
+    insta::assert_snapshot!(world.trace);
+}
+
+#[test]
+fn a_worker_that_fails_everything_is_shut_out_and_the_job_ends() {
+    let mut world = world(1, 3);
+    world.workers[0].fails_everything = true;
+    let id = world.submit(spec(12, 1, 3_000));
+    world.run(seconds(25));
+    assert_eq!(world.status(&id).unwrap().state, oleanderstage_core::job::State::Finished);
+    insta::assert_snapshot!(world.trace);
+}
+
+#[test]
+fn a_damaged_value_is_refused_and_named() {
+    let mut world = world(2, 1);
+    world.submit(spec(1, 1, 2_000));
+    world.run(seconds(6));
+    let group = "oleanderstage/cells/kigali-1.0/journal/0000000000000002";
+    world.store.keys.get_mut(group).unwrap().0[20] ^= 1;
+    world.upset(Duration::ZERO, Upset::KillScheduler { index: 0, span: seconds(600) });
+    world.run(seconds(20));
+    insta::assert_snapshot!(world.trace);
+}
