--- a/crates/proof/tests/batch.rs
+++ b/crates/proof/tests/batch.rs
@@ -5,7 +5,11 @@
 use {
     oleanderstage_core::{Resources, job},
     oleanderstage_proof::{Fleet, Load, Plan, fleet::until},
-    oleanderstage_standin::{faults::Faults, ledger::Record, summary::Summary},
+    oleanderstage_standin::{
+        faults::{Faults, Outage},
+        ledger::Record,
+        summary::Summary,
+    },
     std::{
         collections::{BTreeMap, BTreeSet},
         time::Instant,
@@ -101,6 +105,35 @@
     let status = caller.wait(&job).await.unwrap();
     assert_whole(&fleet, &status, 40);
     assert_eq!(stale_starts(&fleet.ledger.record()), 0);
+    assert_eq!(fleet.ledger.summary().stale_starts, 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn running_tasks_go_on_without_the_key_value_service() {
+    let fleet = plan("store_down_batch").schedulers(2).start().await.unwrap();
+    let caller = fleet.caller().unwrap();
+    let job = caller.submit("job-1", &spec(8, 36_000)).await.unwrap();
+    started(&fleet, 8).await;
+    let faults = Faults { outage: Outage::Silent, ..Faults::default() };
+    fleet.platform.store().set_faults(faults);
+    let over = async || fleet.ledger.summary().finished == 8;
+    until("see every task finish in the outage", over).await.unwrap();
+    fleet.platform.store().set_faults(Faults::default());
+    let status = caller.wait(&job).await.unwrap();
+    assert_whole(&fleet, &status, 8);
+    assert_eq!(fleet.ledger.summary().runs, 8);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_connections_to_workers_end_no_task() {
+    let fleet = plan("silent_batch").workers(3).start().await.unwrap();
+    let caller = fleet.caller().unwrap();
+    let job = caller.submit("job-1", &spec(24, 3_000)).await.unwrap();
+    started(&fleet, 8).await;
+    fleet.worker_relays.iter().for_each(|relay| relay.swallow());
+    let status = caller.wait(&job).await.unwrap();
+    assert_whole(&fleet, &status, 24);
+    assert_eq!(fleet.ledger.summary().runs, 24);
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -139,7 +172,7 @@
     for job in &jobs {
         last = Some(caller.wait(job).await.unwrap());
     }
-    assert!(fleet.platform.store().counters().lost_answers > 0);
+    assert!(fleet.platform.store().counters().lost_commits > 0);
     assert_eq!(last.map(|status| status.finished), Some(4));
     let summary = fleet.ledger.summary();
     assert_eq!(summary.finished, 12, "{summary:?}");
--- a/crates/standin/src/ledger.rs
+++ b/crates/standin/src/ledger.rs
@@ -15,6 +15,8 @@
     pub requests: Vec<Request>,
     /// Runs of tasks, in the order of their starts.
     pub runs: Vec<Run>,
+    /// Starts of tasks that came from an owner whose epoch was over, and were refused.
+    pub stale_starts: u64,
     /// Urgent requests refused by a guard.
     pub turned_away: u64,
 }
@@ -104,6 +106,10 @@
         record.runs.len() - 1
     }
 
+    pub(crate) fn refuse_starts(&self, count: u64) {
+        lock(&self.0).stale_starts += count;
+    }
+
     pub(crate) fn turn_away(&self) {
         lock(&self.0).turned_away += 1;
     }
@@ -132,6 +138,7 @@
         self.peaks.extend(other.peaks);
         self.requests.extend(other.requests);
         self.runs.extend(other.runs);
+        self.stale_starts += other.stale_starts;
         self.turned_away += other.turned_away;
     }
 }
--- a/crates/standin/src/machine.rs
+++ b/crates/standin/src/machine.rs
@@ -104,6 +104,8 @@
     ) -> Result<protocol::Report, cell::Epoch> {
         let highest = self.epochs.entry(batch.cell.clone()).or_default();
         if batch.epoch < *highest {
+            let is_start = |command: &&_| matches!(command, protocol::Command::Start { .. });
+            self.ledger.refuse_starts(batch.commands.iter().filter(is_start).count() as u64);
             return Err(*highest);
         }
         *highest = batch.epoch;
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -6,6 +6,8 @@
 pub const PROGRESS_INTERVAL: Duration = Duration::from_secs(5);
 /// How often leases are looked at.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(20);
+/// Path of transactions.
+const TXN_PATH: &str = "/v3/kv/txn";
 /// The largest request, in bytes.
 const MAX_BODY_BYTES: usize = 8 << 20;
 
@@ -121,7 +123,7 @@
             return reply::error_text(response, StatusCode::BAD_REQUEST, &error);
         }
         let took_effect = response.status_code.is_none_or(|status| status.is_success());
-        if call == store::Call::Write && took_effect && self.store.lose_answer() {
+        if call == store::Call::Write && took_effect && self.store.lose_answer(path == TXN_PATH) {
             reply::cut(response);
         }
     }
@@ -137,7 +139,7 @@
                 let range = reply::read(request, MAX_BODY_BYTES).await?;
                 reply::json(response, StatusCode::OK, &self.store.range(&range));
             }
-            "/v3/kv/txn" => {
+            TXN_PATH => {
                 let txn = reply::read(request, MAX_BODY_BYTES).await?;
                 result(response, self.store.commit(txn));
             }
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -48,6 +48,8 @@
     pub bytes_written: u64,
     /// Writes whose answer was lost.
     pub lost_answers: u64,
+    /// Transactions among them.
+    pub lost_commits: u64,
     /// Ranges read.
     pub reads: u64,
     /// Calls refused for their rate.
@@ -185,12 +187,13 @@
     }
 
     /// Returns whether the answer of this write is to be lost.
-    pub(crate) fn lose_answer(&self) -> bool {
+    pub(crate) fn lose_answer(&self, commit: bool) -> bool {
         let mut inner = self.inner();
         let lost = inner.faults.lose_answers > 0;
         if lost {
             inner.faults.lose_answers -= 1;
             inner.counters.lost_answers += 1;
+            inner.counters.lost_commits += u64::from(commit);
         }
         lost
     }
--- a/crates/standin/src/summary.rs
+++ b/crates/standin/src/summary.rs
@@ -21,6 +21,8 @@
     pub resumed_twice: u64,
     /// Runs of tasks.
     pub runs: u64,
+    /// Starts of tasks that came from an owner whose epoch was over, and were refused.
+    pub stale_starts: u64,
     /// Urgent requests refused by a guard.
     pub turned_away: u64,
 }
@@ -43,6 +45,7 @@
             requests: record.requests.len() as u64,
             resumed_twice: count(is_resumed_twice),
             runs: record.runs.len() as u64,
+            stale_starts: record.stale_starts,
             turned_away: record.turned_away,
         }
     }
