--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -57,6 +57,12 @@
 pub mod interference;
 pub mod job;
 pub mod journal;
+pub mod key;
+pub mod key_call;
+pub mod key_event;
+pub mod key_map;
+pub mod key_owner;
+pub mod key_record;
 pub mod ledger;
 pub mod listing;
 pub mod name;
@@ -83,4 +89,5 @@
 pub mod worker;
 pub mod writer;
 
+mod key_tenure;
 mod target;
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -21,8 +21,8 @@
 
 pub use {fake_store::Store, fake_worker::Worker};
 
-mod fake_store;
-mod fake_worker;
+pub mod fake_store;
+pub mod fake_worker;
 
 pub const TICK: Duration = Duration::from_millis(100);
 const ROUND_TRIP: Duration = Duration::from_millis(2);
@@ -33,6 +33,7 @@
 #[derive(Clone, Debug)]
 pub enum Upset {
     Cancel(usize),
+    CutStore { index: usize, span: Duration },
     CutWorker { vm: usize, span: Duration },
     DelayBatches(Duration),
     Evict,
@@ -55,6 +56,7 @@
     outbox: Vec<Action>,
     pub owner: Owner,
     paused_until: Instant,
+    store_cut_until: Instant,
 }
 
 #[derive(Clone, Debug)]
@@ -72,6 +74,8 @@
 
 pub struct World {
     pub answers: BTreeMap<Ticket, Answer>,
+    /// Batches sent so far.
+    pub batches: u64,
     pub faults: Faults,
     pub jobs: Vec<(job::Id, job::Spec, Ticket)>,
     pub now: Instant,
@@ -108,6 +112,12 @@
     }
 }
 
+/// Returns a job of many small tasks.
+pub fn small(tasks: u32, run_ms: u64) -> job::Spec {
+    let resources = Resources { accelerators: 0, memory_mib: 100, processors_milli: 200 };
+    job::Spec { resources, ..spec(tasks, 1, run_ms) }
+}
+
 pub fn spec(tasks: u32, processors: u64, run_ms: u64) -> job::Spec {
     job::Spec {
         class: name("render"),
@@ -128,6 +138,7 @@
         let config = Arc::new(Config { classes, teams, vms, ..Config::default() });
         let mut world = Self {
             answers: BTreeMap::new(),
+            batches: 0,
             config,
             delay_batches_until: Instant::default(),
             events: BTreeMap::new(),
@@ -143,7 +154,9 @@
             told: BTreeMap::new(),
             trace: String::new(),
             traced: false,
-            workers: (0..workers).map(|_| Worker::new(amount(4))).collect(),
+            workers: (0..workers)
+                .map(|_| Worker::new(amount(4), faults != Faults::NoEpochCheck))
+                .collect(),
         };
         for index in 0..schedulers {
             let scheduler = world.scheduler(index, index as u64 + 1);
@@ -204,6 +217,7 @@
     /// is over or `span` has passed.
     pub fn settle(&mut self, span: Duration) {
         self.store.heal();
+        self.schedulers.iter_mut().for_each(|s| s.store_cut_until = Instant::default());
         self.delay_batches_until = Instant::default();
         self.workers.iter_mut().for_each(Worker::heal);
         let end = self.now + span;
@@ -348,6 +362,7 @@
     fn send(&mut self, from: (usize, u64), batch: worker::Batch, vm: &Name) {
         let vm: usize = vm.as_str().trim_start_matches("vm-").parse().unwrap();
         self.serial += 1;
+        self.batches += 1;
         let id = self.serial;
         self.pending.insert(id);
         let delay = match self.now < self.delay_batches_until {
@@ -370,6 +385,7 @@
                 self.after(late, Delivery::StoreWrite(txn));
                 (store::Reply::Doubt, Duration::from_secs(2))
             }
+            None if self.now < self.schedulers[to.0].store_cut_until => Store::unreached(&request),
             None => self.store.answer(self.now, &request),
         };
         let event = Event::Store { call, reply };
@@ -412,6 +428,7 @@
             outbox: Vec::new(),
             owner: Owner::new(cell_id(), holder, index as u32, self.faults).unwrap(),
             paused_until: Instant::default(),
+            store_cut_until: Instant::default(),
         }
     }
 
@@ -424,6 +441,7 @@
                     self.cancel(&id);
                 }
             }
+            Upset::CutStore { index, span } => self.schedulers[index].store_cut_until = now + span,
             Upset::CutWorker { vm, span } => self.workers[vm].cut_until = now + span,
             Upset::DelayBatches(span) => self.delay_batches_until = now + span,
             Upset::DelayWrites(span) => self.store.delay_until = now + span,
