Check the accounts of placement in random sessions

Cause: never above a worker's capacity was shown by examples alone. Test: accounts_hold_in_random_sessions, 300 sessions from a fixed seed, against a plain list. Workers without services bear any class: their slowdown is zero before the class is known.

--- a/crates/core/src/interference_model.rs
+++ b/crates/core/src/interference_model.rs
@@ -291,6 +291,9 @@
 
     /// Returns the largest slowdown of any service on the worker by a worker full of `class`.
     fn sensitivity(&self, site: &Site, class: &Name) -> f64 {
+        if site.loads.is_empty() {
+            return 0.0;
+        }
         let Some(class) = self.classes.get(class) else { return UNKNOWN_SLOWDOWN };
         let pairs = site
             .loads
--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -1,10 +1,14 @@
 //! Choices of workers for tasks.
 #![allow(clippy::unwrap_used)]
 
-use oleanderstage_core::{
-    Name, Resources, job,
-    placement::{Demand, Judgement, Placer, Refusal, Worker},
-    task,
+use {
+    oleanderstage_core::{
+        Name, Resources, job,
+        placement::{Demand, Judgement, Placer, Refusal, Worker},
+        task,
+    },
+    quickcheck::{Arbitrary, Gen, QuickCheck},
+    std::collections::BTreeMap,
 };
 
 fn name(text: &str) -> Name {
@@ -140,3 +144,66 @@
     assert_eq!(placer.place(&demand(1, 1, amount(4, 8, 0))), Err(Refusal::NoRoom));
     assert!(placer.place(&demand(1, 2, amount(2, 8, 0))).is_ok());
 }
+
+/// One step of a random session.
+#[derive(Clone, Debug)]
+enum Step {
+    Apply { count: usize },
+    Close { closed: bool, vm: usize },
+    Place { cores: u64, gib: u64 },
+    Release { nth: usize },
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(source: &mut Gen) -> Self {
+        let pick = |source: &mut Gen, below: u64| u64::arbitrary(source) % below;
+        match pick(source, 10) {
+            0 => Self::Apply { count: 1 + pick(source, 12) as usize },
+            1 => Self::Close { closed: bool::arbitrary(source), vm: pick(source, 12) as usize },
+            2..=6 => Self::Place { cores: 1 + pick(source, 15), gib: 1 + pick(source, 60) },
+            _ => Self::Release { nth: pick(source, 64) as usize },
+        }
+    }
+}
+
+/// Plays a session and checks the accounts after each step against a plain list of placed tasks.
+fn keeps_accounts(steps: Vec<Step>) -> bool {
+    let mut here = workers(6, amount(16, 64, 0));
+    let mut placer = placer(&here);
+    let mut placed: BTreeMap<task::Id, (Name, Resources)> = BTreeMap::new();
+    for (index, step) in steps.into_iter().enumerate() {
+        match step {
+            Step::Apply { count } => {
+                here = workers(count, amount(16, 64, 0));
+                placer.apply(&here);
+            }
+            Step::Close { closed, vm } => placer.close(&name(&format!("vm-{vm:02}")), closed),
+            Step::Place { cores, gib } => {
+                let demand = demand(1, index as u32, amount(cores, gib, 0));
+                if let Ok(vm) = placer.place(&demand) {
+                    placed.insert(demand.task, (vm, demand.resources));
+                }
+            }
+            Step::Release { nth } => {
+                let task = placed.keys().nth(nth).cloned();
+                let vm = task.as_ref().and_then(|task| placed.remove(task)).map(|(vm, _)| vm);
+                assert_eq!(task.and_then(|task| placer.release(&task)), vm);
+            }
+        }
+        for worker in &here {
+            let on = placed.values().filter(|(vm, _)| *vm == worker.vm);
+            let used = on.fold(Resources::default(), |sum, (_, amount)| sum + *amount);
+            assert_eq!(placer.used(&worker.vm), used);
+            assert!(used.fits(&worker.offered()), "{} holds {used}", worker.vm);
+        }
+    }
+    true
+}
+
+#[test]
+fn accounts_hold_in_random_sessions() {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(100, 5))
+        .tests(300)
+        .quickcheck(keeps_accounts as fn(Vec<Step>) -> bool);
+}
