Report service-level burn

Refusals that the caller brought about don't count. Entries that don't answer are named beside the figures, as is the time that each has counted, since an entry's counts end with its process.

--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -30,6 +30,8 @@
     Explain(explain::Options),
     /// Makes keys for tests.
     Keys(keys_command::Options),
+    /// Shows service-level burn.
+    Report(report::Options),
     /// Prints the schema of a configuration.
     Schema(schema::Options),
     /// Shows entries and jobs.
@@ -49,6 +51,7 @@
             Self::Drain(options) => drain::run(options).await,
             Self::Explain(options) => explain::run(options).await,
             Self::Keys(options) => keys_command::run(options),
+            Self::Report(options) => report::run(options).await,
             Self::Schema(options) => schema::run(options),
             Self::Status(options) => status::run(options).await,
             Self::Submit(options) => submit::run(options).await,
--- /dev/null
+++ b/crates/core/src/burn_report.rs
@@ -0,0 +1,133 @@
+//! The pages of all entries, merged.
+
+use super::*;
+
+/// What all entries that answered have counted together.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Report {
+    /// Time that every entry that answered has counted, in milliseconds.
+    pub covered_ms: u64,
+    /// Entries that did not answer, each with the reason: their requests are not in the figures.
+    pub missing: Vec<Missing>,
+    /// Entries that answered.
+    pub answered: Vec<String>,
+    /// Each service, by name.
+    pub services: Vec<Service>,
+}
+
+/// An entry that did not answer.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Missing {
+    /// Its address.
+    pub entry: String,
+    /// Why.
+    pub reason: String,
+}
+
+/// One service.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Service {
+    /// Share of the long window's budget that is left: 1 when nothing failed, below 0 when
+    /// overdrawn.
+    pub budget_left: f64,
+    /// Latencies of answers, merged.
+    pub latencies: Vec<page::Latency>,
+    /// The long window.
+    pub long: Window,
+    /// The service.
+    pub name: Name,
+    /// The objective.
+    pub objective: Objective,
+    /// Latency that half of the answers kept, in microseconds.
+    pub p50_us: u64,
+    /// Latency that 99 of 100 answers kept, in microseconds.
+    pub p99_us: u64,
+    /// The long window, slot by slot.
+    pub series: Vec<page::Slot>,
+    /// The short window.
+    pub short: Window,
+}
+
+/// What happened in one window.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Window {
+    /// Requests that did not meet the objective.
+    pub bad: u64,
+    /// How many times faster than allowed the budget is used up.
+    pub burn_rate: f64,
+    /// What took the budget, most first.
+    pub causes: Vec<page::Count>,
+    /// All requests that count.
+    pub requests: u64,
+}
+
+impl Report {
+    /// Merges the pages of the entries that answered.
+    pub fn merge(pages: &[(String, Page)], missing: Vec<Missing>) -> Self {
+        let mut services: BTreeMap<&Name, Vec<&page::Service>> = BTreeMap::new();
+        for service in pages.iter().flat_map(|(_, page)| &page.services) {
+            services.entry(&service.name).or_default().push(service);
+        }
+        Self {
+            answered: pages.iter().map(|(entry, _)| entry.clone()).collect(),
+            covered_ms: pages.iter().map(|(_, page)| page.covered_ms).min().unwrap_or_default(),
+            missing,
+            services: services.values().filter_map(|pages| Service::merge(pages)).collect(),
+        }
+    }
+}
+
+impl Service {
+    fn merge(pages: &[&page::Service]) -> Option<Self> {
+        let first = pages.first()?;
+        let mut histogram = histogram();
+        let mut series: BTreeMap<u64, page::Slot> = BTreeMap::new();
+        for page in pages {
+            for latency in &page.latencies {
+                histogram.saturating_record_n(latency.us, latency.answers);
+            }
+            for slot in &page.series {
+                let sum =
+                    series.entry(slot.age).or_insert(page::Slot { bad: 0, requests: 0, ..*slot });
+                sum.bad += slot.bad;
+                sum.requests += slot.requests;
+            }
+        }
+        let long = Window::merge(pages.iter().flat_map(|page| &page.long), &first.objective);
+        let short = Window::merge(pages.iter().flat_map(|page| &page.short), &first.objective);
+        let recorded = histogram.iter_recorded();
+        Some(Self {
+            budget_left: 1.0 - long.burn_rate,
+            latencies: recorded
+                .map(|value| page::Latency {
+                    answers: value.count_at_value(),
+                    us: value.value_iterated_to(),
+                })
+                .collect(),
+            long,
+            name: first.name.clone(),
+            objective: first.objective.clone(),
+            p50_us: histogram.value_at_quantile(0.5),
+            p99_us: histogram.value_at_quantile(0.99),
+            series: series.into_values().collect(),
+            short,
+        })
+    }
+}
+
+impl Window {
+    fn merge<'a>(counts: impl Iterator<Item = &'a page::Count>, objective: &Objective) -> Self {
+        let mut sum: BTreeMap<Cause, u64> = BTreeMap::new();
+        for count in counts {
+            *sum.entry(count.cause).or_default() += count.requests;
+        }
+        let requests: u64 = sum.values().sum();
+        let bad = requests - sum.remove(&Cause::Good).unwrap_or_default();
+        let mut causes: Vec<_> =
+            sum.into_iter().map(|(cause, requests)| page::Count { cause, requests }).collect();
+        causes.sort_by_key(|count| std::cmp::Reverse(count.requests));
+        let allowed = requests as f64 * (1.0 - objective.share);
+        let burn_rate = if bad == 0 { 0.0 } else { bad as f64 / allowed };
+        Self { bad, burn_rate, causes, requests }
+    }
+}
--- /dev/null
+++ b/crates/core/src/burn_tally.rs
@@ -0,0 +1,98 @@
+//! Counting at one entry.
+
+use super::*;
+
+/// Counts what became of requests at one entry.
+#[derive(Clone, Debug, Default)]
+pub struct Tally {
+    services: BTreeMap<Name, Counts>,
+}
+
+#[derive(Clone, Debug)]
+struct Counts {
+    latencies: Histogram<u64>,
+    long: Ring,
+    short: Ring,
+}
+
+impl Tally {
+    /// Counts an answer of `service` that took `latency` and was promised by `objective`.
+    pub fn answered(
+        &mut self,
+        now: Instant,
+        service: &Name,
+        latency: Duration,
+        objective: &Objective,
+    ) {
+        let promised = Duration::from_millis(objective.latency_ms);
+        let cause = if latency <= promised { Cause::Good } else { Cause::Late };
+        self.failed(now, service, cause);
+        let counts = self.counts(service);
+        counts.latencies.saturating_record(latency.as_micros() as u64);
+    }
+
+    /// Counts a request of `service` that was not answered, for `cause`.
+    pub fn failed(&mut self, now: Instant, service: &Name, cause: Cause) {
+        let counts = self.counts(service);
+        counts.long.count(now, cause);
+        counts.short.count(now, cause);
+    }
+
+    /// Returns the counts of the windows that end now, of the `services` in force.
+    pub fn page<'a>(
+        &self,
+        now: Instant,
+        services: impl IntoIterator<Item = &'a config::Service>,
+    ) -> Page {
+        let covered_ms = now.since(Instant::default()).as_millis() as u64;
+        let empty = Counts::new();
+        let page = |service: &config::Service| {
+            let counts = self.services.get(&service.name).unwrap_or(&empty);
+            counts.page(now, service)
+        };
+        Page { covered_ms, services: services.into_iter().map(page).collect() }
+    }
+
+    fn counts(&mut self, service: &Name) -> &mut Counts {
+        if !self.services.contains_key(service) {
+            self.services.insert(service.clone(), Counts::new());
+        }
+        self.services.get_mut(service).expect("the service was inserted")
+    }
+}
+
+impl Counts {
+    fn new() -> Self {
+        Self {
+            latencies: histogram(),
+            long: Ring::new(LONG, LONG_SLOT),
+            short: Ring::new(SHORT, SHORT_SLOT),
+        }
+    }
+
+    fn page(&self, now: Instant, service: &config::Service) -> page::Service {
+        let recorded = self.latencies.iter_recorded();
+        let latency = |value: hdrhistogram::iterators::IterationValue<u64>| page::Latency {
+            answers: value.count_at_value(),
+            us: value.value_iterated_to(),
+        };
+        page::Service {
+            latencies: recorded.map(latency).collect(),
+            long: counts(&self.long.sum(now)),
+            name: service.name.clone(),
+            objective: service.objective.clone(),
+            series: self.long.series(now).into_iter().map(slot).collect(),
+            short: counts(&self.short.sum(now)),
+        }
+    }
+}
+
+fn counts(sum: &BTreeMap<Cause, u64>) -> Vec<page::Count> {
+    sum.iter().map(|(&cause, &requests)| page::Count { cause, requests }).collect()
+}
+
+fn slot((age, counts): (u64, &BTreeMap<Cause, u64>)) -> page::Slot {
+    let requests = counts.values().sum();
+    let good = counts.get(&Cause::Good).copied().unwrap_or_default();
+    page::Slot { age, bad: requests - good, requests }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -44,6 +44,7 @@
 
 pub mod admission;
 pub mod answer;
+pub mod burn;
 pub mod cell;
 pub mod change;
 pub mod chart;
--- a/crates/entry/src/counters.rs
+++ b/crates/entry/src/counters.rs
@@ -27,6 +27,8 @@
 /// Counts of what became of requests.
 #[derive(Debug, Default)]
 pub(crate) struct Counters {
+    /// What counts against objectives.
+    burn: Mutex<burn::Tally>,
     requests: Mutex<BTreeMap<Name, BTreeMap<Cause, u64>>>,
     /// Pool generations taken out for silence.
     retired: AtomicU64,
@@ -47,6 +49,32 @@
 }
 
 impl Counters {
+    /// Counts an answer passed on whole against the service's objective.
+    pub(crate) fn answered(
+        &self,
+        now: Instant,
+        service: &Name,
+        latency: Duration,
+        objective: &config::Objective,
+    ) {
+        lock(&self.burn).answered(now, service, latency, objective);
+    }
+
+    /// Counts an answer that broke off on its way.
+    pub(crate) fn broken(&self, now: Instant, service: &Name) {
+        self.count(service, Cause::Broken);
+        lock(&self.burn).failed(now, service, burn::Cause::Broken);
+    }
+
+    /// Returns what counts against the objectives of `services`.
+    pub(crate) fn burn<'a>(
+        &self,
+        now: Instant,
+        services: impl IntoIterator<Item = &'a config::Service>,
+    ) -> burn::Page {
+        lock(&self.burn).page(now, services)
+    }
+
     pub(crate) fn count(&self, service: &Name, cause: Cause) {
         let mut requests = lock(&self.requests);
         if !requests.contains_key(service) {
@@ -58,12 +86,15 @@
     }
 
     /// Counts an answer that the entry gave itself.
-    pub(crate) fn refused(&self, service: &Name, refusal: &refusal::Refusal) {
+    pub(crate) fn refused(&self, now: Instant, service: &Name, refusal: &refusal::Refusal) {
         let cause = match refusal.outcome {
             Outcome::Answered | Outcome::NotRun => Cause::NotRun(refusal.reason),
             Outcome::Unknown => Cause::Unknown(refusal.reason),
         };
         self.count(service, cause);
+        if let Some(cause) = refusal.burns() {
+            lock(&self.burn).failed(now, service, cause);
+        }
     }
 
     pub(crate) fn retired(&self) {
--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -25,6 +25,7 @@
 /// What `GET /report` shows.
 #[derive(Serialize)]
 struct Report {
+    burn: burn::Page,
     connections_retired: u64,
     services: Vec<counters::Page>,
 }
@@ -70,7 +71,10 @@
     }
 
     fn report(&self, response: &mut Response) {
+        let current = self.node.follower.current();
+        let services = current.iter().flat_map(|current| &current.config.services);
         let report = Report {
+            burn: self.node.counters.burn(self.node.clock.now(), services),
             connections_retired: self.node.counters.generations_retired(),
             services: self.node.counters.pages(),
         };
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -62,6 +62,10 @@
             false => counters::Cause::AnsweredLate,
         };
         self.counters.count(service, cause);
+        if let Some(service) = self.service(service) {
+            let objective = &service.config.objective;
+            self.counters.answered(self.clock.now(), &service.config.name, latency, objective);
+        }
         let metric = format!("service.{service}.latency");
         let _ = self.metrics.time(&metric, latency.as_millis() as u64);
     }
--- a/crates/entry/src/pass.rs
+++ b/crates/entry/src/pass.rs
@@ -102,7 +102,7 @@
 impl Passing {
     fn cut(&mut self, cause: &str) -> io::Error {
         self.machine.take(Event::Broken);
-        self.node.counters.count(&self.service, counters::Cause::Broken);
+        self.node.counters.broken(self.node.clock.now(), &self.service);
         if let Some(slot) = self.slot.take() {
             log::warn!(service = self.service.to_string(), vm = slot.vm.to_string(), cause; "answer_broken");
             slot.end(route::End::Failed);
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -88,6 +88,29 @@
 }
 
 impl Refusal {
+    /// Returns what the refusal counts as against the service's objective; nothing when the caller
+    /// brought it about.
+    pub(crate) fn burns(&self) -> Option<burn::Cause> {
+        if self.outcome == Outcome::Unknown {
+            return Some(burn::Cause::Unknown);
+        }
+        match self.reason {
+            Reason::BodyLimit
+            | Reason::BodyStalled
+            | Reason::CallerLimit
+            | Reason::Invalid
+            | Reason::UnknownName => None,
+            Reason::Deadline => Some(burn::Cause::PastDeadline),
+            Reason::ForeignAnswer | Reason::Lost | Reason::Unavailable => {
+                Some(burn::Cause::Unreachable)
+            }
+            Reason::Leaving | Reason::NoConfiguration | Reason::SchedulerUnavailable => {
+                Some(burn::Cause::Unavailable)
+            }
+            Reason::NoEndpoint | Reason::ServiceLimit => Some(burn::Cause::Overloaded),
+        }
+    }
+
     /// Proven not run, and worth another try after `retry`.
     pub(crate) fn later(reason: Reason, retry: Duration, text: impl Into<String>) -> Self {
         let status = match reason {
--- a/crates/entry/src/urgent.rs
+++ b/crates/entry/src/urgent.rs
@@ -28,7 +28,7 @@
         Ok(answer) => answer.write(id, response),
         Err(refusal) => {
             if node.service(&service).is_some() {
-                node.counters.refused(&service, &refusal);
+                node.counters.refused(node.clock.now(), &service, &refusal);
             }
             let (outcome, reason) = (refusal.outcome.as_str(), refusal.reason.as_str());
             let service = service.to_string();
