--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -58,6 +58,12 @@
 pub mod interference;
 pub mod job;
 pub mod journal;
+pub mod key;
+pub mod key_call;
+pub mod key_event;
+pub mod key_map;
+pub mod key_owner;
+pub mod key_record;
 pub mod ledger;
 pub mod listing;
 pub mod name;
@@ -84,4 +90,5 @@
 pub mod worker;
 pub mod writer;
 
+mod key_tenure;
 mod target;
