--- /dev/null
+++ b/crates/cli/tests/entries.rs
@@ -0,0 +1,146 @@
+//! The operators' commands against running entries.
+
+#![allow(clippy::unwrap_used)]
+
+use {
+    oleanderstage_core::Name,
+    oleanderstage_entry::Entry,
+    oleanderstage_platform::http,
+    oleanderstage_settings as settings,
+    oleanderstage_standin::Platform,
+    oleanderstage_wire::keys,
+    std::{fs, net::SocketAddr, path::PathBuf, time::Duration},
+    tokio::process::Command,
+    tokio_util::sync::CancellationToken,
+};
+
+const CONFIG: &str = r#"{ "services": [{
+    "name": "bulletin",
+    "body_limit_bytes": 1000000,
+    "caller_concurrency": 8,
+    "deadline_ms": 2000,
+    "idempotent": true,
+    "objective": { "latency_ms": 400, "share": 0.9 },
+    "reserve": { "processors_milli": 1000, "memory_mib": 1024 },
+}] }"#;
+
+struct Bench {
+    entries: Vec<Entry>,
+    folder: PathBuf,
+    platform: Platform,
+}
+
+fn free_udp() -> SocketAddr {
+    std::net::UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+fn name(text: &str) -> Name {
+    Name::try_from(text).unwrap()
+}
+
+impl Bench {
+    async fn start(topic: &str) -> Self {
+        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(topic);
+        fs::create_dir_all(&folder).unwrap();
+        fs::write(folder.join("config.jsonc"), CONFIG).unwrap();
+        let names = [name("entry-1"), name("entry-2")];
+        let set = keys::Set::generate(&names).unwrap();
+        fs::write(folder.join("ca.pem"), &set.authority).unwrap();
+        let platform = Platform::start("127.0.0.1:0".parse().unwrap()).await.unwrap();
+        let addresses = [free_udp(), free_udp()];
+        let mut bench = Self { entries: vec![], folder, platform };
+        for own in 0..2 {
+            let path = |end: &str| bench.folder.join(format!("{}.{end}", names[own]));
+            fs::write(path("pem"), &set.pairs[own].certificate).unwrap();
+            fs::write(path("key"), &set.pairs[own].key).unwrap();
+            let (other, zone) = (1 - own, name("kigali-1"));
+            let peer = settings::Peer {
+                address: addresses[other],
+                name: names[other].clone(),
+                zone: zone.clone(),
+            };
+            let settings = settings::Entry {
+                http: "127.0.0.1:0".parse().unwrap(),
+                metrics: None,
+                name: names[own].clone(),
+                peers: vec![peer],
+                quic: addresses[own],
+                schedulers: vec![],
+                store: bench.store(),
+                tls: settings::Tls {
+                    authority: bench.folder.join("ca.pem"),
+                    certificate: path("pem"),
+                    key: path("key"),
+                },
+                vm_list: format!("{}/vms", bench.store()),
+                zone,
+            };
+            let entry = Entry::start(settings, CancellationToken::new()).await.unwrap();
+            bench.entries.push(entry);
+        }
+        bench
+    }
+
+    fn entry(&self, index: usize) -> String {
+        format!("http://{}", self.entries[index].address())
+    }
+
+    /// Runs `oleanderstage`; returns what it printed, without addresses, and its exit code.
+    async fn run(&self, arguments: &str) -> (String, i32) {
+        let names = [("STORE", self.store()), ("ONE", self.entry(0)), ("TWO", self.entry(1))];
+        let full = names.iter().fold(arguments.to_owned(), |text, (a, b)| text.replace(a, b));
+        let output = Command::new(env!("CARGO_BIN_EXE_oleanderstage"))
+            .args(full.split_whitespace())
+            .current_dir(&self.folder)
+            .env("NO_COLOR", "1")
+            .kill_on_drop(true)
+            .output()
+            .await
+            .unwrap();
+        let printed = [output.stdout, output.stderr].concat();
+        let printed = String::from_utf8(printed).unwrap();
+        let printed = names.iter().fold(printed, |text, (name, address)| {
+            text.replace(address.as_str(), &format!("{name:<width$}", width = address.len()))
+        });
+        (printed, output.status.code().unwrap())
+    }
+
+    fn store(&self) -> String {
+        format!("http://{}", self.platform.address())
+    }
+}
+
+#[tokio::test]
+async fn a_submission_is_in_force_at_all_entries_and_a_drain_takes_one_out() {
+    let bench = Bench::start("entries").await;
+    let submit = "submit config.jsonc --store STORE --submission s-1 --wait ONE --wait TWO";
+    let (text, exit) = bench.run(submit).await;
+    assert_eq!(exit, 0, "{text}");
+    assert_eq!(text, "accepted as revision 1 (submission s-1)\nin force at 2 of 2 entries\n");
+    let (text, _) = bench.run("status ONE TWO").await;
+    insta::with_settings!({ omit_expression => true }, { insta::assert_snapshot!("status", text) });
+    let (text, exit) = bench.run("drain TWO").await;
+    assert_eq!(exit, 0, "{text}");
+    let until = tokio::time::Instant::now() + Duration::from_secs(30);
+    while bench.run("status TWO").await.1 == 0 {
+        assert!(tokio::time::Instant::now() < until, "the entry has not left");
+    }
+    bench.platform.stop().await;
+}
+
+#[tokio::test]
+async fn the_report_counts_refusals_over_both_entries() {
+    let bench = Bench::start("report").await;
+    let submit = "submit config.jsonc --store STORE --wait ONE --wait TWO";
+    let (text, exit) = bench.run(submit).await;
+    assert_eq!(exit, 0, "{text}");
+    let client = http::client("entries", Duration::from_secs(10)).unwrap();
+    for index in [0, 1, 1] {
+        let url = format!("{}/services/bulletin/", bench.entry(index));
+        assert_eq!(client.get(url).send().await.unwrap().status(), 503);
+    }
+    let (text, exit) = bench.run("report ONE TWO http://127.0.0.1:1").await;
+    assert_eq!(exit, 0, "{text}");
+    insta::with_settings!({ omit_expression => true }, { insta::assert_snapshot!("report", text) });
+    bench.platform.stop().await;
+}
