Look for a new configuration without reading its bytes

Three processes look each second; a configuration of 990 KB would have cost each 1.3 MB a second in Base64. They now ask for the key alone (`keys_only`), and read the value only when it has changed. The number of reads is as before, one a second and reader, and one more for each change.

--- a/crates/follow/src/task.rs
+++ b/crates/follow/src/task.rs
@@ -99,30 +99,40 @@
     let _ = events.send(Event::Reading(reading.unwrap_or(Reading::Failed))).await;
 }
 
-/// Reads the value, unless it is still the one read last.
+/// Reads the value, unless it is still the one read last, which is found out without its bytes.
 async fn fetch(store: &store::Client, modified: &AtomicI64) -> Reading {
-    let known = modified.load(Ordering::Relaxed);
-    let value = match store.get(follower::KEY).await {
-        Ok(Some(value)) => value,
-        Ok(None) => return Reading::Nothing,
+    match look(store, modified).await {
+        Ok(None) => Reading::Nothing,
+        Ok(Some(value)) => match serde_json::from_slice(&value.bytes) {
+            Ok(accepted) => Reading::Found(accepted),
+            Err(error) => {
+                log::error!(key = follower::KEY, error = error.to_string(); "config_unreadable");
+                Reading::Failed
+            }
+        },
         Err(error) => {
             log::debug!(error = error.to_string(); "config_not_read");
-            return Reading::Failed;
-        }
-    };
-    if value.modified == known {
-        return Reading::Nothing;
-    }
-    modified.store(value.modified, Ordering::Relaxed);
-    match serde_json::from_slice(&value.bytes) {
-        Ok(accepted) => Reading::Found(accepted),
-        Err(error) => {
-            log::error!(key = follower::KEY, error = error.to_string(); "config_unreadable");
             Reading::Failed
         }
     }
 }
 
+/// Returns the value if it is not the one read last.
+async fn look(
+    store: &store::Client,
+    modified: &AtomicI64,
+) -> Result<Option<store::Value>, store::Error> {
+    let last = store.modified(follower::KEY).await?;
+    if last.is_none_or(|last| last == modified.load(Ordering::Relaxed)) {
+        return Ok(None);
+    }
+    let value = store.get(follower::KEY).await?;
+    if let Some(value) = &value {
+        modified.store(value.modified, Ordering::Relaxed);
+    }
+    Ok(value)
+}
+
 fn refuse(refusal: &Refusal) {
     match refusal {
         Refusal::Conflict { ours, revision, theirs } => {
--- a/crates/follow/tests/processes.rs
+++ b/crates/follow/tests/processes.rs
@@ -122,6 +122,19 @@
     bench.platform.stop().await;
 }
 
+#[tokio::test]
+async fn a_look_without_the_value_tells_changes_apart() {
+    let bench = Bench::start("look", 1).await;
+    let store = store::Client::new(&format!("http://{}", bench.platform.address())).unwrap();
+    assert_eq!(store.modified(KEY).await.unwrap(), None);
+    bench.put(1);
+    let first = store.get(KEY).await.unwrap().unwrap();
+    assert_eq!(store.modified(KEY).await.unwrap(), Some(first.modified));
+    bench.put(2);
+    assert!(store.modified(KEY).await.unwrap() > Some(first.modified));
+    bench.platform.stop().await;
+}
+
 #[tokio::test]
 async fn a_damaged_value_changes_nothing() {
     let bench = Bench::start("damaged", 1).await;
--- a/crates/platform/src/gateway.rs
+++ b/crates/platform/src/gateway.rs
@@ -53,6 +53,9 @@
 pub struct Range {
     /// The first key.
     pub key: Blob,
+    /// Whether values are left out of the answer.
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    pub keys_only: bool,
     /// The first key beyond the range; only `key` itself when empty.
     pub range_end: Blob,
 }
@@ -212,12 +215,12 @@
 impl Range {
     /// Returns the range of one key.
     pub fn key(key: &str) -> Self {
-        Self { key: key.into(), range_end: Blob::default() }
+        Self { key: key.into(), ..Self::default() }
     }
 
     /// Returns the range of every key that starts with `prefix`.
     pub fn prefix(prefix: &str) -> Self {
-        Self { key: prefix.into(), range_end: end(prefix) }
+        Self { key: prefix.into(), range_end: end(prefix), ..Self::default() }
     }
 }
 
--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -68,6 +68,12 @@
         Ok(answer.kvs.into_iter().map(Value::from).collect())
     }
 
+    /// Returns the revision of the key's last change, without its value, if it exists.
+    pub async fn modified(&self, key: &str) -> Result<Option<i64>, Error> {
+        let range = gateway::Range { keys_only: true, ..gateway::Range::key(key) };
+        Ok(self.range(&range).await?.kvs.pop().map(|kv| kv.mod_revision.0))
+    }
+
     /// Ends the lease; the keys that go with it are deleted. `Kind::Lapsed` if it is gone.
     pub async fn revoke(&self, lease: Lease) -> Result<(), Error> {
         let body = gateway::Lease { id: gateway::Long(lease.0), ..Default::default() };
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -187,7 +187,11 @@
             news: self.store.subscribe(),
             next,
             over: false,
-            range: gateway::Range { key: create.key, range_end: create.range_end },
+            range: gateway::Range {
+                key: create.key,
+                keys_only: false,
+                range_end: create.range_end,
+            },
             store: self.store.clone(),
         };
         response.body(ResBody::stream(stream::unfold(position, Position::advance)));
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -199,7 +199,12 @@
         let inner = self.inner();
         let matching = |(key, _): &(&Vec<u8>, &gateway::KeyValue)| contains(range, key);
         let from = inner.keys.range(range.key.0.clone()..);
-        let kvs = from.take_while(matching).map(|(_, kv)| kv.clone()).collect();
+        let found = from.take_while(matching).map(|(_, kv)| kv);
+        let bare = |kv: &gateway::KeyValue| {
+            let value = if range.keys_only { Default::default() } else { kv.value.clone() };
+            gateway::KeyValue { value, ..kv.clone() }
+        };
+        let kvs = found.map(bare).collect();
         gateway::RangeAnswer { header: inner.header(), kvs }
     }
 
