--- a/crates/cli/src/cancel.rs
+++ b/crates/cli/src/cancel.rs
@@ -18,5 +18,5 @@
 pub async fn run(options: &Options) -> Result<String, Error> {
     let url = entries::url(&options.entry, &format!("/jobs/{}", options.job));
     entries::send(reqwest::Method::DELETE, &url).await?;
-    Ok(format!("cancelled `{}`", options.job))
+    Ok(format!("no task of `{}` starts again", options.job))
 }
