Divide quotas among cells, and keep one account of teams

Each cell held every team's whole quota, so that a team could use as many quotas as there are cells. A cell now has the part of each quota that its share of the configured capacity gives it; the parts never add up to more than the quota, and no cell asks another. Lending between cells was ruled out for now: it needs a durable account between owners. A job whose tasks exceed the part is refused at once by name. The queue of waiting tasks kept accounts of its own beside quota::Table; it now uses the table.

--- a/crates/core/src/dispatcher.rs
+++ b/crates/core/src/dispatcher.rs
@@ -69,7 +69,10 @@
     /// Puts a configuration in force, of which `vms` belong to the cell.
     pub fn configure(&mut self, config: &Arc<Config>, vms: &[config::Vm]) {
         self.config = config.clone();
-        self.queue.apply(&config.teams);
+        let total = |vms: &[config::Vm]| {
+            vms.iter().fold(Resources::default(), |sum, vm| sum + vm.resources)
+        };
+        self.queue.apply(&quota::divide(&config.teams, &total(vms), &total(&config.vms)));
         self.health.apply(vms);
         let workers: Vec<placement::Worker> = vms.iter().map(|vm| self.place_of(vm)).collect();
         self.placer.apply(&workers);
--- a/crates/core/src/dispatcher_calls.rs
+++ b/crates/core/src/dispatcher_calls.rs
@@ -9,6 +9,15 @@
             return self.submit_again(job, serial, spec);
         }
         spec.check(&self.config).map_err(|text| Answer::refuse(answer::Refusal::Invalid, text))?;
+        let quota = self.queue.quota(&spec.team);
+        if !spec.resources.fits(&quota) {
+            let (needs, team, cell) = (spec.resources, &spec.team, &self.cell);
+            let text = format!(
+                "a task of `{needs}` is above the part `{quota}` of team `{team}`'s quota in cell \
+                 `{cell}`: declare smaller tasks, or raise the quota"
+            );
+            return Err(Answer::refuse(answer::Refusal::Invalid, text));
+        }
         if self.open_tasks + u64::from(spec.tasks) > MAX_OPEN_TASKS {
             let text =
                 format!("cell `{}` has {} open tasks: try again later", self.cell, self.open_tasks);
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -7,7 +7,9 @@
 pub struct Queue {
     /// Tasks that wait for the end of a back-off.
     delayed: BTreeSet<(Instant, Waiting)>,
-    teams: BTreeMap<Name, Team>,
+    quotas: quota::Table,
+    /// Tasks that wait for room, by team.
+    ready: BTreeMap<Name, BTreeSet<Waiting>>,
 }
 
 /// A task that waits.
@@ -21,22 +23,10 @@
     pub team: Name,
 }
 
-#[derive(Clone, Debug, Default)]
-struct Team {
-    quota: Resources,
-    ready: BTreeSet<Waiting>,
-    used: Resources,
-}
-
 impl Queue {
     /// Replaces the quotas.
     pub fn apply(&mut self, teams: &[config::Team]) {
-        for team in self.teams.values_mut() {
-            team.quota = Resources::default();
-        }
-        for team in teams {
-            self.teams.entry(team.name.clone()).or_default().quota = team.quota;
-        }
+        self.quotas.apply(teams);
     }
 
     /// Lets a task wait until `ready`.
@@ -44,22 +34,21 @@
         self.delayed.insert((ready, waiting));
     }
 
-    /// Lets a task wait for room.
-    pub fn push(&mut self, waiting: Waiting) {
-        self.teams.entry(waiting.team.clone()).or_default().ready.insert(waiting);
+    /// Returns the first task of the team that has the least of its quota in use, among teams not
+    /// in `skipped`.
+    pub fn first(&self, skipped: &BTreeSet<Name>) -> Option<&Waiting> {
+        let mut teams = self.quotas.order().filter(|team| !skipped.contains(*team));
+        teams.find_map(|team| self.ready.get(team)?.first())
     }
 
-    /// Returns the first task of the team that has the least of its quota, among teams not in
-    /// `skipped`.
-    pub fn first(&self, skipped: &BTreeSet<Name>) -> Option<&Waiting> {
-        let waiting = self.teams.iter().filter(|(name, _)| !skipped.contains(*name));
-        let heads = waiting.filter_map(|(_, team)| Some((team.share(), team.ready.first()?)));
-        heads.min_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(b.1))).map(|(_, head)| head)
+    /// Counts resources as no longer in use by the team.
+    pub fn give_back(&mut self, team: &Name, resources: &Resources) {
+        self.quotas.refund(team, resources);
     }
 
     /// Returns whether the team's quota has room for `resources`.
     pub fn has_quota(&self, team: &Name, resources: &Resources) -> bool {
-        self.teams.get(team).is_some_and(|team| (team.used + *resources).fits(&team.quota))
+        resources.fits(&self.quotas.left(team))
     }
 
     /// Moves the tasks whose back-off is over.
@@ -70,32 +59,29 @@
         }
     }
 
-    /// Takes a task that waits for room out.
-    pub fn remove(&mut self, waiting: &Waiting) {
-        if let Some(team) = self.teams.get_mut(&waiting.team) {
-            team.ready.remove(waiting);
+    /// Lets a task wait for room.
+    pub fn push(&mut self, waiting: Waiting) {
+        let team = waiting.team.clone();
+        if self.ready.entry(team.clone()).or_default().insert(waiting) {
+            self.quotas.enqueue(&team, 1);
         }
     }
 
-    /// Counts resources as in use by the team.
-    pub fn take(&mut self, team: &Name, resources: &Resources) {
-        let team = self.teams.entry(team.clone()).or_default();
-        team.used = team.used + *resources;
+    /// Returns what the team may use at once.
+    pub fn quota(&self, team: &Name) -> Resources {
+        self.quotas.quota(team)
     }
 
-    /// Counts resources as no longer in use by the team.
-    pub fn give_back(&mut self, team: &Name, resources: &Resources) {
-        let team = self.teams.entry(team.clone()).or_default();
-        team.used = team.used.saturating_sub(resources);
+    /// Takes a task that waits for room out.
+    pub fn remove(&mut self, waiting: &Waiting) {
+        let ready = self.ready.get_mut(&waiting.team);
+        if ready.is_some_and(|ready| ready.remove(waiting)) {
+            self.quotas.dequeue(&waiting.team, 1);
+        }
     }
-}
 
-impl Team {
-    /// Returns the largest share of the quota in use, over the dimensions.
-    fn share(&self) -> f64 {
-        let share = |used: u64, quota: u64| used as f64 / quota.max(1) as f64;
-        share(self.used.processors_milli, self.quota.processors_milli)
-            .max(share(self.used.memory_mib, self.quota.memory_mib))
-            .max(share(self.used.accelerators.into(), self.quota.accelerators.into()))
+    /// Counts resources as in use by the team.
+    pub fn take(&mut self, team: &Name, resources: &Resources) {
+        self.quotas.occupy(team, resources);
     }
 }
--- a/crates/core/src/quota.rs
+++ b/crates/core/src/quota.rs
@@ -46,6 +46,31 @@
     waiting: u64,
 }
 
+/// Returns the part of each quota that belongs to a cell which has `part` of the capacity `whole`, so
+/// that the cells together never exceed a quota, without asking each other.
+pub fn divide(teams: &[config::Team], part: &Resources, whole: &Resources) -> Vec<config::Team> {
+    let share = |quota: u64, part: u64, whole: u64| match whole {
+        0 => quota,
+        _ => (u128::from(quota) * u128::from(part.min(whole)) / u128::from(whole)) as u64,
+    };
+    let quota = |quota: &Resources| Resources {
+        accelerators: share(
+            quota.accelerators.into(),
+            part.accelerators.into(),
+            whole.accelerators.into(),
+        ) as u32,
+        memory_mib: share(quota.memory_mib, part.memory_mib, whole.memory_mib),
+        processors_milli: share(
+            quota.processors_milli,
+            part.processors_milli,
+            whole.processors_milli,
+        ),
+    };
+    let team =
+        |team: &config::Team| config::Team { name: team.name.clone(), quota: quota(&team.quota) };
+    teams.iter().map(team).collect()
+}
+
 impl Table {
     /// Replaces the quotas. A team that is gone keeps its accounts, with a quota of zero.
     pub fn apply(&mut self, teams: &[config::Team]) {
@@ -85,6 +110,22 @@
         self.change(team, |team| team.used = team.used.saturating_sub(amount));
     }
 
+    /// Returns what a team may still use.
+    pub fn left(&self, team: &Name) -> Resources {
+        let left = |team: &Team| team.quota.saturating_sub(&team.used);
+        self.teams.get(team).map(left).unwrap_or_default()
+    }
+
+    /// Charges a task that runs already, also above the quota.
+    pub fn occupy(&mut self, team: &Name, amount: &Resources) {
+        self.change(team, |team| team.used = team.used + *amount);
+    }
+
+    /// Returns what a team may use at once.
+    pub fn quota(&self, team: &Name) -> Resources {
+        self.teams.get(team).map(|team| team.quota).unwrap_or_default()
+    }
+
     /// Counts tasks of a team that wait.
     pub fn enqueue(&mut self, team: &Name, tasks: u64) {
         self.change(team, |team| team.waiting += tasks);
--- a/crates/core/tests/quota.rs
+++ b/crates/core/tests/quota.rs
@@ -3,7 +3,7 @@
 
 use oleanderstage_core::{
     Name, Resources, config,
-    quota::{Refusal, Table},
+    quota::{self, Refusal, Table},
 };
 
 fn name(text: &str) -> Name {
@@ -84,3 +84,28 @@
     table.refund(&news, &amount(3));
     assert_eq!(table.used(&news), Resources::default());
 }
+
+#[test]
+fn the_cells_together_never_have_more_than_a_quota() {
+    let whole = Resources { accelerators: 7, memory_mib: 100, processors_milli: 10_000 };
+    let team = config::Team { name: name("news"), quota: amount(9) };
+    let parts = [(3, 33, 3_333), (2, 33, 3_333), (2, 34, 3_334)].map(|(a, m, p)| {
+        let part = Resources { accelerators: a, memory_mib: m, processors_milli: p };
+        quota::divide(std::slice::from_ref(&team), &part, &whole).remove(0).quota
+    });
+    let sum = parts.into_iter().fold(Resources::default(), |sum, part| sum + part);
+    assert!(sum.fits(&team.quota), "{sum}");
+    assert_eq!(parts[0], Resources { accelerators: 0, memory_mib: 2, processors_milli: 2_999 });
+    let alone = quota::divide(std::slice::from_ref(&team), &whole, &whole);
+    assert_eq!(alone, [team]);
+}
+
+#[test]
+fn what_runs_already_is_counted_above_the_quota_and_nothing_more_is_charged() {
+    let mut table = table(&[("news", 4)]);
+    let news = name("news");
+    table.occupy(&news, &amount(6));
+    assert_eq!(table.left(&news), Resources::default());
+    let full = Refusal::Full { left: Resources::default(), team: news.clone() };
+    assert_eq!(table.charge(&news, &amount(1)), Err(full));
+}
