Share quotas between cells, vacate leaving VMs, count a wave of cancellations

A cell grants the part of a quota that is its part of the VMs: each granted the whole, so that a team had as many quotas as there are cells. The queue keeps the teams' accounts by the quota table instead of its own. Runs that can write a checkpoint leave a VM that the list calls leaving.

--- a/crates/core/src/dispatcher.rs
+++ b/crates/core/src/dispatcher.rs
@@ -67,10 +67,11 @@
     }
 
     /// Puts a configuration in force, of which `vms` belong to the cell.
-    pub fn configure(&mut self, config: &Arc<Config>, vms: &[config::Vm]) {
-        self.config = config.clone();
-        self.queue.apply(&config.teams);
+    pub fn configure(&mut self, config: &Config, vms: &[config::Vm]) {
+        let config = Partition::narrow(config, vms);
+        self.queue.quotas.apply(&config.teams);
         self.health.apply(vms);
+        self.config = Arc::new(config);
         let workers: Vec<placement::Worker> = vms.iter().map(|vm| self.place_of(vm)).collect();
         self.placer.apply(&workers);
         self.contacts.retain(|name, contact| {
@@ -88,6 +89,9 @@
     /// Takes note of the VM list.
     pub fn listed(&mut self, now: Instant, vms: &[Listing]) {
         let listed: BTreeMap<&Name, bool> = vms.iter().map(|vm| (&vm.vm, vm.leaving)).collect();
+        let stays = |name: &Name| self.contacts.get(name).is_some_and(|contact| !contact.leaving);
+        let goes: Vec<Name> =
+            vms.iter().filter(|vm| vm.leaving && stays(&vm.vm)).map(|vm| vm.vm.clone()).collect();
         for (name, contact) in &mut self.contacts {
             contact.leaving = listed.get(name).copied().unwrap_or(false);
             contact.gone = match listed.contains_key(name) {
@@ -98,6 +102,7 @@
         for vm in self.contacts.keys().cloned().collect::<Vec<_>>() {
             self.judge(&vm);
         }
+        goes.iter().for_each(|vm| self.vacate(vm));
     }
 
     /// Places tasks that wait, as far as there is room, and gives up runs that are proven over.
@@ -193,7 +198,7 @@
             };
             self.contacts.entry(vm).or_default().runs.insert(key, held);
             let spec = &self.ledger.content().jobs[&key.serial].spec;
-            self.queue.take(&spec.team, &spec.resources);
+            self.queue.quotas.book(&spec.team, &spec.resources);
         }
     }
 
@@ -322,21 +327,22 @@
             self.queue.remove(waiting);
             return true;
         };
-        if !self.queue.has_quota(&demand.team, &demand.resources) {
-            let text = format!("team `{}` uses its whole quota", demand.team);
-            self.waits.insert(key.serial, text);
+        if let Err(refusal) = self.queue.quotas.charge(&demand.team, &demand.resources) {
+            self.waits.insert(key.serial, refusal.to_string());
             return false;
         }
         let (contacts, health) = (&self.contacts, &self.health);
         let busy = |vm: &Name| contacts.get(vm).is_some_and(|contact| !contact.runs.is_empty());
         let judge = |vm: &Name| health.judge(now, vm, busy(vm), &demand);
         match self.placer.place_by(&demand, judge) {
-            Ok(vm) => self.start(now, waiting, &demand, vm),
+            Ok(vm) => self.start(now, waiting, vm),
             Err(placement::Refusal::NoRoom) => {
+                self.queue.quotas.refund(&demand.team, &demand.resources);
                 self.waits.insert(key.serial, placement::Refusal::NoRoom.to_string());
                 return false;
             }
             Err(refusal) => {
+                self.queue.quotas.refund(&demand.team, &demand.resources);
                 let reason = refusal.to_string();
                 self.record(now, Record::Fail { reason, serial: key.serial });
             }
@@ -394,6 +400,15 @@
         }
     }
 
+    /// Evicts the runs that can write a checkpoint from a worker that will go.
+    fn vacate(&mut self, vm: &Name) {
+        let Some(contact) = self.contacts.get(vm) else { return };
+        let runs = contact.runs.iter().filter_map(|(key, held)| self.running(*key, held));
+        let movable: Vec<task::Id> =
+            runs.filter(|running| running.checkpoints).map(|running| running.run.task).collect();
+        movable.iter().for_each(|task| self.relieve(task, Relief::Evict));
+    }
+
     /// Applies a record, hands it to the writer, and returns its group.
     fn record(&mut self, now: Instant, record: Record) -> u64 {
         let Ok(changes) = self.ledger.apply(&record) else {
@@ -415,7 +430,7 @@
         sequence: u64,
         record: &Record,
     ) {
-        self.queue.give_back(team, resources);
+        self.queue.quotas.refund(team, resources);
         let task = change.key.task(&self.cell);
         self.placer.release(&task);
         let Some(contact) = change.vm.as_ref().and_then(|vm| self.contacts.get_mut(vm)) else {
@@ -429,18 +444,11 @@
         }
     }
 
-    fn start(
-        &mut self,
-        now: Instant,
-        waiting: &queue::Waiting,
-        demand: &placement::Demand,
-        vm: Name,
-    ) {
+    fn start(&mut self, now: Instant, waiting: &queue::Waiting, vm: Name) {
         let key = waiting.key;
         let attempts = self.ledger.task(key).map_or(0, |task| task.attempt.0);
         let attempt = task::Attempt(attempts + 1);
         self.queue.remove(waiting);
-        self.queue.take(&demand.team, &demand.resources);
         self.waits.remove(&key.serial);
         let sequence = self.record(now, Record::Start { attempt, key, vm: vm.clone() });
         let mut held = contact::Held::new(now, attempt, sequence);
--- a/crates/core/src/partition.rs
+++ b/crates/core/src/partition.rs
@@ -40,6 +40,35 @@
         schedulers.iter().filter(|scheduler| place(**scheduler) < own).count() as u32
     }
 
+    /// Returns the configuration as a cell of `vms` keeps it: with the part of each quota that is the
+    /// cell's part of all VMs, rounded up, so that no cell has to ask another.
+    pub fn narrow(config: &Config, vms: &[config::Vm]) -> Config {
+        let sum = |vms: &[config::Vm]| {
+            vms.iter().fold(Resources::default(), |sum, vm| sum + vm.resources)
+        };
+        let (all, own) = (sum(&config.vms), sum(vms));
+        let part = |quota: u64, own: u64, all: u64| {
+            let scaled = u128::from(quota) * u128::from(own);
+            scaled.div_ceil(u128::from(all.max(1))).min(u128::from(quota)) as u64
+        };
+        let narrow = |team: &config::Team| {
+            let quota = &team.quota;
+            let accelerators =
+                part(quota.accelerators.into(), own.accelerators.into(), all.accelerators.into());
+            let quota = Resources {
+                accelerators: accelerators as u32,
+                memory_mib: part(quota.memory_mib, own.memory_mib, all.memory_mib),
+                processors_milli: part(
+                    quota.processors_milli,
+                    own.processors_milli,
+                    all.processors_milli,
+                ),
+            };
+            config::Team { quota, ..team.clone() }
+        };
+        Config { teams: config.teams.iter().map(narrow).collect(), ..config.clone() }
+    }
+
     fn divide(&mut self, zone: &Name, racks: &BTreeMap<&Name, Vec<&config::Vm>>) {
         let total: usize = racks.values().map(Vec::len).sum();
         let count = match total {
--- a/crates/core/src/quota.rs
+++ b/crates/core/src/quota.rs
@@ -80,7 +80,12 @@
         Ok(())
     }
 
-    /// Gives back what `charge` took.
+    /// Charges a task that already runs, also above the quota, as after a takeover.
+    pub fn book(&mut self, team: &Name, amount: &Resources) {
+        self.change(team, |team| team.used = team.used + *amount);
+    }
+
+    /// Gives back what `charge` or `book` took.
     pub fn refund(&mut self, team: &Name, amount: &Resources) {
         self.change(team, |team| team.used = team.used.saturating_sub(amount));
     }
--- a/crates/core/tests/durable.rs
+++ b/crates/core/tests/durable.rs
@@ -220,3 +220,25 @@
     let runs: usize = world.workers.iter().map(|worker| worker.ran.len()).sum();
     assert_eq!(runs, 7, "a running task was started again");
 }
+
+#[test]
+fn a_wave_of_cancellations_is_one_record_a_job_and_bounded_batches() {
+    let mut world = World::new(9, 1, 20, Faults::None);
+    world.run(seconds(3));
+    let ids: Vec<job::Id> = (0..400).map(|_| world.submit(small(200, 600_000))).collect();
+    world.run(seconds(30));
+    let (written, batches) = (world.store.bytes_written, world.batches);
+    let tickets: Vec<_> = ids.iter().map(|id| world.cancel(id)).collect();
+    world.run(seconds(1));
+    let written = world.store.bytes_written - written;
+    assert!(tickets.iter().all(|ticket| world.answers.contains_key(ticket)), "answered in 1 s");
+    world.run(seconds(10));
+    let batches = world.batches - batches;
+    println!("400 jobs of 80,000 tasks cancelled: {written} bytes written, {batches} batches");
+    assert!(written <= 40_000, "{written} bytes");
+    assert!(batches <= 20 * 15, "{batches} batches to 20 workers in 11 s");
+    for id in &ids {
+        let status = world.status(id).unwrap();
+        assert_eq!((&status.state, status.running), (&job::State::Cancelled, 0), "{status:?}");
+    }
+}
--- a/crates/core/tests/sessions.rs
+++ b/crates/core/tests/sessions.rs
@@ -123,3 +123,13 @@
     world.run(seconds(20));
     insta::assert_snapshot!(world.trace);
 }
+
+#[test]
+fn a_leaving_vm_is_vacated_by_checkpoints() {
+    let mut world = world(1, 2);
+    world.submit(spec(2, 2, 30_000));
+    world.run(seconds(3));
+    world.workers[1].leaving = true;
+    world.run(seconds(45));
+    insta::assert_snapshot!(world.trace);
+}
--- a/crates/core/tests/world/fake_worker.rs
+++ b/crates/core/tests/world/fake_worker.rs
@@ -9,6 +9,8 @@
     pub dead: bool,
     pub died: Option<Instant>,
     pub fails_everything: bool,
+    /// Whether the VM list says that it will go.
+    pub leaving: bool,
     pub paused_until: Instant,
     /// Every run, in order of start.
     pub ran: Vec<Ran>,
@@ -48,6 +50,7 @@
             died: None,
             epoch: cell::Epoch(0),
             fails_everything: false,
+            leaving: false,
             incarnation: 1,
             over: BTreeMap::new(),
             paused_until: Instant::default(),
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -396,7 +396,7 @@
         let now = self.now;
         let listed: Vec<Listing> = (0..self.workers.len())
             .filter(|vm| self.workers[*vm].died.is_none_or(|died| now < died + LIST_LAG))
-            .map(|vm| Listing { leaving: false, vm: vm_name(vm) })
+            .map(|vm| Listing { leaving: self.workers[vm].leaving, vm: vm_name(vm) })
             .collect();
         for index in 0..self.schedulers.len() {
             let to = (index, self.schedulers[index].incarnation);
