--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -2,13 +2,14 @@
 
 use super::*;
 
-/// Tasks that wait, by team. Teams take turns by the largest share of their quota in use.
+/// Tasks that wait, by team, with the accounts of the teams.
 #[derive(Clone, Debug, Default)]
 pub struct Queue {
+    /// What each team uses of its quota.
+    pub quotas: quota::Table,
     /// Tasks that wait for the end of a back-off.
     delayed: BTreeSet<(Instant, Waiting)>,
-    quotas: quota::Table,
-    /// Tasks that wait for room, by team.
+    /// Tasks that wait for room, by team; as many as `quotas` counts.
     ready: BTreeMap<Name, BTreeSet<Waiting>>,
 }
 
@@ -24,33 +25,18 @@
 }
 
 impl Queue {
-    /// Replaces the quotas.
-    pub fn apply(&mut self, teams: &[config::Team]) {
-        self.quotas.apply(teams);
-    }
-
     /// Lets a task wait until `ready`.
     pub fn delay(&mut self, ready: Instant, waiting: Waiting) {
         self.delayed.insert((ready, waiting));
     }
 
-    /// Returns the first task of the team that has the least of its quota in use, among teams not
-    /// in `skipped`.
+    /// Returns the first task of the team that uses least of its quota, among teams not in
+    /// `skipped`.
     pub fn first(&self, skipped: &BTreeSet<Name>) -> Option<&Waiting> {
         let mut teams = self.quotas.order().filter(|team| !skipped.contains(*team));
         teams.find_map(|team| self.ready.get(team)?.first())
     }
 
-    /// Counts resources as no longer in use by the team.
-    pub fn give_back(&mut self, team: &Name, resources: &Resources) {
-        self.quotas.refund(team, resources);
-    }
-
-    /// Returns whether the team's quota has room for `resources`.
-    pub fn has_quota(&self, team: &Name, resources: &Resources) -> bool {
-        resources.fits(&self.quotas.left(team))
-    }
-
     /// Moves the tasks whose back-off is over.
     pub fn mature(&mut self, now: Instant) {
         while self.delayed.first().is_some_and(|(ready, _)| *ready <= now) {
@@ -67,21 +53,10 @@
         }
     }
 
-    /// Returns what the team may use at once.
-    pub fn quota(&self, team: &Name) -> Resources {
-        self.quotas.quota(team)
-    }
-
     /// Takes a task that waits for room out.
     pub fn remove(&mut self, waiting: &Waiting) {
-        let ready = self.ready.get_mut(&waiting.team);
-        if ready.is_some_and(|ready| ready.remove(waiting)) {
+        if self.ready.get_mut(&waiting.team).is_some_and(|ready| ready.remove(waiting)) {
             self.quotas.dequeue(&waiting.team, 1);
         }
     }
-
-    /// Counts resources as in use by the team.
-    pub fn take(&mut self, team: &Name, resources: &Resources) {
-        self.quotas.occupy(team, resources);
-    }
 }
