Run keyed requests once over all entries, and give every repetition the answer

An entry asks the owner of the key's partition for permission, which is recorded at two entries before the run begins; the run goes on when its caller leaves. A repetition through any entry joins the run and gets its whole answer, up to 1 MiB for 10 minutes; another body under the key is refused with 422, and a run whose runner died is unknown. Runs cost no call to the key-value service; an entry makes one read a second and one write each 3 seconds.

Found by the tests: a repetition that reached the runner before the permission did made that run void, so the runner now looks for it until GRANT_LIMIT; and an answer kept only by a witness was not found after the owner left, so that every entry is asked. A body refused half way now ends its connection, which a caller's pool otherwise reused.

--- a/crates/core/src/key_owner.rs
+++ b/crates/core/src/key_owner.rs
@@ -84,6 +84,8 @@
     store_busy: bool,
     table: Table,
     tenures: BTreeMap<u16, Tenure>,
+    /// Partitions given up whose records were told since.
+    told: BTreeSet<u16>,
     /// Since when the VM list has lacked each entry.
     unlisted: BTreeMap<Name, Instant>,
     /// Revision of the map that was last asked to give partitions up. Until the map has changed,
@@ -121,6 +123,7 @@
             store_busy: false,
             table: Table::default(),
             tenures: BTreeMap::new(),
+            told: BTreeSet::new(),
             unlisted: BTreeMap::new(),
             yielded_at: 0,
         }
@@ -157,7 +160,9 @@
 
     /// Returns whether nothing is left to be handed over.
     pub fn has_left(&self) -> bool {
-        self.leaving && self.tenures.is_empty()
+        let alone = self.map().is_none_or(|map| map.members.len() <= 1);
+        let told = self.former.keys().all(|partition| self.told.contains(partition));
+        self.leaving && (alone || (self.tenures.is_empty() && told))
     }
 
     /// Returns whether this process may rely on owning its partitions now.
@@ -304,7 +309,8 @@
         }
     }
 
-    fn collect(&self, partitions: &BTreeSet<u16>) -> Answer {
+    fn collect(&mut self, partitions: &BTreeSet<u16>) -> Answer {
+        self.told.extend(partitions.iter().filter(|part| self.former.contains_key(part)));
         let former = self.former.iter().filter(|(partition, _)| partitions.contains(partition));
         Answer::Collected {
             former: former.map(|(_, former)| *former).collect(),
@@ -499,6 +505,7 @@
     /// itself can still be vouched for.
     fn give_up(&mut self, partition: u16, part: &key_map::Part) {
         let Some(tenure) = self.tenures.remove(&partition) else { return };
+        self.told.remove(&partition);
         if tenure.yields() && part.epoch <= tenure.epoch + 1 {
             let Tenure { epoch, horizon_ms, .. } = tenure;
             self.former.insert(partition, Former { epoch, horizon_ms, partition });
--- a/crates/entry/src/clock.rs
+++ b/crates/entry/src/clock.rs
@@ -18,6 +18,13 @@
         Instant(self.origin.elapsed().as_micros() as u64)
     }
 
+    /// Returns the time by both clocks.
+    pub(crate) fn both(&self) -> oleanderstage_core::key::Now {
+        let wall = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+        let wall_ms = wall.map_or(0, |time| time.as_millis() as u64);
+        oleanderstage_core::key::Now { at: self.now(), wall_ms }
+    }
+
     /// Returns the same point for the runtime's timers.
     pub(crate) fn timer(&self, instant: Instant) -> tokio::time::Instant {
         (self.origin + Duration::from_micros(instant.0)).into()
--- a/crates/entry/src/counters.rs
+++ b/crates/entry/src/counters.rs
@@ -16,6 +16,8 @@
     Foreign,
     /// The caller went away.
     Gone,
+    /// The answer of the run before was given to a repetition.
+    Joined,
     /// Not run, for the reason given.
     NotRun(refusal::Reason),
     /// Another attempt was made.
--- a/crates/entry/src/drain.rs
+++ b/crates/entry/src/drain.rs
@@ -39,6 +39,11 @@
         self.leave.cancel();
     }
 
+    /// Waits until the entry is told to leave.
+    pub(crate) async fn told(&self) {
+        self.leave.cancelled().await;
+    }
+
     fn take(&self, event: Change) {
         match lock(&self.machine).take(event) {
             None => {}
--- a/crates/entry/src/inbound.rs
+++ b/crates/entry/src/inbound.rs
@@ -20,9 +20,13 @@
     pub(crate) headers: HeaderMap,
     /// Whether the caller marks it idempotent, if it says.
     pub(crate) idempotent: Option<bool>,
+    /// The idempotency key.
+    pub(crate) key: Option<String>,
     pub(crate) length: Option<u64>,
     pub(crate) method: reqwest::Method,
     /// Path and query, as sent.
+    /// Whether the caller named itself.
+    pub(crate) named: bool,
     pub(crate) path: String,
     pub(crate) service: Name,
 }
@@ -39,6 +43,7 @@
         let headers = request.headers();
         let number = |name: &str| text(headers, name).map(|text| parse::<u64>(name, &text));
         let caller = text(headers, outcome::CALLER_HEADER);
+        let named = caller.is_some();
         let caller = caller.unwrap_or_else(|| host(request.remote_addr()));
         check_length(outcome::CALLER_HEADER, &caller, MAX_CALLER_BYTES)?;
         let key = text(headers, KEY_HEADER);
@@ -49,8 +54,10 @@
             deadline: number(outcome::DEADLINE_HEADER).transpose()?.map(Duration::from_millis),
             headers: pass::end_to_end(headers),
             idempotent: mark.map(|t| parse(outcome::IDEMPOTENT_HEADER, &t)).transpose()?,
+            key,
             length: number("content-length").transpose()?,
             method: request.method().clone(),
+            named,
             path,
             service,
         })
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -28,7 +28,7 @@
     },
     serde::{Deserialize, Serialize},
     std::{
-        collections::BTreeMap,
+        collections::{BTreeMap, VecDeque},
         fmt::{self, Display, Formatter},
         io,
         net::SocketAddr,
@@ -62,6 +62,9 @@
 mod hosts;
 mod inbound;
 mod jobs;
+mod keep;
+mod keyed;
+mod keys;
 mod node;
 mod pass;
 mod peers;
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -2,7 +2,14 @@
 
 use super::*;
 use {
-    cells::Cells, clock::Clock, counters::Counters, drain::Drain, hosts::Hosts, pool::Pools,
+    cells::Cells,
+    clock::Clock,
+    counters::Counters,
+    drain::Drain,
+    hosts::Hosts,
+    keys::Keys,
+    oleanderstage_core::{key, key_map::Member},
+    pool::Pools,
     service::Service,
 };
 
@@ -17,6 +24,7 @@
     pub(crate) hosts: Hosts,
     /// Changes at each start of the process.
     pub(crate) incarnation: u64,
+    pub(crate) keys: Keys,
     pub(crate) metrics: StatsdClient,
     pub(crate) pools: Pools,
     pub(crate) schedulers: Vec<Link>,
@@ -30,15 +38,20 @@
     pub(crate) leave: CancellationToken,
     pub(crate) listener: Listener,
     pub(crate) settings: settings::Entry,
+    pub(crate) store: store::Client,
 }
 
 impl Node {
     pub(crate) fn new(parts: Parts) -> Result<Arc<Self>, Error> {
-        let Parts { follower, leave, listener, settings } = parts;
+        let Parts { follower, leave, listener, settings, store } = parts;
         let link = |peer: &settings::Peer| listener.link(&peer.name, peer.address);
         let clock = Clock::new();
         let metrics = oleanderstage_telemetry::metrics::client("oleanderstage", settings.metrics)
             .map_err(Error::Metrics)?;
+        let incarnation = uuid::Uuid::new_v4().as_u64_pair().0;
+        let me = Member { incarnation, name: settings.name.clone() };
+        let peers = settings.peers.iter().map(link).collect();
+        let keys = Keys::new(me, clock.both(), peers, store);
         Ok(Arc::new(Self {
             cells: Cells::default(),
             clock,
@@ -46,7 +59,8 @@
             drain: Drain::new(leave),
             follower,
             hosts: Hosts::default(),
-            incarnation: uuid::Uuid::new_v4().as_u64_pair().0,
+            incarnation,
+            keys,
             metrics,
             pools: Pools::new()?,
             schedulers: settings.schedulers.iter().map(link).collect(),
@@ -66,6 +80,11 @@
         let _ = self.metrics.time(&metric, latency.as_millis() as u64);
     }
 
+    /// Returns the time by both clocks.
+    pub(crate) fn now(&self) -> key::Now {
+        self.clock.both()
+    }
+
     /// Puts a configuration in force.
     pub(crate) fn apply(&self, config: &config::Config) {
         let now = self.clock.now();
@@ -89,6 +108,7 @@
 
     /// Gives the VMs on the list that leave nothing new, and the others work again.
     pub(crate) fn apply_list(&self, vms: &[vms::Vm]) {
+        self.keys.list(self.now(), vms);
         let now = self.clock.now();
         for service in lock(&self.services).values() {
             let mut table = lock(&service.state.table);
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -16,8 +16,11 @@
     let server = async move { listener.serve(sender).await };
     let answers = async move {
         while let Some(incoming) = calls.recv().await {
-            let reply = reply(&node, &incoming.call);
-            tokio::spawn(async move { incoming.answer(&reply).await });
+            let node = node.clone();
+            tokio::spawn(async move {
+                let reply = reply(&node, &incoming.call).await;
+                incoming.answer(&reply).await
+            });
         }
     };
     tokio::join!(server, answers);
@@ -35,9 +38,22 @@
     }
 }
 
-fn reply(node: &Node, call: &Call) -> Reply {
+async fn reply(node: &Node, call: &Call) -> Reply {
     match call {
         Call::Config { have } => node.follower.reply(*have),
+        Call::Key(ask) => {
+            let answer = node.keys.answer(node.now(), ask);
+            Reply::Key { answer, from: node.keys.me() }
+        }
+        Call::KeyAnswer { record, wait_ms } => {
+            let wait = Duration::from_millis(*wait_ms);
+            let (end, answer) = node.keys.stand(node.clock, record, wait).await;
+            Reply::KeyAnswer { answer: answer.map(|answer| (*answer).clone()), end }
+        }
+        Call::KeyEnd(end) => {
+            node.keys.end(node.now(), end);
+            Reply::Done
+        }
         Call::Probe(theirs) => {
             node.cells.learn(&theirs.name, &theirs.cells);
             Reply::Probe(sign(node))
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -6,6 +6,8 @@
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub(crate) enum Reason {
+    /// The answer of the run before is not kept any more.
+    AnswerNotKept,
     /// The body is above the service's limit.
     BodyLimit,
     /// The caller broke the body off, or stalled.
@@ -18,6 +20,14 @@
     ForeignAnswer,
     /// The request itself is malformed.
     Invalid,
+    /// The idempotency key was minted in the future.
+    KeyFromFuture,
+    /// The idempotency key was sent with another request.
+    KeyReused,
+    /// No owner of the idempotency key answers.
+    KeyUnavailable,
+    /// Whether the idempotency key ran before can't be known.
+    KeyUnvouched,
     /// The entry takes nothing new.
     Leaving,
     /// The connection to the endpoint broke.
@@ -59,12 +69,17 @@
 impl Reason {
     pub(crate) fn as_str(self) -> &'static str {
         match self {
+            Self::AnswerNotKept => "answer-not-kept",
             Self::BodyLimit => "body-limit",
             Self::BodyStalled => "body-stalled",
             Self::CallerLimit => "caller-limit",
             Self::Deadline => "deadline",
             Self::ForeignAnswer => "foreign-answer",
             Self::Invalid => "invalid",
+            Self::KeyFromFuture => "key-from-future",
+            Self::KeyReused => "key-reused",
+            Self::KeyUnavailable => "key-unavailable",
+            Self::KeyUnvouched => "key-unvouched",
             Self::Leaving => "leaving",
             Self::Lost => "lost",
             Self::NoConfiguration => "no-configuration",
@@ -119,6 +134,10 @@
         headers.insert(HeaderName::from_static(outcome::REASON_HEADER), reason);
         let json = HeaderValue::from_static("application/json");
         headers.insert(reqwest::header::CONTENT_TYPE, json);
+        if matches!(self.reason, Reason::BodyLimit | Reason::BodyStalled) {
+            // What is left of the body is not read: the connection ends here.
+            headers.insert(reqwest::header::CONNECTION, HeaderValue::from_static("close"));
+        }
         if let Some(retry) = self.retry {
             let seconds = HeaderValue::from(retry.as_millis().div_ceil(1_000).max(1) as u64);
             headers.insert(reqwest::header::RETRY_AFTER, seconds);
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -41,13 +41,14 @@
         let done = CancellationToken::new();
         let peers = settings.peers.iter().chain(&settings.schedulers);
         let links = peers.map(|peer| listener.link(&peer.name, peer.address)).collect();
-        let follower = Follower::start(store, links, done.clone());
-        let parts = Parts { follower, leave, listener: listener.clone(), settings };
+        let follower = Follower::start(store.clone(), links, done.clone());
+        let parts = Parts { follower, leave, listener: listener.clone(), settings, store };
         let node = Node::new(parts)?;
         let name = node.settings.name.to_string();
         log::info!(address = address.to_string(), name; "entry_started");
         let mut beside = JoinSet::new();
         beside.spawn(follow(node.clone()));
+        beside.spawn(keys::drive(node.clone()));
         beside.spawn(peers::answer(node.clone(), listener.clone()));
         beside.spawn(watch_list(node.clone(), vms));
         for link in &node.schedulers {
@@ -92,7 +93,12 @@
             node.drain.closing().await;
             handle.stop_graceful(None);
         };
-        tokio::join!(server.serve(router), drain);
+        let told = self.node.clone();
+        let hand_over = async move {
+            told.drain.told().await;
+            keys::leave(&told).await;
+        };
+        tokio::join!(server.serve(router), drain, hand_over);
         self.node.drain.idle();
         self.done.cancel();
         self.beside.shutdown().await;
--- a/crates/entry/src/urgent.rs
+++ b/crates/entry/src/urgent.rs
@@ -5,6 +5,7 @@
     attempt::{Admitted, Attempts},
     body::Body,
     inbound::Inbound,
+    keyed::{Keyed, Outcome},
     node::Node,
     oleanderstage_core::request::Id,
     refusal::{Reason, Refusal},
@@ -22,11 +23,11 @@
     let service = inbound.service.clone();
     let answer = match admit(node, id, inbound) {
         Ok(admitted) => run(node, admitted, request.take_body()).await,
-        Err(refusal) => Err(refusal),
+        Err(refusal) => Outcome::Refused(refusal),
     };
     match answer {
-        Ok(answer) => answer.write(id, response),
-        Err(refusal) => {
+        Outcome::Answered(answer, id) => answer.write(id, response),
+        Outcome::Refused(refusal) => {
             if node.service(&service).is_some() {
                 node.counters.refused(&service, &refusal);
             }
@@ -68,8 +69,22 @@
     Err(Refusal::never(StatusCode::NOT_FOUND, Reason::UnknownName, text))
 }
 
-async fn run(node: &Arc<Node>, admitted: Admitted, body: ReqBody) -> Result<pass::Answer, Refusal> {
+async fn run(node: &Arc<Node>, admitted: Admitted, body: ReqBody) -> Outcome {
+    let (id, key) = (admitted.id, admitted.inbound.key.clone());
     let limit = admitted.service.config.body_limit_bytes;
-    let body = Body::read(body, admitted.inbound.length, limit, body::HELD_BYTES).await?;
-    Attempts::new(node, admitted, body).run().await
+    let (limit, hold) = match key {
+        Some(_) => (limit.min(keyed::MAX_BODY_BYTES as u64), keyed::MAX_BODY_BYTES),
+        None => (limit, body::HELD_BYTES),
+    };
+    let body = match Body::read(body, admitted.inbound.length, limit, hold).await {
+        Ok(body) => body,
+        Err(refusal) => return Outcome::Refused(refusal),
+    };
+    if let (Some(key), Body::Held(bytes)) = (&key, &body) {
+        return Keyed::new(node, admitted, key, bytes.clone()).run().await;
+    }
+    match Attempts::new(node, admitted, body).run().await {
+        Ok(answer) => Outcome::Answered(answer, id),
+        Err(refusal) => Outcome::Refused(refusal),
+    }
 }
--- a/crates/scheduler/src/actor.rs
+++ b/crates/scheduler/src/actor.rs
@@ -63,6 +63,11 @@
             Call::Config { have } => return reply(incoming, self.follower.reply(have)),
             Call::Explain(id) => (id.cell.clone(), owner::Call::Explain(id)),
             Call::Job(id) => (id.cell.clone(), owner::Call::Job(id)),
+            Call::Key(_) | Call::KeyAnswer { .. } | Call::KeyEnd(_) => {
+                let text = format!("`{}` is a scheduler: ask an entry", self.settings.name);
+                let refusal = Answer::refuse(answer::Refusal::Invalid, text);
+                return reply(incoming, translate::answer(refusal));
+            }
             Call::Probe(_) => return reply(incoming, Reply::Probe(self.probe(now))),
             Call::Submit { id, spec } => (id.cell.clone(), owner::Call::Submit { id, spec }),
         };
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -16,6 +16,17 @@
     Explain(job::Id),
     /// Scheduler: where a job stands.
     Job(job::Id),
+    /// Entry: about keyed requests.
+    Key(key_call::Ask),
+    /// Entry: how the run of a keyed request stands, and its answer if that was kept.
+    KeyAnswer {
+        /// The record of the run.
+        record: key_record::Record,
+        /// How long to wait for its end, in milliseconds.
+        wait_ms: u64,
+    },
+    /// Entry: how the run of a keyed request ended, to be held beside its runner.
+    KeyEnd(kept::End),
     /// Any process: a sign of life, both ways.
     Probe(Probe),
     /// Scheduler: accept a job. Idempotent by its id; answered once durable.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,7 +1,7 @@
 //! Frames between the system's own processes, and the QUIC connections that carry them.
 
 use {
-    oleanderstage_core::{Name, cell, config::Revision, job},
+    oleanderstage_core::{Name, cell, config::Revision, job, key_call, key_map, key_record},
     quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig},
     rustls::{
         RootCertStore,
@@ -19,13 +19,15 @@
 };
 
 pub use {
-    call::Call, error::Error, identity::Identity, link::Link, listener::Listener, reply::Reply,
+    call::Call, error::Error, identity::Identity, kept::Kept, link::Link, listener::Listener,
+    reply::Reply,
 };
 
 pub mod call;
 pub mod codec;
 pub mod error;
 pub mod identity;
+pub mod kept;
 pub mod keys;
 pub mod link;
 pub mod listener;
--- a/crates/wire/src/reply.rs
+++ b/crates/wire/src/reply.rs
@@ -18,6 +18,20 @@
     Explain(Vec<String>),
     /// Where a job stands.
     Job(job::Status),
+    /// About keyed requests.
+    Key {
+        /// The answer.
+        answer: key_call::Answer,
+        /// The process that answers.
+        from: key_map::Member,
+    },
+    /// How the run of a keyed request stands.
+    KeyAnswer {
+        /// Its answer, if that was kept.
+        answer: Option<Kept>,
+        /// How it ended; `None` while it may be running.
+        end: Option<key_record::End>,
+    },
     /// A sign of life in return.
     Probe(call::Probe),
     /// Not done, and nothing of it will be.
