--- a/crates/core/src/dispatcher.rs
+++ b/crates/core/src/dispatcher.rs
@@ -2,14 +2,13 @@
 
 use super::*;
 
+#[path = "dispatcher_calls.rs"]
+mod calls;
+
 /// Tasks that are started in one step.
 pub const MAX_STARTS: usize = 256;
-/// Tasks of one job.
-pub const MAX_JOB_TASKS: u32 = 10_000;
 /// Tasks of a cell that are not over.
 pub const MAX_OPEN_TASKS: u64 = 100_000;
-/// Longest payload, in bytes.
-pub const MAX_PAYLOAD_BYTES: usize = 4 << 10;
 /// Tasks that an explanation lists.
 pub const MAX_EXPLAINED: usize = 64;
 /// Pause of a task after its first failed run; it doubles up to `MAX_FAILURE_PAUSE`.
@@ -31,6 +30,7 @@
     config: Arc<Config>,
     contacts: BTreeMap<Name, Contact>,
     faults: Faults,
+    health: Health,
     open_tasks: u64,
     placer: placement::Placer,
     queue: Queue,
@@ -54,6 +54,7 @@
             config: Arc::default(),
             contacts: BTreeMap::new(),
             faults,
+            health: Health::new(),
             ledger,
             open_tasks: 0,
             placer: placement::Placer::new(seed),
@@ -65,59 +66,11 @@
         dispatcher
     }
 
-    /// Accepts a job, or says why not. The job is accepted once the group returned is durable.
-    pub fn submit(&mut self, serial: u128, spec: &job::Spec) -> Result<u64, Answer> {
-        if let Some(job) = self.ledger.job(serial) {
-            return self.submit_again(job, serial, spec);
-        }
-        self.check(spec).map_err(|text| Answer::refuse(answer::Refusal::Invalid, text))?;
-        if self.open_tasks + u64::from(spec.tasks) > MAX_OPEN_TASKS {
-            let text =
-                format!("cell `{}` has {} open tasks: try again later", self.cell, self.open_tasks);
-            return Err(Answer::refuse(answer::Refusal::Overloaded, text));
-        }
-        let record = Record::Accept { serial, spec: spec.clone() };
-        let sequence = self.record(Instant::default(), record);
-        self.open_tasks += u64::from(spec.tasks);
-        for index in 0..spec.tasks {
-            self.enqueue(Key { index, serial }, None);
-        }
-        Ok(sequence)
-    }
-
-    /// Cancels a job, or says why not. It is cancelled once the group returned is durable.
-    pub fn cancel(&mut self, now: Instant, serial: u128) -> Result<u64, Answer> {
-        let Some(job) = self.ledger.job(serial) else {
-            let text = format!("job `{serial:032x}` is not known: check its id");
-            return Err(Answer::refuse(answer::Refusal::Unknown, text));
-        };
-        match job.state {
-            job::State::Open => Ok(self.record(now, Record::Cancel { serial })),
-            _ => Ok(self.writer.last()),
-        }
-    }
-
-    /// Returns the decisions behind a job's state, one a line.
-    pub fn explain(&self, id: &job::Id) -> Option<Vec<String>> {
-        let job = self.ledger.job(id.serial)?;
-        let mut lines = vec![format!("job `{id}` of team `{}` is {:?}", job.spec.team, job.state)];
-        lines.extend(self.waits.get(&id.serial).cloned());
-        for (index, task) in job.tasks.iter().enumerate().take(MAX_EXPLAINED) {
-            let place = task.vm.as_ref().map(|vm| format!(" on `{vm}`")).unwrap_or_default();
-            let attempt = task.attempt.0;
-            let failures = task.failures;
-            lines.push(format!(
-                "task {index} is {:?}{place}, {attempt} starts, {failures} failures",
-                task.stage
-            ));
-        }
-        Some(lines)
-    }
-
     /// Puts a configuration in force, of which `vms` belong to the cell.
     pub fn configure(&mut self, config: &Arc<Config>, vms: &[config::Vm]) {
         self.config = config.clone();
         self.queue.apply(&config.teams);
+        self.health.apply(vms);
         let workers: Vec<placement::Worker> = vms.iter().map(|vm| self.place_of(vm)).collect();
         self.placer.apply(&workers);
         self.contacts.retain(|name, contact| {
@@ -182,7 +135,8 @@
                 (None, None) => self.end(now, key, attempt, worker::End::Lapsed),
             }
         }
-        self.tidy(vm, report);
+        self.tidy(now, vm, report);
+        self.protect(now, vm, report);
         self.judge(vm);
     }
 
@@ -233,7 +187,8 @@
             let Some(vm) = vm.filter(|_| stage.may_run()) else { continue };
             self.open_tasks += 1;
             let held = contact::Held {
-                stop: matches!(stage, Stage::Cancelling | Stage::Stopping),
+                stop: matches!(stage, Stage::Cancelling | Stage::Settling | Stage::Stopping)
+                    .then_some(0),
                 ..contact::Held::adopted(attempt, proven)
             };
             self.contacts.entry(vm).or_default().runs.insert(key, held);
@@ -253,35 +208,6 @@
         }
     }
 
-    fn check(&self, spec: &job::Spec) -> Result<(), String> {
-        let team = self.config.teams.iter().find(|team| team.name == spec.team);
-        let team = team.ok_or_else(|| format!("team `{}` is not configured", spec.team))?;
-        if !self.config.classes.iter().any(|class| class.name == spec.class) {
-            return Err(format!("batch class `{}` is not configured", spec.class));
-        }
-        if !(1..=MAX_JOB_TASKS).contains(&spec.tasks) {
-            let tasks = spec.tasks;
-            return Err(format!("`tasks` is {tasks}: give 1 to {MAX_JOB_TASKS}"));
-        }
-        if spec.payload.len() > MAX_PAYLOAD_BYTES {
-            let bytes = spec.payload.len();
-            return Err(format!("`payload` has {bytes} bytes: give at most {MAX_PAYLOAD_BYTES}"));
-        }
-        if spec.resources.processors_milli == 0 || spec.resources.memory_mib == 0 {
-            return Err(format!(
-                "`resources` are `{}`: give processors and memory",
-                spec.resources
-            ));
-        }
-        if !spec.resources.fits(&team.quota) {
-            return Err(format!(
-                "a task of `{}` is above the quota of `{}`",
-                spec.resources, team.name
-            ));
-        }
-        Ok(())
-    }
-
     fn confirm(&mut self, now: Instant, vm: &Name, key: Key, lease_ms: u64) {
         let lease_end = now + Duration::from_millis(lease_ms) + tenure::DRIFT_MARGIN;
         let contact = self.contacts.get_mut(vm);
@@ -292,7 +218,17 @@
     }
 
     fn end(&mut self, now: Instant, key: Key, attempt: task::Attempt, end: worker::End) {
+        let vm = self.ledger.task(key).and_then(|task| task.vm.clone());
+        let job = key.task(&self.cell).job;
+        let given_up = vm.map(|vm| {
+            let held = self.contacts.get(&vm).and_then(|contact| contact.runs.get(&key));
+            let started = held.map_or(now, |held| held.since);
+            self.health.ended(now, started, &vm, &job, &end)
+        });
         self.record(now, Record::Over { attempt, end, key });
+        for (job, reason) in given_up.into_iter().flatten() {
+            self.record(now, Record::Fail { reason, serial: job.serial });
+        }
     }
 
     fn enqueue(&mut self, key: Key, ready: Option<Instant>) {
@@ -322,9 +258,12 @@
         if change.to.is_final() {
             self.open_tasks = self.open_tasks.saturating_sub(1);
             self.waits.remove(&change.key.serial);
+            if self.ledger.job(change.key.serial).is_some_and(|job| job.left == 0) {
+                self.health.close(&change.key.task(&self.cell).job);
+            }
         }
         match change.action {
-            stage::Action::Halt => self.halt(now, change),
+            stage::Action::Halt => self.halt(now, change, sequence),
             stage::Action::Hold | stage::Action::Keep => (),
             stage::Action::Release => self.release(change, &team, &resources, sequence, record),
             stage::Action::Requeue => {
@@ -340,12 +279,12 @@
     }
 
     /// Stops a run of a job that is over.
-    fn halt(&mut self, now: Instant, change: &Change) {
+    fn halt(&mut self, now: Instant, change: &Change, sequence: u64) {
         let contact = change.vm.as_ref().and_then(|vm| self.contacts.get_mut(vm));
         let Some(contact) = contact else { return };
         contact.wake();
         let Some(held) = contact.runs.get_mut(&change.key) else { return };
-        held.stop = true;
+        held.stop = Some(sequence);
         if !held.sent {
             let attempt = held.attempt;
             self.end(now, change.key, attempt, worker::End::Lapsed);
@@ -388,7 +327,10 @@
             self.waits.insert(key.serial, text);
             return false;
         }
-        match self.placer.place(&demand) {
+        let (contacts, health) = (&self.contacts, &self.health);
+        let busy = |vm: &Name| contacts.get(vm).is_some_and(|contact| !contact.runs.is_empty());
+        let judge = |vm: &Name| health.judge(now, vm, busy(vm), &demand);
+        match self.placer.place_by(&demand, judge) {
             Ok(vm) => self.start(now, waiting, &demand, vm),
             Err(placement::Refusal::NoRoom) => {
                 self.waits.insert(key.serial, placement::Refusal::NoRoom.to_string());
@@ -412,6 +354,33 @@
         }
     }
 
+    /// Lets the runs on a worker make room for its services, as a report advises.
+    fn protect(&mut self, now: Instant, vm: &Name, report: &worker::Report) {
+        let Some(contact) = self.contacts.get(vm) else { return };
+        let runs = contact.runs.iter().filter(|(_, held)| held.sent);
+        let running: Vec<interference::Running> =
+            runs.filter_map(|(key, held)| self.running(*key, held)).collect();
+        let orders = self.health.report(now, vm, report, &running);
+        for (run, relief) in orders.reliefs {
+            self.relieve(&run.task, relief);
+        }
+        if let Some(contact) = self.contacts.get_mut(vm) {
+            contact.held = orders.hold;
+        }
+    }
+
+    fn running(&self, key: Key, held: &contact::Held) -> Option<interference::Running> {
+        let spec = &self.ledger.job(key.serial)?.spec;
+        let class = self.config.classes.iter().find(|class| class.name == spec.class);
+        Some(interference::Running {
+            checkpoints: class.is_some_and(|class| class.checkpoints),
+            class: spec.class.clone(),
+            processors_milli: spec.resources.processors_milli,
+            run: worker::Run { attempt: held.attempt, task: key.task(&self.cell) },
+            since: held.since,
+        })
+    }
+
     fn ready(&self, now: Instant, key: Key, record: &Record) -> Option<Instant> {
         let Record::Over { end, .. } = record else { return None };
         match end {
@@ -428,7 +397,7 @@
     /// Applies a record, hands it to the writer, and returns its group.
     fn record(&mut self, now: Instant, record: Record) -> u64 {
         let Ok(changes) = self.ledger.apply(&record) else {
-            return self.writer.committed();
+            return self.writer.last();
         };
         let sequence = self.writer.push(record.clone());
         for change in changes {
@@ -474,56 +443,42 @@
         self.queue.take(&demand.team, &demand.resources);
         self.waits.remove(&key.serial);
         let sequence = self.record(now, Record::Start { attempt, key, vm: vm.clone() });
+        let mut held = contact::Held::new(now, attempt, sequence);
+        let running = self.running(key, &held);
+        held.throttle = running.and_then(|running| self.health.begin(now, &vm, &running));
         let contact = self.contacts.entry(vm).or_default();
-        contact.runs.insert(key, contact::Held::new(now, attempt, sequence));
+        contact.runs.insert(key, held);
         contact.wake();
     }
 
-    fn submit_again(
-        &self,
-        job: &ledger::Job,
-        serial: u128,
-        spec: &job::Spec,
-    ) -> Result<u64, Answer> {
-        let same = job::Spec { payload: String::new(), ..job.spec.clone() }
-            == job::Spec { payload: String::new(), ..spec.clone() };
-        if !same {
-            let text = format!("job `{serial:032x}` is another job: use another idempotency key");
-            return Err(Answer::refuse(answer::Refusal::Invalid, text));
-        }
-        Ok(self.writer.last())
-    }
-
     /// Has a worker forget what is durable, and stop what it should not have.
-    fn tidy(&mut self, vm: &Name, report: &worker::Report) {
+    fn tidy(&mut self, now: Instant, vm: &Name, report: &worker::Report) {
+        let Some(contact) = self.contacts.get(vm) else { return };
+        let known = |run: &worker::Run| contact.acks.contains_key(run) || contact.holds(run);
+        let late: Vec<&worker::Over> =
+            report.over.iter().filter(|over| !known(&over.run)).collect();
+        let strays = report.running.iter().map(|running| &running.run);
+        let strays: Vec<worker::Run> = strays.filter(|run| !contact.holds(run)).cloned().collect();
+        let acks: Vec<(worker::Run, u64)> =
+            late.into_iter().map(|over| (over.run.clone(), self.late(now, over))).collect();
         let Some(contact) = self.contacts.get_mut(vm) else { return };
-        for over in &report.over {
-            let known = contact.acks.contains_key(&over.run);
-            if !known && !contact.holds(&over.run) {
-                contact.acks.insert(over.run.clone(), 0);
-                contact.wake();
-            }
-        }
-        for running in &report.running {
-            if !contact.holds(&running.run) {
-                contact.strays.insert(running.run.clone());
-                contact.wake();
-            }
+        if !acks.is_empty() || !strays.is_empty() {
+            contact.wake();
         }
+        contact.acks.extend(acks);
+        contact.strays.extend(strays);
     }
-}
 
-/// What a run is made to do for the sake of a service.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Relief {
-    /// Write a checkpoint and stop.
-    Evict,
-    /// Use less of its processors.
-    Throttle {
-        /// Thousandths of its processors, 1 to 1,000.
-        share_milli: u32,
-    },
+    /// Takes the end of a run that was counted as over, and returns the group after which its worker
+    /// may forget it: whatever led to counting it as over has to be durable too.
+    fn late(&mut self, now: Instant, over: &worker::Over) -> u64 {
+        let task = &over.run.task;
+        let key = Key { index: task.index, serial: task.job.serial };
+        if over.end == worker::End::Finished {
+            self.record(now, Record::Overtake { attempt: over.run.attempt, key });
+        }
+        self.writer.last()
+    }
 }
 
 fn demand(cell: &cell::Id, ledger: &Ledger, key: Key) -> Option<placement::Demand> {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -25,8 +25,9 @@
     chart::Chart,
     config::Config,
     contact::Contact,
-    dispatcher::{Dispatcher, Relief},
+    dispatcher::Dispatcher,
     faults::Faults,
+    health::Health,
     instant::Instant,
     journal::{Group, Head, Holder, Key, Record, Term},
     ledger::{Change, Ledger},
@@ -35,6 +36,7 @@
     owner::Owner,
     partition::Partition,
     queue::Queue,
+    relief::Relief,
     resources::Resources,
     restored::Restored,
     stage::Stage,
@@ -44,6 +46,7 @@
 
 pub mod admission;
 pub mod answer;
+pub mod burn;
 pub mod cell;
 pub mod change;
 pub mod chart;
@@ -53,6 +56,7 @@
 pub mod drain;
 pub mod faults;
 pub mod follow;
+pub mod health;
 pub mod instant;
 pub mod interference;
 pub mod job;
@@ -73,6 +77,7 @@
 pub mod probation;
 pub mod queue;
 pub mod quota;
+pub mod relief;
 pub mod request;
 pub mod resources;
 pub mod restored;
--- a/crates/entry/src/urgent.rs
+++ b/crates/entry/src/urgent.rs
@@ -29,7 +29,7 @@
         Outcome::Answered(answer, id) => answer.write(id, response),
         Outcome::Refused(refusal) => {
             if node.service(&service).is_some() {
-                node.counters.refused(&service, &refusal);
+                node.counters.refused(node.clock.now(), &service, &refusal);
             }
             let (outcome, reason) = (refusal.outcome.as_str(), refusal.reason.as_str());
             let service = service.to_string();
