Prove each bound of keyed permission step by step, and the end of a silent connection

Golden sessions of one owner: fencing, lease and confirmations, settling, inheritance, late and stale permissions, an entry's drain. A connection that goes silent takes its generation out within the bound; the request on it is unknown and later ones are answered.

--- /dev/null
+++ b/crates/core/tests/key_owner.rs
@@ -0,0 +1,256 @@
+//! One entry's permission of keyed runs, step by step.
+
+#![allow(clippy::unwrap_used)]
+
+use {
+    oleanderstage_core::{
+        Instant, Name,
+        drain::{self, State},
+        key::{Fingerprint, Id, Now},
+        key_call::{Answer, Ask, Former},
+        key_event::{Action, Event, Reading},
+        key_map::{Map, Member},
+        key_owner::Owner,
+        key_record::{Grant, Record},
+    },
+    std::{collections::BTreeSet, fmt::Write},
+};
+
+const WALL_MS: u64 = 1_800_000_000_000;
+
+/// Entry `a` among `a`, `b` and `c`, of which `a` owns everything.
+struct Session {
+    at_ms: u64,
+    map: Map,
+    owner: Owner,
+    text: String,
+}
+
+impl Session {
+    /// Starts `a` in its first tenure of every partition, or in a later one.
+    fn new(epoch: u64) -> Self {
+        let mut map = Map::first(&member("a"));
+        map.members.extend([member("b"), member("c")]);
+        map.parts.iter_mut().for_each(|part| part.epoch = epoch);
+        map.version = 5;
+        let now = Now { at: Instant::from_millis(0), wall_ms: WALL_MS };
+        let owner = Owner::new(member("a"), now);
+        Self { at_ms: 0, map, owner, text: String::new() }.read(&["a", "b", "c"])
+    }
+
+    fn now(&self) -> Now {
+        Now { at: Instant::from_millis(self.at_ms), wall_ms: WALL_MS + self.at_ms }
+    }
+
+    fn at(mut self, at_ms: u64) -> Self {
+        self.at_ms = at_ms;
+        self
+    }
+
+    fn read(mut self, present: &[&str]) -> Self {
+        let present = present.iter().map(|name| member(name)).collect();
+        let reading = Reading { map: Some(self.map.clone()), modified: 9, present };
+        self.owner.take(self.now(), Event::Read(Some(reading)));
+        self
+    }
+
+    fn entered(mut self) -> Self {
+        let sent = self.now().at;
+        let event = Event::Committed { enter: true, sent, succeeded: Some(true) };
+        self.owner.take(self.now(), event);
+        self
+    }
+
+    /// Takes the answer of `from` to a question sent now.
+    fn answered(mut self, from: &str, ask: Ask, answer: Answer) -> Self {
+        let (sent, to) = (self.now().at, name(from));
+        let from = Some(member(from));
+        let event = Event::Answered { answer: Some(answer), ask, from, sent, to };
+        self.owner.take(self.now(), event);
+        self
+    }
+
+    fn confirmed(self, from: &str) -> Self {
+        self.answered(from, Ask::Confirm { version: 5 }, Answer::Confirmed)
+    }
+
+    fn collected(self, from: &str, former: Vec<Former>) -> Self {
+        let partitions: BTreeSet<u16> = (0..64).collect();
+        let answer = Answer::Collected { former, records: vec![], started_ms: WALL_MS - 60_000 };
+        self.answered(from, Ask::Collect { partitions }, answer)
+    }
+
+    /// Writes down whether runs are permitted now.
+    fn permits(mut self) -> Self {
+        let actions = self.owner.tick(self.now());
+        let asks = actions.iter().filter(|action| matches!(action, Action::Ask { .. })).count();
+        let serves = self.owner.serves(self.now(), &opaque());
+        writeln!(self.text, "{} ms: permits {serves}, asks {asks}", self.at_ms).unwrap();
+        self
+    }
+
+    /// Writes down the answer to a question.
+    fn asked(mut self, ask: Ask) -> Self {
+        let answer = self.owner.answer(self.now(), &ask);
+        writeln!(self.text, "{} ms: {ask:?} -> {answer:?}", self.at_ms).unwrap();
+        self
+    }
+}
+
+fn name(text: &str) -> Name {
+    Name::try_from(text).unwrap()
+}
+
+fn member(text: &str) -> Member {
+    Member { incarnation: 1, name: name(text) }
+}
+
+fn opaque() -> Id {
+    Id::new("", &name("site"), "opaque")
+}
+
+fn run(id: Id) -> Ask {
+    Ask::Run { fingerprint: Fingerprint(7), id, idempotent: false, runner: member("b") }
+}
+
+fn record(epoch: u64) -> Record {
+    Record {
+        end: None,
+        fingerprint: Fingerprint(7),
+        grant: Grant { epoch, serial: 1 },
+        granted_ms: WALL_MS,
+        id: opaque(),
+        runner: member("a"),
+    }
+}
+
+#[test]
+fn a_member_that_promised_a_change_confirms_no_more() {
+    let confirm = Ask::Confirm { version: 5 };
+    let session = Session::new(1)
+        .asked(confirm.clone())
+        .asked(Ask::Fence { version: 4 })
+        .asked(confirm.clone())
+        .asked(Ask::Fence { version: 5 })
+        .asked(confirm);
+    insta::assert_snapshot!(session.text);
+}
+
+#[test]
+fn past_its_lease_an_owner_permits_while_all_others_confirm() {
+    let session = Session::new(1)
+        .permits()
+        .entered()
+        .permits()
+        .at(9_499)
+        .permits()
+        .at(9_500)
+        .permits()
+        .confirmed("b")
+        .permits()
+        .confirmed("c")
+        .permits()
+        .at(10_499)
+        .permits()
+        .at(10_500)
+        .permits();
+    insta::assert_snapshot!(session.text);
+}
+
+#[test]
+fn an_owner_that_promised_a_change_relies_on_its_lease_only() {
+    let session = Session::new(1)
+        .entered()
+        .asked(Ask::Fence { version: 5 })
+        .permits()
+        .at(9_600)
+        .confirmed("b")
+        .confirmed("c")
+        .permits();
+    insta::assert_snapshot!(session.text);
+}
+
+#[test]
+fn a_new_owner_waits_out_earlier_permissions_before_it_collects() {
+    let session = Session::new(2)
+        .entered()
+        .collected("b", vec![])
+        .collected("c", vec![])
+        .permits()
+        .at(2_400)
+        .collected("b", vec![])
+        .collected("c", vec![])
+        .permits()
+        .at(2_500)
+        .collected("b", vec![])
+        .permits()
+        .collected("c", vec![])
+        .permits()
+        .asked(run(opaque()));
+    insta::assert_snapshot!(session.text);
+}
+
+#[test]
+fn a_partition_is_inherited_from_the_owner_right_before_only() {
+    let former = |epoch| -> Vec<Former> {
+        (0..64).map(|partition| Former { epoch, horizon_ms: 0, partition }).collect()
+    };
+    let session = Session::new(3)
+        .entered()
+        .collected("b", former(1))
+        .permits()
+        .collected("b", former(2))
+        .permits()
+        .asked(run(opaque()));
+    insta::assert_snapshot!(session.text);
+}
+
+#[test]
+fn a_permission_that_comes_late_begins_nothing() {
+    let begin = |at_ms, sent_ms| {
+        let mut session = Session::new(1).at(at_ms);
+        let now = session.now();
+        session.owner.begin(now, Instant::from_millis(sent_ms), &record(1))
+    };
+    assert!(begin(1_000, 1));
+    assert!(!begin(1_000, 0));
+}
+
+#[test]
+fn a_permission_of_an_earlier_epoch_begins_nothing() {
+    let mut session = Session::new(1);
+    let now = session.now();
+    assert!(session.owner.begin(now, now.at, &record(3)));
+    assert!(!session.owner.begin(now, now.at, &record(2)));
+}
+
+#[test]
+fn a_run_that_was_declared_not_begun_never_begins() {
+    let mut session = Session::new(1).asked(Ask::Settle { record: record(3) });
+    let now = session.now();
+    assert!(!session.owner.begin(now, now.at, &record(3)));
+    insta::assert_snapshot!(session.text);
+}
+
+#[test]
+fn an_entry_leaves_in_order() {
+    let mut machine = drain::Machine::new();
+    let mut text = String::new();
+    let events = [
+        drain::Event::Idle,
+        drain::Event::Told,
+        drain::Event::Told,
+        drain::Event::Idle,
+        drain::Event::GraceOver,
+        drain::Event::Idle,
+    ];
+    for event in events {
+        let action = machine.take(event);
+        let state = machine.state();
+        let (healthy, takes) = (state.is_healthy(), state.takes());
+        writeln!(text, "{event:?} -> {action:?}, {state:?}: healthy {healthy}, takes {takes}")
+            .unwrap();
+    }
+    assert_eq!(machine.state(), State::Over);
+    insta::assert_snapshot!(text);
+}
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -114,14 +114,19 @@
             | Reason::BodyStalled
             | Reason::CallerLimit
             | Reason::Invalid
+            | Reason::KeyFromFuture
+            | Reason::KeyReused
             | Reason::UnknownName => None,
             Reason::Deadline => Some(burn::Cause::PastDeadline),
-            Reason::ForeignAnswer | Reason::Lost | Reason::Unavailable => {
-                Some(burn::Cause::Unreachable)
-            }
-            Reason::Leaving | Reason::NoConfiguration | Reason::SchedulerUnavailable => {
-                Some(burn::Cause::Unavailable)
-            }
+            Reason::AnswerNotKept
+            | Reason::ForeignAnswer
+            | Reason::KeyUnvouched
+            | Reason::Lost
+            | Reason::Unavailable => Some(burn::Cause::Unreachable),
+            Reason::KeyUnavailable
+            | Reason::Leaving
+            | Reason::NoConfiguration
+            | Reason::SchedulerUnavailable => Some(burn::Cause::Unavailable),
             Reason::NoEndpoint | Reason::ServiceLimit => Some(burn::Cause::Overloaded),
         }
     }
--- a/crates/entry/tests/urgent.rs
+++ b/crates/entry/tests/urgent.rs
@@ -191,3 +191,28 @@
     let after = &bench.ran().requests[before..];
     assert!(after.len() == 20 && after.iter().all(|request| request.vm != leaving));
 }
+
+#[tokio::test]
+async fn a_silent_connection_takes_its_generation_out() {
+    let plan = Plan::new("silent").service(|service| service.deadline_ms = 4_000);
+    let bench = plan.start().await;
+    // Both connections are open and idle when they go silent.
+    let warm = (0..2).map(|_| send(bench.post(0, "/services/site/a?work_ms=200", "")));
+    futures_util::future::join_all(warm).await;
+    bench.workers[0].set_fault(oleanderstage_standin::faults::Fault::Silence);
+    bench.workers[0].set_fault(oleanderstage_standin::faults::Fault::None);
+    let lost = tokio::spawn(send(bench.post(0, "/services/site/lost", "")));
+    until(async || retired(&bench).await == 1).await;
+    for _ in 0..5 {
+        assert_eq!(send(bench.post(0, "/services/site/a", "")).await.outcome, "answered");
+    }
+    let lost = lost.await.unwrap();
+    assert_eq!((lost.status, lost.outcome.as_str()), (504, "unknown"), "{lost:?}");
+    assert_eq!(retired(&bench).await, 1);
+}
+
+async fn retired(bench: &Bench) -> u64 {
+    let got = send(bench.http.get(bench.url(0, "/report"))).await;
+    let report: serde_json::Value = serde_json::from_str(&got.body).unwrap();
+    report["connections_retired"].as_u64().unwrap()
+}
