--- a/crates/core/src/contact.rs
+++ b/crates/core/src/contact.rs
@@ -25,6 +25,8 @@
     pub acks: BTreeMap<worker::Run, u64>,
     /// Since when the VM list lacks it.
     pub gone: Option<Instant>,
+    /// Whether its services leave no room for more.
+    pub held: bool,
     /// Whether it will go soon.
     pub leaving: bool,
     /// Runs that it may have, by task.
@@ -55,10 +57,12 @@
     pub renewed: Instant,
     /// Whether the worker was told to start it.
     pub sent: bool,
+    /// When it was started or taken over.
+    pub since: Instant,
     /// The group that makes its start durable.
     pub sequence: u64,
-    /// Whether it is to stop.
-    pub stop: bool,
+    /// The group after which it is to stop.
+    pub stop: Option<u64>,
     /// Thousandths of its processors that it may use, until told.
     pub throttle: Option<u32>,
 }
@@ -87,7 +91,7 @@
 impl Contact {
     /// Returns whether new tasks may be placed on the worker.
     pub fn is_open(&self) -> bool {
-        self.fenced && self.reachable && !self.leaving && self.gone.is_none()
+        self.fenced && self.reachable && !self.held && !self.leaving && self.gone.is_none()
     }
 
     /// Returns whether the worker has answered the last batch.
@@ -189,7 +193,8 @@
                 break;
             }
             let run = worker::Run { attempt: held.attempt, task: key.task(cell) };
-            commands.extend(held.commands(now, mode, due, run, *key, ledger));
+            commands.extend(held.commands(now, mode, due, run.clone(), *key, ledger));
+            commands.extend(held.throttle(run));
         }
         commands
     }
@@ -227,15 +232,17 @@
             lease_end: now,
             renewed: now,
             sent: false,
+            since: now,
             sequence,
-            stop: false,
+            stop: None,
             throttle: None,
         }
     }
 
     /// Returns a run of the previous owner, which may last until `lease_end`.
     pub fn adopted(attempt: task::Attempt, lease_end: Instant) -> Self {
-        Self { sent: true, ..Self::new(lease_end, attempt, 0) }
+        let renewed = Instant::default();
+        Self { renewed, sent: true, ..Self::new(lease_end, attempt, 0) }
     }
 
     fn commands(
@@ -250,16 +257,24 @@
         if !self.sent {
             return self.start(now, mode, run, key, ledger);
         }
-        if self.stop {
+        if self.stop.is_some_and(|sequence| sequence <= mode.committed) {
             return due.then_some(worker::Command::Stop { run });
         }
         if self.evict {
             return due.then_some(worker::Command::Checkpoint { run });
         }
-        if mode.renew && now.since(self.renewed) >= RENEW {
-            self.extend(now);
-            let lease_ms = TASK_LEASE.as_millis() as u64;
-            return Some(worker::Command::Renew { lease_ms, run });
+        if !mode.renew || now.since(self.renewed) < RENEW {
+            return None;
+        }
+        self.extend(now);
+        let lease_ms = TASK_LEASE.as_millis() as u64;
+        Some(worker::Command::Renew { lease_ms, run })
+    }
+
+    /// Returns the change of its share that the worker was not told yet.
+    fn throttle(&mut self, run: worker::Run) -> Option<worker::Command> {
+        if !self.sent || self.evict || self.stop.is_some() {
+            return None;
         }
         let share_milli = self.throttle.take()?;
         Some(worker::Command::Throttle { run, share_milli })
@@ -278,7 +293,7 @@
         key: Key,
         ledger: &Ledger,
     ) -> Option<worker::Command> {
-        if self.stop || !mode.start || self.sequence > mode.committed {
+        if self.stop.is_some() || !mode.start || self.sequence > mode.committed {
             return None;
         }
         let spec = &ledger.job(key.serial)?.spec;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -25,8 +25,9 @@
     chart::Chart,
     config::Config,
     contact::Contact,
-    dispatcher::{Dispatcher, Relief},
+    dispatcher::Dispatcher,
     faults::Faults,
+    health::Health,
     instant::Instant,
     journal::{Group, Head, Holder, Key, Record, Term},
     ledger::{Change, Ledger},
@@ -35,6 +36,7 @@
     owner::Owner,
     partition::Partition,
     queue::Queue,
+    relief::Relief,
     resources::Resources,
     restored::Restored,
     stage::Stage,
@@ -44,6 +46,7 @@
 
 pub mod admission;
 pub mod answer;
+pub mod burn;
 pub mod cell;
 pub mod change;
 pub mod chart;
@@ -53,10 +56,17 @@
 pub mod drain;
 pub mod faults;
 pub mod follow;
+pub mod health;
 pub mod instant;
 pub mod interference;
 pub mod job;
 pub mod journal;
+pub mod key;
+pub mod key_call;
+pub mod key_event;
+pub mod key_map;
+pub mod key_owner;
+pub mod key_record;
 pub mod ledger;
 pub mod listing;
 pub mod name;
@@ -67,6 +77,7 @@
 pub mod probation;
 pub mod queue;
 pub mod quota;
+pub mod relief;
 pub mod request;
 pub mod resources;
 pub mod restored;
@@ -83,4 +94,5 @@
 pub mod worker;
 pub mod writer;
 
+mod key_tenure;
 mod target;
