Let no batch class hold up another of its team

Cause: a team's first task without room stopped the whole team, so that one task of a loud class, which the interference model refuses everywhere, held its quiet ones up. Ruled out: looking at the first N tasks of a team (N loud ones hold it up all the same). A team without quota still waits as a whole, in the order of acceptance, so that its large tasks get their turn.

--- a/crates/core/src/dispatcher.rs
+++ b/crates/core/src/dispatcher.rs
@@ -232,8 +232,7 @@
     }
 
     fn enqueue(&mut self, key: Key, ready: Option<Instant>) {
-        let Some(job) = self.ledger.job(key.serial) else { return };
-        let waiting = queue::Waiting { key, order: job.order, team: job.spec.team.clone() };
+        let Some(waiting) = self.waiting(key) else { return };
         match ready {
             Some(ready) => self.queue.delay(ready, waiting),
             None => self.queue.push(waiting),
@@ -272,8 +271,9 @@
                 self.enqueue(change.key, ready);
             }
             stage::Action::Withdraw => {
-                let order = self.ledger.job(change.key.serial).map_or(0, |job| job.order);
-                self.queue.remove(&queue::Waiting { key: change.key, order, team });
+                if let Some(waiting) = self.waiting(change.key) {
+                    self.queue.remove(&waiting);
+                }
             }
         }
     }
@@ -303,29 +303,28 @@
     }
 
     fn place_all(&mut self, now: Instant) {
-        let mut skipped = BTreeSet::new();
+        let mut skipped = queue::Skipped::default();
         for _ in 0..MAX_STARTS {
             let Some(waiting) = self.queue.first(&skipped).cloned() else { return };
-            if !self.place(now, &waiting) {
-                skipped.insert(waiting.team);
-            }
+            self.place(now, &waiting, &mut skipped);
         }
     }
 
-    /// Places a task, or returns false if its team has to wait.
-    fn place(&mut self, now: Instant, waiting: &queue::Waiting) -> bool {
+    /// Places a task, or notes who has to wait: its team for its quota, its batch class for room.
+    fn place(&mut self, now: Instant, waiting: &queue::Waiting, skipped: &mut queue::Skipped) {
         let key = waiting.key;
         let stage = self.ledger.task(key).map(|task| task.stage);
         let Some(demand) =
             demand(&self.cell, &self.ledger, key).filter(|_| stage == Some(Stage::Queued))
         else {
             self.queue.remove(waiting);
-            return true;
+            return;
         };
         if !self.queue.has_quota(&demand.team, &demand.resources) {
             let text = format!("team `{}` uses its whole quota", demand.team);
             self.waits.insert(key.serial, text);
-            return false;
+            skipped.insert_team(waiting);
+            return;
         }
         let (contacts, health) = (&self.contacts, &self.health);
         let busy = |vm: &Name| contacts.get(vm).is_some_and(|contact| !contact.runs.is_empty());
@@ -334,14 +333,13 @@
             Ok(vm) => self.start(now, waiting, &demand, vm),
             Err(placement::Refusal::NoRoom) => {
                 self.waits.insert(key.serial, placement::Refusal::NoRoom.to_string());
-                return false;
+                skipped.insert_class(waiting);
             }
             Err(refusal) => {
                 let reason = refusal.to_string();
                 self.record(now, Record::Fail { reason, serial: key.serial });
             }
         }
-        true
     }
 
     fn place_of(&self, vm: &config::Vm) -> placement::Worker {
@@ -451,6 +449,12 @@
         contact.wake();
     }
 
+    fn waiting(&self, key: Key) -> Option<queue::Waiting> {
+        let job = self.ledger.job(key.serial)?;
+        let (class, team) = (job.spec.class.clone(), job.spec.team.clone());
+        Some(queue::Waiting { order: job.order, class, key, team })
+    }
+
     /// Has a worker forget what is durable, and stop what it should not have.
     fn tidy(&mut self, now: Instant, vm: &Name, report: &worker::Report) {
         let Some(contact) = self.contacts.get(vm) else { return };
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -1,4 +1,5 @@
-//! The order in which tasks get room: by the teams' share of their quotas, then by acceptance.
+//! The order in which tasks get room: by the teams' share of their quotas, then by acceptance within
+//! each batch class, so that a class without room holds no other up.
 
 use super::*;
 
@@ -15,6 +16,8 @@
 pub struct Waiting {
     /// Position of its job in the order of acceptance.
     pub order: u64,
+    /// Its batch class.
+    pub class: Name,
     /// The task.
     pub key: Key,
     /// Its team.
@@ -23,11 +26,35 @@
 
 #[derive(Clone, Debug, Default)]
 struct Team {
+    /// Tasks that wait for room, by batch class; no lane is empty.
+    lanes: BTreeMap<Name, BTreeSet<Waiting>>,
     quota: Resources,
-    ready: BTreeSet<Waiting>,
     used: Resources,
 }
 
+/// What waits longer in one pass: whole teams, and batch classes of teams.
+#[derive(Clone, Debug, Default)]
+pub struct Skipped {
+    classes: BTreeMap<Name, BTreeSet<Name>>,
+    teams: BTreeSet<Name>,
+}
+
+impl Skipped {
+    /// Skips the tasks of this one's team and batch class.
+    pub fn insert_class(&mut self, waiting: &Waiting) {
+        self.classes.entry(waiting.team.clone()).or_default().insert(waiting.class.clone());
+    }
+
+    /// Skips the tasks of this one's team.
+    pub fn insert_team(&mut self, waiting: &Waiting) {
+        self.teams.insert(waiting.team.clone());
+    }
+
+    fn contains(&self, team: &Name, class: &Name) -> bool {
+        self.classes.get(team).is_some_and(|classes| classes.contains(class))
+    }
+}
+
 impl Queue {
     /// Replaces the quotas.
     pub fn apply(&mut self, teams: &[config::Team]) {
@@ -46,14 +73,18 @@
 
     /// Lets a task wait for room.
     pub fn push(&mut self, waiting: Waiting) {
-        self.teams.entry(waiting.team.clone()).or_default().ready.insert(waiting);
+        let team = self.teams.entry(waiting.team.clone()).or_default();
+        team.lanes.entry(waiting.class.clone()).or_default().insert(waiting);
     }
 
-    /// Returns the first task of the team that has the least of its quota, among teams not in
-    /// `skipped`.
-    pub fn first(&self, skipped: &BTreeSet<Name>) -> Option<&Waiting> {
-        let waiting = self.teams.iter().filter(|(name, _)| !skipped.contains(*name));
-        let heads = waiting.filter_map(|(_, team)| Some((team.share(), team.ready.first()?)));
+    /// Returns the first task of the team that has the least of its quota, but for those skipped.
+    pub fn first(&self, skipped: &Skipped) -> Option<&Waiting> {
+        let teams = self.teams.iter().filter(|(name, _)| !skipped.teams.contains(*name));
+        let heads = teams.filter_map(|(name, team)| {
+            let lanes = team.lanes.iter().filter(|(class, _)| !skipped.contains(name, class));
+            let head = lanes.filter_map(|(_, lane)| lane.first()).min()?;
+            Some((team.share(), head))
+        });
         heads.min_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(b.1))).map(|(_, head)| head)
     }
 
@@ -72,8 +103,11 @@
 
     /// Takes a task that waits for room out.
     pub fn remove(&mut self, waiting: &Waiting) {
-        if let Some(team) = self.teams.get_mut(&waiting.team) {
-            team.ready.remove(waiting);
+        let Some(team) = self.teams.get_mut(&waiting.team) else { return };
+        let Some(lane) = team.lanes.get_mut(&waiting.class) else { return };
+        lane.remove(waiting);
+        if lane.is_empty() {
+            team.lanes.remove(&waiting.class);
         }
     }
 
