--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -8,7 +8,9 @@
 pub struct Queue {
     /// Tasks that wait for the end of a back-off.
     delayed: BTreeSet<(Instant, Waiting)>,
-    teams: BTreeMap<Name, Team>,
+    /// Tasks that wait for room, by team and batch class; no lane is empty.
+    lanes: BTreeMap<Name, BTreeMap<Name, BTreeSet<Waiting>>>,
+    quotas: quota::Table,
 }
 
 /// A task that waits.
@@ -24,14 +26,6 @@
     pub team: Name,
 }
 
-#[derive(Clone, Debug, Default)]
-struct Team {
-    /// Tasks that wait for room, by batch class; no lane is empty.
-    lanes: BTreeMap<Name, BTreeSet<Waiting>>,
-    quota: Resources,
-    used: Resources,
-}
-
 /// What waits longer in one pass: whole teams, and batch classes of teams.
 #[derive(Clone, Debug, Default)]
 pub struct Skipped {
@@ -58,12 +52,7 @@
 impl Queue {
     /// Replaces the quotas.
     pub fn apply(&mut self, teams: &[config::Team]) {
-        for team in self.teams.values_mut() {
-            team.quota = Resources::default();
-        }
-        for team in teams {
-            self.teams.entry(team.name.clone()).or_default().quota = team.quota;
-        }
+        self.quotas.apply(teams);
     }
 
     /// Lets a task wait until `ready`.
@@ -71,26 +60,20 @@
         self.delayed.insert((ready, waiting));
     }
 
-    /// Lets a task wait for room.
-    pub fn push(&mut self, waiting: Waiting) {
-        let team = self.teams.entry(waiting.team.clone()).or_default();
-        team.lanes.entry(waiting.class.clone()).or_default().insert(waiting);
+    /// Returns the first task of the team that has the least of its quota in use, but for those
+    /// skipped.
+    pub fn first(&self, skipped: &Skipped) -> Option<&Waiting> {
+        self.quotas.order().find_map(|team| self.head(team, skipped))
     }
 
-    /// Returns the first task of the team that has the least of its quota, but for those skipped.
-    pub fn first(&self, skipped: &Skipped) -> Option<&Waiting> {
-        let teams = self.teams.iter().filter(|(name, _)| !skipped.teams.contains(*name));
-        let heads = teams.filter_map(|(name, team)| {
-            let lanes = team.lanes.iter().filter(|(class, _)| !skipped.contains(name, class));
-            let head = lanes.filter_map(|(_, lane)| lane.first()).min()?;
-            Some((team.share(), head))
-        });
-        heads.min_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(b.1))).map(|(_, head)| head)
+    /// Counts resources as no longer in use by the team.
+    pub fn give_back(&mut self, team: &Name, resources: &Resources) {
+        self.quotas.refund(team, resources);
     }
 
     /// Returns whether the team's quota has room for `resources`.
     pub fn has_quota(&self, team: &Name, resources: &Resources) -> bool {
-        self.teams.get(team).is_some_and(|team| (team.used + *resources).fits(&team.quota))
+        resources.fits(&self.quotas.left(team))
     }
 
     /// Moves the tasks whose back-off is over.
@@ -101,35 +84,45 @@
         }
     }
 
+    /// Lets a task wait for room.
+    pub fn push(&mut self, waiting: Waiting) {
+        let team = waiting.team.clone();
+        let lanes = self.lanes.entry(team.clone()).or_default();
+        if lanes.entry(waiting.class.clone()).or_default().insert(waiting) {
+            self.quotas.enqueue(&team, 1);
+        }
+    }
+
+    /// Returns what the team may use at once.
+    pub fn quota(&self, team: &Name) -> Resources {
+        self.quotas.quota(team)
+    }
+
     /// Takes a task that waits for room out.
     pub fn remove(&mut self, waiting: &Waiting) {
-        let Some(team) = self.teams.get_mut(&waiting.team) else { return };
-        let Some(lane) = team.lanes.get_mut(&waiting.class) else { return };
-        lane.remove(waiting);
+        let Some(lanes) = self.lanes.get_mut(&waiting.team) else { return };
+        let Some(lane) = lanes.get_mut(&waiting.class) else { return };
+        if lane.remove(waiting) {
+            self.quotas.dequeue(&waiting.team, 1);
+        }
         if lane.is_empty() {
-            team.lanes.remove(&waiting.class);
+            lanes.remove(&waiting.class);
         }
     }
 
     /// Counts resources as in use by the team.
     pub fn take(&mut self, team: &Name, resources: &Resources) {
-        let team = self.teams.entry(team.clone()).or_default();
-        team.used = team.used + *resources;
+        self.quotas.occupy(team, resources);
     }
 
-    /// Counts resources as no longer in use by the team.
-    pub fn give_back(&mut self, team: &Name, resources: &Resources) {
-        let team = self.teams.entry(team.clone()).or_default();
-        team.used = team.used.saturating_sub(resources);
-    }
-}
-
-impl Team {
-    /// Returns the largest share of the quota in use, over the dimensions.
-    fn share(&self) -> f64 {
-        let share = |used: u64, quota: u64| used as f64 / quota.max(1) as f64;
-        share(self.used.processors_milli, self.quota.processors_milli)
-            .max(share(self.used.memory_mib, self.quota.memory_mib))
-            .max(share(self.used.accelerators.into(), self.quota.accelerators.into()))
+    fn head(&self, team: &Name, skipped: &Skipped) -> Option<&Waiting> {
+        if skipped.teams.contains(team) {
+            return None;
+        }
+        let lanes = self.lanes.get(team)?.iter();
+        lanes
+            .filter(|(class, _)| !skipped.contains(team, class))
+            .filter_map(|(_, lane)| lane.first())
+            .min()
     }
 }
