--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -21,7 +21,7 @@
     std::{
         fmt::{self, Display, Formatter, Write as _},
         fs,
-        io::{self, Write as _},
+        io::{self, IsTerminal as _, Write as _},
         path::{Path, PathBuf},
         process::ExitCode,
         sync::Arc,
@@ -45,6 +45,7 @@
 pub mod html;
 pub mod keys_command;
 mod plot;
+mod progress;
 pub mod report;
 pub mod run;
 pub mod schema;
--- a/crates/cli/src/plot.rs
+++ b/crates/cli/src/plot.rs
@@ -123,16 +123,10 @@
     for (share, text) in [(0.0, "0%"), (0.5, "50%"), (1.0, "100%")] {
         area.level(share, text);
     }
-    let mut points = format!("{:.1},{:.1}", place(lowest), Area::y(0.0));
-    let mut within = 0;
-    for latency in &service.latencies {
-        within += latency.answers;
-        let y = Area::y(within as f64 / all as f64);
-        let _ = write!(points, " {:.1},{y:.1}", place(latency.us as f64));
-    }
+    let curve = curve(service, all, place);
     let _ = write!(
         area.body,
-        "<polyline points=\"{points}\" fill=\"none\" stroke=\"var(--mark)\" stroke-width=\"2\"/>"
+        "<polyline points=\"{curve}\" fill=\"none\" stroke=\"var(--mark)\" stroke-width=\"2\"/>"
     );
     let x = place(promised);
     area.line((x, TOP), (x, HEIGHT - BOTTOM), "--bad", "4 3");
@@ -145,6 +139,19 @@
     area.finish("Share of answers within each latency")
 }
 
+/// Returns the points of the share of answers within each latency.
+fn curve(service: &Service, all: u64, place: impl Fn(f64) -> f64) -> String {
+    let lowest = service.latencies.first().map_or(0.0, |latency| latency.us as f64);
+    let mut points = format!("{:.1},{:.1}", place(lowest), Area::y(0.0));
+    let mut within = 0;
+    for latency in &service.latencies {
+        within += latency.answers;
+        let y = Area::y(within as f64 / all as f64);
+        let _ = write!(points, " {:.1},{y:.1}", place(latency.us as f64));
+    }
+    points
+}
+
 fn scale(us: f64) -> String {
     match us {
         us if us < 1_000.0 => format!("{us} us"),
--- a/crates/cli/src/submit.rs
+++ b/crates/cli/src/submit.rs
@@ -62,6 +62,9 @@
                 held::write(client, &accepted, modified).await
             }
         };
+        if let Event::Doubt(cause) | Event::NotDone(cause) = &event {
+            progress::note(format_args!("trying again: {cause}"));
+        }
         action = machine.handle(event);
     }
 }
--- a/crates/cli/src/wait.rs
+++ b/crates/cli/src/wait.rs
@@ -11,6 +11,7 @@
 /// when the time is over.
 pub(crate) async fn until(entries: &[String], revision: Revision) -> Result<String, Error> {
     let end = tokio::time::Instant::now() + LIMIT;
+    let mut told = usize::MAX;
     loop {
         let mut behind = vec![];
         for entry in entries {
@@ -21,6 +22,10 @@
         if behind.is_empty() {
             return Ok(format!("in force at {} of {} entries", entries.len(), entries.len()));
         }
+        if told != behind.len() {
+            told = behind.len();
+            progress::note(format_args!("not yet in force at {told} of {} entries", entries.len()));
+        }
         if tokio::time::Instant::now() >= end {
             return Err(late(entries.len(), &behind, revision));
         }
--- a/crates/cli/tests/operators.rs
+++ b/crates/cli/tests/operators.rs
@@ -155,3 +155,10 @@
     assert_eq!(exits, [0, 3, 3, 3, 3, 3]);
     bench.platform.stop().await;
 }
+
+#[tokio::test]
+async fn the_schema_is_as_kept() {
+    let mut bench = Bench::start("schema").await;
+    bench.run("schema").await;
+    bench.check("schema").await;
+}
--- a/crates/core/src/burn_page.rs
+++ b/crates/core/src/burn_page.rs
@@ -56,3 +56,11 @@
     /// All requests that count.
     pub requests: u64,
 }
+
+pub(super) fn latencies(histogram: &Histogram<u64>) -> Vec<Latency> {
+    let latency = |value: hdrhistogram::iterators::IterationValue<u64>| Latency {
+        answers: value.count_at_value(),
+        us: value.value_iterated_to(),
+    };
+    histogram.iter_recorded().map(latency).collect()
+}
--- a/crates/core/src/burn_report.rs
+++ b/crates/core/src/burn_report.rs
@@ -81,40 +81,36 @@
     fn merge(pages: &[&page::Service]) -> Option<Self> {
         let first = pages.first()?;
         let mut histogram = histogram();
-        let mut series: BTreeMap<u64, page::Slot> = BTreeMap::new();
-        for page in pages {
-            for latency in &page.latencies {
-                histogram.saturating_record_n(latency.us, latency.answers);
-            }
-            for slot in &page.series {
-                let sum =
-                    series.entry(slot.age).or_insert(page::Slot { bad: 0, requests: 0, ..*slot });
-                sum.bad += slot.bad;
-                sum.requests += slot.requests;
-            }
+        for latency in pages.iter().flat_map(|page| &page.latencies) {
+            histogram.saturating_record_n(latency.us, latency.answers);
         }
         let long = Window::merge(pages.iter().flat_map(|page| &page.long), &first.objective);
         let short = Window::merge(pages.iter().flat_map(|page| &page.short), &first.objective);
-        let recorded = histogram.iter_recorded();
         Some(Self {
             budget_left: 1.0 - long.burn_rate,
-            latencies: recorded
-                .map(|value| page::Latency {
-                    answers: value.count_at_value(),
-                    us: value.value_iterated_to(),
-                })
-                .collect(),
+            latencies: page::latencies(&histogram),
             long,
             name: first.name.clone(),
             objective: first.objective.clone(),
             p50_us: histogram.value_at_quantile(0.5),
             p99_us: histogram.value_at_quantile(0.99),
-            series: series.into_values().collect(),
+            series: series(pages),
             short,
         })
     }
 }
 
+fn series(pages: &[&page::Service]) -> Vec<page::Slot> {
+    let mut sums: BTreeMap<u64, page::Slot> = BTreeMap::new();
+    for slot in pages.iter().flat_map(|page| &page.series) {
+        let empty = page::Slot { age: slot.age, bad: 0, requests: 0 };
+        let sum = sums.entry(slot.age).or_insert(empty);
+        sum.bad += slot.bad;
+        sum.requests += slot.requests;
+    }
+    sums.into_values().collect()
+}
+
 impl Window {
     fn merge<'a>(counts: impl Iterator<Item = &'a page::Count>, objective: &Objective) -> Self {
         let mut sum: BTreeMap<Cause, u64> = BTreeMap::new();
--- a/crates/core/src/burn_tally.rs
+++ b/crates/core/src/burn_tally.rs
@@ -71,13 +71,8 @@
     }
 
     fn page(&self, now: Instant, service: &config::Service) -> page::Service {
-        let recorded = self.latencies.iter_recorded();
-        let latency = |value: hdrhistogram::iterators::IterationValue<u64>| page::Latency {
-            answers: value.count_at_value(),
-            us: value.value_iterated_to(),
-        };
         page::Service {
-            latencies: recorded.map(latency).collect(),
+            latencies: page::latencies(&self.latencies),
             long: counts(&self.long.sum(now)),
             name: service.name.clone(),
             objective: service.objective.clone(),
--- a/crates/settings/tests/faults.rs
+++ b/crates/settings/tests/faults.rs
@@ -5,6 +5,7 @@
 use {
     miette::{Diagnostic, GraphicalReportHandler, GraphicalTheme},
     oleanderstage_settings::{Entry, Error, configuration, parse},
+    quickcheck::{Gen, QuickCheck},
 };
 
 macro_rules! assert_told {
@@ -138,3 +139,24 @@
     }"#;
     assert_told!(render(&parse::<Entry>("entry.jsonc", text).unwrap_err()));
 }
+
+#[test]
+fn any_damage_is_told_with_a_place_in_the_file() {
+    fn holds(damages: Vec<(usize, Option<char>)>) -> bool {
+        let mut chars: Vec<char> = GOOD.chars().collect();
+        for (place, insert) in damages {
+            let place = place % chars.len();
+            match insert {
+                Some(new) => chars[place] = new,
+                None => drop(chars.remove(place)),
+            }
+        }
+        let text: String = chars.into_iter().collect();
+        let Err(error) = configuration("config.jsonc", &text) else { return true };
+        let inside = |span: &miette::SourceSpan| span.offset() + span.len() <= text.len().max(1);
+        !error.faults.is_empty() && error.faults.iter().all(|fault| inside(&fault.span))
+    }
+    let random = Gen::from_size_and_seed(12, 20_261_203);
+    let holds = holds as fn(Vec<(usize, Option<char>)>) -> bool;
+    QuickCheck::new().rng(random).tests(5_000).quickcheck(holds);
+}
