--- a/crates/core/src/contact.rs
+++ b/crates/core/src/contact.rs
@@ -25,6 +25,8 @@
     pub acks: BTreeMap<worker::Run, u64>,
     /// Since when the VM list lacks it.
     pub gone: Option<Instant>,
+    /// Whether its services leave no room for more.
+    pub held: bool,
     /// Whether it will go soon.
     pub leaving: bool,
     /// Runs that it may have, by task.
@@ -55,6 +57,8 @@
     pub renewed: Instant,
     /// Whether the worker was told to start it.
     pub sent: bool,
+    /// When it was started or taken over.
+    pub since: Instant,
     /// The group that makes its start durable.
     pub sequence: u64,
     /// The group after which it is to stop.
@@ -87,7 +91,7 @@
 impl Contact {
     /// Returns whether new tasks may be placed on the worker.
     pub fn is_open(&self) -> bool {
-        self.fenced && self.reachable && !self.leaving && self.gone.is_none()
+        self.fenced && self.reachable && !self.held && !self.leaving && self.gone.is_none()
     }
 
     /// Returns whether the worker has answered the last batch.
@@ -189,7 +193,8 @@
                 break;
             }
             let run = worker::Run { attempt: held.attempt, task: key.task(cell) };
-            commands.extend(held.commands(now, mode, due, run, *key, ledger));
+            commands.extend(held.commands(now, mode, due, run.clone(), *key, ledger));
+            commands.extend(held.throttle(run));
         }
         commands
     }
@@ -227,6 +232,7 @@
             lease_end: now,
             renewed: now,
             sent: false,
+            since: now,
             sequence,
             stop: None,
             throttle: None,
@@ -257,10 +263,18 @@
         if self.evict {
             return due.then_some(worker::Command::Checkpoint { run });
         }
-        if mode.renew && now.since(self.renewed) >= RENEW {
-            self.extend(now);
-            let lease_ms = TASK_LEASE.as_millis() as u64;
-            return Some(worker::Command::Renew { lease_ms, run });
+        if !mode.renew || now.since(self.renewed) < RENEW {
+            return None;
+        }
+        self.extend(now);
+        let lease_ms = TASK_LEASE.as_millis() as u64;
+        Some(worker::Command::Renew { lease_ms, run })
+    }
+
+    /// Returns the change of its share that the worker was not told yet.
+    fn throttle(&mut self, run: worker::Run) -> Option<worker::Command> {
+        if !self.sent || self.evict || self.stop.is_some() {
+            return None;
         }
         let share_milli = self.throttle.take()?;
         Some(worker::Command::Throttle { run, share_milli })
