--- a/crates/cli/src/entries.rs
+++ b/crates/cli/src/entries.rs
@@ -10,17 +10,42 @@
 pub(crate) struct Status {
     /// Cells that the entry knows an owner of.
     #[serde(default)]
-    pub(crate) cells: Vec<String>,
+    pub(crate) cells: Vec<Cell>,
     /// The entry.
     pub(crate) name: Name,
     /// The revision in force there.
     pub(crate) revision: Option<Revision>,
     /// Whether it serves or leaves.
     pub(crate) state: String,
+    /// The VMs that it sends to.
+    #[serde(default)]
+    pub(crate) vms: Vec<Host>,
     /// Its availability zone.
     pub(crate) zone: Name,
 }
 
+/// A cell as an entry knows it.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(crate) struct Cell {
+    /// The cell.
+    pub(crate) cell: cell::Id,
+    /// The owner's epoch.
+    pub(crate) epoch: cell::Epoch,
+    /// The scheduler that owned it last.
+    pub(crate) owner: Name,
+}
+
+/// A VM as an entry uses it.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(crate) struct Host {
+    /// Requests of the entry in progress there.
+    pub(crate) in_progress: u32,
+    /// The most that the entry may have there.
+    pub(crate) slots: u32,
+    /// The VM.
+    pub(crate) vm: Name,
+}
+
 /// Sends a request without a body to an entry, and returns the answer's text.
 pub(crate) async fn send(method: reqwest::Method, url: &str) -> Result<String, Error> {
     let fail = |cause: &dyn Display| {
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -5,7 +5,7 @@
     exit::Exit,
     miette::Diagnostic,
     oleanderstage_core::{
-        Name,
+        Name, cell,
         change::Change,
         config::{Accepted, Config, Revision},
         submission::{Action, End, Event, Held, Machine},
@@ -19,6 +19,7 @@
     oleanderstage_wire::keys,
     serde::{Deserialize, Serialize, de::DeserializeOwned},
     std::{
+        collections::BTreeMap,
         fmt::{self, Display, Formatter, Write as _},
         fs,
         io::{self, IsTerminal as _, Write as _},
--- a/crates/cli/src/status.rs
+++ b/crates/cli/src/status.rs
@@ -10,6 +10,9 @@
     example = "{command_name} http://10.0.1.1:8080 http://10.0.1.2:8080"
 )]
 pub struct Options {
+    /// show cells and VMs too
+    #[argh(switch)]
+    pub detail: bool,
     /// addresses of entries
     #[argh(positional)]
     pub entries: Vec<String>,
@@ -49,7 +52,7 @@
         };
         rows.push(Row { address, error, status });
     }
-    let text = if options.json { json(&rows) } else { table(&rows) };
+    let text = if options.json { json(&rows) } else { table(&rows, options.detail) };
     if rows.iter().all(|row| row.status.is_none()) {
         return Err(Error::new(Exit::NotDone, text, "check the addresses"));
     }
@@ -60,7 +63,7 @@
     serde_json::to_string(rows).unwrap_or_default()
 }
 
-fn table(rows: &[Row]) -> String {
+fn table(rows: &[Row], detail: bool) -> String {
     let mut text =
         format!("{:<28} {:<16} {:<12} {:>8}  {}\n", "address", "name", "zone", "revision", "state");
     for row in rows {
@@ -84,5 +87,45 @@
     }
     let answered = rows.iter().filter(|row| row.status.is_some()).count();
     let _ = writeln!(text, "{answered} of {} entries answered", rows.len());
+    if detail {
+        text.push_str(&cells(rows));
+        text.push_str(&vms(rows));
+    }
+    text
+}
+
+/// Returns the cells, each with the owner of the highest epoch that an entry knows.
+fn cells(rows: &[Row]) -> String {
+    let mut cells: BTreeMap<&cell::Id, &entries::Cell> = BTreeMap::new();
+    for cell in statuses(rows).flat_map(|status| &status.cells) {
+        let newest = cells.entry(&cell.cell).or_insert(cell);
+        if newest.epoch < cell.epoch {
+            *newest = cell;
+        }
+    }
+    let mut text = format!("\n{:<20} {:<16} {:>8}\n", "cell", "owner", "epoch");
+    for cell in cells.values() {
+        let (id, owner, epoch) = (cell.cell.to_string(), cell.owner.as_str(), cell.epoch.0);
+        let _ = writeln!(text, "{id:<20} {owner:<16} {epoch:>8}");
+    }
+    text
+}
+
+fn statuses<'a>(rows: &'a [Row]) -> impl Iterator<Item = &'a entries::Status> {
+    rows.iter().filter_map(|row| row.status.as_ref())
+}
+
+/// Returns the VMs, with the slots of all entries that answered.
+fn vms(rows: &[Row]) -> String {
+    let mut vms: BTreeMap<&Name, (u32, u32)> = BTreeMap::new();
+    for host in statuses(rows).flat_map(|status| &status.vms) {
+        let sum = vms.entry(&host.vm).or_default();
+        sum.0 += host.in_progress;
+        sum.1 += host.slots;
+    }
+    let mut text = format!("\n{:<20} {:>12} {:>8}\n", "VM", "in progress", "slots");
+    for (vm, (in_progress, slots)) in vms {
+        let _ = writeln!(text, "{:<20} {in_progress:>12} {slots:>8}", vm.as_str());
+    }
     text
 }
--- a/crates/cli/tests/entries.rs
+++ b/crates/cli/tests/entries.rs
@@ -14,6 +14,17 @@
     tokio_util::sync::CancellationToken,
 };
 
+const HOSTED: &str = r#"{ "vms": [{
+    "name": "worker-1",
+    "address": "127.0.0.1:1",
+    "connections": 64,
+    "rack": "rack-1",
+    "resources": { "processors_milli": 16000, "memory_mib": 65536 },
+    "services": ["bulletin"],
+    "slots": 8,
+    "zone": "kigali-1",
+}],"#;
+
 const CONFIG: &str = r#"{ "services": [{
     "name": "bulletin",
     "body_limit_bytes": 1000000,
@@ -128,6 +139,23 @@
     bench.platform.stop().await;
 }
 
+#[tokio::test]
+async fn status_shows_vms_with_the_slots_of_all_entries() {
+    let bench = Bench::start("detail").await;
+    fs::write(bench.folder.join("config.jsonc"), CONFIG.replacen('{', HOSTED, 1)).unwrap();
+    let submit = "submit config.jsonc --store STORE --wait ONE --wait TWO";
+    let (text, exit) = bench.run(submit).await;
+    assert_eq!(exit, 0, "{text}");
+    let until = tokio::time::Instant::now() + Duration::from_secs(30);
+    let mut text = String::new();
+    while !text.trim_end().ends_with("  8") {
+        assert!(tokio::time::Instant::now() < until, "{text}");
+        text = bench.run("status --detail ONE TWO").await.0;
+    }
+    insta::with_settings!({ omit_expression => true }, { insta::assert_snapshot!("detail", text) });
+    bench.platform.stop().await;
+}
+
 #[tokio::test]
 async fn the_report_counts_refusals_over_both_entries() {
     let bench = Bench::start("report").await;
--- a/crates/entry/src/cells.rs
+++ b/crates/entry/src/cells.rs
@@ -12,6 +12,14 @@
     scheduler: Name,
 }
 
+/// A cell as `GET /status` shows it.
+#[derive(Debug, Serialize)]
+pub(crate) struct Page {
+    cell: cell::Id,
+    epoch: cell::Epoch,
+    owner: Name,
+}
+
 impl Cells {
     /// Takes the cells that `scheduler` says it owns; the highest epoch of a cell wins.
     pub(crate) fn learn(&self, scheduler: &Name, cells: &[(cell::Id, cell::Epoch)]) {
@@ -25,9 +33,14 @@
         }
     }
 
-    /// Returns every cell that has had an owner.
-    pub(crate) fn known(&self) -> Vec<cell::Id> {
-        lock(&self.0).keys().cloned().collect()
+    /// Returns every cell with its last known owner.
+    pub(crate) fn pages(&self) -> Vec<Page> {
+        let page = |(cell, owner): (&cell::Id, &Owner)| Page {
+            cell: cell.clone(),
+            epoch: owner.epoch,
+            owner: owner.scheduler.clone(),
+        };
+        lock(&self.0).iter().map(page).collect()
     }
 
     /// Returns the last known owner.
--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -15,10 +15,11 @@
 /// What `GET /status` shows.
 #[derive(Serialize)]
 struct Status {
-    cells: Vec<cell::Id>,
+    cells: Vec<cells::Page>,
     name: Name,
     revision: Option<config::Revision>,
     state: oleanderstage_core::drain::State,
+    vms: Vec<hosts::Page>,
     zone: Name,
 }
 
@@ -83,10 +84,11 @@
 
     fn status(&self, response: &mut Response) {
         let status = Status {
-            cells: self.node.cells.known(),
+            cells: self.node.cells.pages(),
             name: self.node.settings.name.clone(),
             revision: self.node.follower.current().map(|current| current.revision),
             state: self.node.drain.state(),
+            vms: self.node.hosts.pages(),
             zone: self.node.settings.zone.clone(),
         };
         write_json(StatusCode::OK, serde_json::to_vec(&status).unwrap_or_default(), response);
--- a/crates/entry/src/hosts.rs
+++ b/crates/entry/src/hosts.rs
@@ -14,6 +14,16 @@
     used: u32,
 }
 
+/// A VM as `GET /status` shows it.
+#[derive(Debug, Serialize)]
+pub(crate) struct Page {
+    /// Requests of this entry in progress there.
+    in_progress: u32,
+    /// The most that this entry may have there.
+    slots: u32,
+    vm: Name,
+}
+
 impl Hosts {
     /// Takes the VMs in force and the entries that share them.
     pub(crate) fn apply(&self, own: &Name, entries: &[Name], vms: &[config::Vm]) {
@@ -33,6 +43,16 @@
         share.connections.saturating_sub(share.slots).max(1)
     }
 
+    /// Returns every VM with the slots of this entry's share.
+    pub(crate) fn pages(&self) -> Vec<Page> {
+        let page = |(vm, host): (&Name, &Host)| Page {
+            in_progress: host.used,
+            slots: host.share.slots,
+            vm: vm.clone(),
+        };
+        lock(&self.0).iter().map(page).collect()
+    }
+
     /// Returns the share of `vm`.
     pub(crate) fn share(&self, vm: &Name) -> Share {
         lock(&self.0).get(vm).map_or(Share::default(), |host| host.share)
