Name the VMs that took a service's budget

Late answers and failed attempts are counted by VM over the long window; the report names the ten with the most. Which batch class slowed them is known to the schedulers only and is not in the report yet.

--- a/crates/cli/src/html.rs
+++ b/crates/cli/src/html.rs
@@ -45,7 +45,7 @@
 fn section(service: &Service) -> String {
     format!(
         "<section><h2>{}</h2>\n<p>{:.3}% of requests are to be answered within {} ms.</p>\n\
-         {}{}<h3>Burn rate over the last 72 hours</h3>\n\
+         {}{}{}<h3>Burn rate over the last 72 hours</h3>\n\
          <p>At 1x, the dashed line, the budget lasts just 72 hours.</p>\n{}\n\
          <h3>Latency of answers</h3>\n{}</section>\n",
         service.name,
@@ -53,6 +53,7 @@
         service.objective.latency_ms,
         tiles(service),
         causes(service),
+        vms(service),
         plot::burn(service),
         plot::latency(service)
     )
@@ -87,6 +88,17 @@
     format!("<h3>What took the budget in 72 hours</h3>\n<table>{rows}</table>\n")
 }
 
+fn vms(service: &Service) -> String {
+    if service.vms.is_empty() {
+        return String::new();
+    }
+    let row = |blame: &oleanderstage_core::burn::page::Blame| {
+        format!("<tr><td>{}</td><td>{}</td></tr>", blame.requests, blame.vm)
+    };
+    let rows: String = service.vms.iter().map(row).collect();
+    format!("<h3>Late answers and failed attempts by VM</h3>\n<table>{rows}</table>\n")
+}
+
 /// Makes a text safe inside HTML.
 pub(crate) fn escape(text: &str) -> String {
     text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;").replace('"', "&quot;")
--- a/crates/cli/src/report.rs
+++ b/crates/cli/src/report.rs
@@ -88,6 +88,12 @@
         for count in &service.long.causes {
             let _ = writeln!(text, "  {:>9}  {}", count.requests, count.cause.as_str());
         }
+        if !service.vms.is_empty() {
+            let _ = writeln!(text, "late answers and failed attempts by VM:");
+        }
+        for blame in &service.vms {
+            let _ = writeln!(text, "  {:>9}  {}", blame.requests, blame.vm);
+        }
     }
     let _ = write!(text, "\n{}", coverage(report));
     text
--- a/crates/cli/tests/report.rs
+++ b/crates/cli/tests/report.rs
@@ -26,7 +26,8 @@
             let spread = 12 + (minute * 7 + request * 13) % 80;
             let slow = if top && (minute + request) % 41 == 0 { 330 } else { 0 };
             let latency = Duration::from_millis(spread + slow);
-            tally.answered(now, &service.name, latency, &service.objective);
+            let vm = &config.vms[(request % 7) as usize].name;
+            tally.answered(now, &service.name, Some(vm), latency, &service.objective);
         }
         if top && minute % 360 < 3 {
             tally.failed(now, &service.name, Cause::Overloaded);
--- a/crates/core/src/burn_page.rs
+++ b/crates/core/src/burn_page.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// VMs that a page and a report name for a service.
+pub const MAX_BLAMED: usize = 10;
+
 /// What one entry has counted.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Page {
@@ -26,6 +29,9 @@
     pub series: Vec<Slot>,
     /// Counts of the short window.
     pub short: Vec<Count>,
+    /// VMs with late answers or failed attempts in the long window, most first, `MAX_BLAMED` at
+    /// most.
+    pub vms: Vec<Blame>,
 }
 
 /// Requests of one cause.
@@ -37,6 +43,15 @@
     pub requests: u64,
 }
 
+/// Late answers and failed attempts of one VM.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Blame {
+    /// How many. An attempt may fail and its request still be answered in time by another VM.
+    pub requests: u64,
+    /// The VM.
+    pub vm: Name,
+}
+
 /// Answers of one latency.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Latency {
@@ -57,6 +72,14 @@
     pub requests: u64,
 }
 
+/// Returns the VMs with the most, most first.
+pub(super) fn blames(sum: BTreeMap<Name, u64>) -> Vec<Blame> {
+    let mut blames: Vec<_> = sum.into_iter().map(|(vm, requests)| Blame { requests, vm }).collect();
+    blames.sort_by_key(|blame| std::cmp::Reverse(blame.requests));
+    blames.truncate(MAX_BLAMED);
+    blames
+}
+
 pub(super) fn latencies(histogram: &Histogram<u64>) -> Vec<Latency> {
     let latency = |value: hdrhistogram::iterators::IterationValue<u64>| Latency {
         answers: value.count_at_value(),
--- a/crates/core/src/burn_report.rs
+++ b/crates/core/src/burn_report.rs
@@ -46,6 +46,8 @@
     pub series: Vec<page::Slot>,
     /// The short window.
     pub short: Window,
+    /// VMs with late answers or failed attempts in the long window, most first.
+    pub vms: Vec<page::Blame>,
 }
 
 /// What happened in one window.
@@ -96,6 +98,7 @@
             p99_us: histogram.value_at_quantile(0.99),
             series: series(pages),
             short,
+            vms: vms(pages),
         })
     }
 }
@@ -111,6 +114,14 @@
     sums.into_values().collect()
 }
 
+fn vms(pages: &[&page::Service]) -> Vec<page::Blame> {
+    let mut sums: BTreeMap<Name, u64> = BTreeMap::new();
+    for blame in pages.iter().flat_map(|page| &page.vms) {
+        *sums.entry(blame.vm.clone()).or_default() += blame.requests;
+    }
+    page::blames(sums)
+}
+
 impl Window {
     fn merge<'a>(counts: impl Iterator<Item = &'a page::Count>, objective: &Objective) -> Self {
         let mut sum: BTreeMap<Cause, u64> = BTreeMap::new();
--- a/crates/core/src/burn_tally.rs
+++ b/crates/core/src/burn_tally.rs
@@ -11,26 +11,37 @@
 #[derive(Clone, Debug)]
 struct Counts {
     latencies: Histogram<u64>,
-    long: Ring,
-    short: Ring,
+    long: Ring<Cause>,
+    short: Ring<Cause>,
+    /// Late answers and failed attempts, by VM.
+    vms: Ring<Name>,
 }
 
 impl Tally {
-    /// Counts an answer of `service` that took `latency` and was promised by `objective`.
+    /// Counts an answer of `service` from `vm` that took `latency` and was promised by `objective`.
     pub fn answered(
         &mut self,
         now: Instant,
         service: &Name,
+        vm: Option<&Name>,
         latency: Duration,
         objective: &Objective,
     ) {
         let promised = Duration::from_millis(objective.latency_ms);
         let cause = if latency <= promised { Cause::Good } else { Cause::Late };
         self.failed(now, service, cause);
+        if let Some(vm) = vm.filter(|_| cause == Cause::Late) {
+            self.blame(now, service, vm);
+        }
         let counts = self.counts(service);
         counts.latencies.saturating_record(latency.as_micros() as u64);
     }
 
+    /// Counts a late answer or a failed attempt of `service` at `vm`.
+    pub fn blame(&mut self, now: Instant, service: &Name, vm: &Name) {
+        self.counts(service).vms.count(now, vm.clone());
+    }
+
     /// Counts a request of `service` that was not answered, for `cause`.
     pub fn failed(&mut self, now: Instant, service: &Name, cause: Cause) {
         let counts = self.counts(service);
@@ -67,6 +78,7 @@
             latencies: histogram(),
             long: Ring::new(LONG, LONG_SLOT),
             short: Ring::new(SHORT, SHORT_SLOT),
+            vms: Ring::new(LONG, LONG_SLOT),
         }
     }
 
@@ -78,6 +90,7 @@
             objective: service.objective.clone(),
             series: self.long.series(now).into_iter().map(slot).collect(),
             short: counts(&self.short.sum(now)),
+            vms: page::blames(self.vms.sum(now)),
         }
     }
 }
--- a/crates/core/tests/burn.rs
+++ b/crates/core/tests/burn.rs
@@ -40,7 +40,9 @@
     fn answers(mut self, count: u64, milliseconds: u64) -> Self {
         let latency = Duration::from_millis(milliseconds);
         for _ in 0..count {
-            self.tally.answered(self.now, &name(), latency, &service(0.99).objective);
+            let vm = Name::try_from("worker-1").unwrap();
+            let objective = service(0.99).objective;
+            self.tally.answered(self.now, &name(), Some(&vm), latency, &objective);
         }
         self
     }
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -120,6 +120,8 @@
         let unsent = error.is_connect();
         let (service, vm) = (self.service.config.name.to_string(), slot.vm.to_string());
         log::info!(request = self.id.to_string(), service, vm, unsent, cause = chain(error); "attempt_failed");
+        let now = self.node.clock.now();
+        self.node.counters.blame(now, &self.service.config.name, &slot.vm);
         slot.end(route::End::Failed);
         if unsent {
             self.reason = Reason::Unavailable;
--- a/crates/entry/src/counters.rs
+++ b/crates/entry/src/counters.rs
@@ -54,10 +54,16 @@
         &self,
         now: Instant,
         service: &Name,
+        vm: Option<&Name>,
         latency: Duration,
         objective: &config::Objective,
     ) {
-        lock(&self.burn).answered(now, service, latency, objective);
+        lock(&self.burn).answered(now, service, vm, latency, objective);
+    }
+
+    /// Counts a failed attempt at `vm`.
+    pub(crate) fn blame(&self, now: Instant, service: &Name, vm: &Name) {
+        lock(&self.burn).blame(now, service, vm);
     }
 
     /// Counts an answer that broke off on its way.
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -56,7 +56,13 @@
     }
 
     /// Counts an answer passed on whole.
-    pub(crate) fn answered(&self, service: &Name, latency: Duration, in_time: bool) {
+    pub(crate) fn answered(
+        &self,
+        service: &Name,
+        vm: Option<&Name>,
+        latency: Duration,
+        in_time: bool,
+    ) {
         let cause = match in_time {
             true => counters::Cause::Answered,
             false => counters::Cause::AnsweredLate,
@@ -64,7 +70,8 @@
         self.counters.count(service, cause);
         if let Some(service) = self.service(service) {
             let objective = &service.config.objective;
-            self.counters.answered(self.clock.now(), &service.config.name, latency, objective);
+            let (now, name) = (self.clock.now(), &service.config.name);
+            self.counters.answered(now, name, vm, latency, objective);
         }
         let metric = format!("service.{service}.latency");
         let _ = self.metrics.time(&metric, latency.as_millis() as u64);
--- a/crates/entry/src/pass.rs
+++ b/crates/entry/src/pass.rs
@@ -105,6 +105,7 @@
         self.node.counters.broken(self.node.clock.now(), &self.service);
         if let Some(slot) = self.slot.take() {
             log::warn!(service = self.service.to_string(), vm = slot.vm.to_string(), cause; "answer_broken");
+            self.node.counters.blame(self.node.clock.now(), &self.service, &slot.vm);
             slot.end(route::End::Failed);
         }
         io::Error::other(cause.to_owned())
@@ -117,10 +118,11 @@
         let now = self.node.clock.now();
         let latency = now.since(self.started);
         self.ticket.answered(latency);
+        let vm = self.slot.as_ref().map(|slot| slot.vm.clone());
         if let Some(slot) = self.slot.take() {
             slot.end(route::End::Answered { latency });
         }
-        self.node.answered(&self.service, latency, now <= self.deadline);
+        self.node.answered(&self.service, vm.as_ref(), latency, now <= self.deadline);
     }
 }
 
