--- a/crates/follow/tests/processes.rs
+++ b/crates/follow/tests/processes.rs
@@ -122,6 +122,25 @@
     bench.platform.stop().await;
 }
 
+#[tokio::test]
+async fn seven_processes_take_each_change() {
+    let bench = Bench::start("seven", 7).await;
+    let mut followers: Vec<Follower> = (0..7).map(|index| bench.process(index)).collect();
+    let begun = std::time::Instant::now();
+    let mut longest = Duration::ZERO;
+    for revision in 1..6 {
+        let put = std::time::Instant::now();
+        bench.put(revision);
+        for follower in &mut followers {
+            reach(follower, revision).await;
+        }
+        longest = longest.max(put.elapsed());
+    }
+    let (reads, took) = (bench.platform.store().counters().reads, begun.elapsed());
+    println!("5 changes, 7 processes: in force within {longest:?}; {reads} reads in {took:?}");
+    bench.platform.stop().await;
+}
+
 #[tokio::test]
 async fn a_look_without_the_value_tells_changes_apart() {
     let bench = Bench::start("look", 1).await;
