--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -5,7 +5,7 @@
     exit::Exit,
     miette::Diagnostic,
     oleanderstage_core::{
-        Name,
+        Name, cell,
         change::Change,
         config::{Accepted, Config, Revision},
         submission::{Action, End, Event, Held, Machine},
@@ -19,9 +19,10 @@
     oleanderstage_wire::keys,
     serde::{Deserialize, Serialize, de::DeserializeOwned},
     std::{
+        collections::BTreeMap,
         fmt::{self, Display, Formatter, Write as _},
         fs,
-        io::{self, Write as _},
+        io::{self, IsTerminal as _, Write as _},
         path::{Path, PathBuf},
         process::ExitCode,
         sync::Arc,
@@ -45,6 +46,7 @@
 pub mod html;
 pub mod keys_command;
 mod plot;
+mod progress;
 pub mod report;
 pub mod run;
 pub mod schema;
