Bound every wait of a request, and ask two witnesses at once

The body of a request ends with its deadline, and an answer whose parts stop for 30 s is broken off, so that a drain ends. One dead witness used 700 ms of the second that a permission is good for; two are asked at once now.

--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -74,6 +74,12 @@
     }
 }
 
+/// Tells a caller that its body did not arrive whole.
+pub(crate) fn stalled(cause: &str) -> Refusal {
+    let text = format!("the body did not arrive: {cause}; send it again");
+    Refusal::never(StatusCode::REQUEST_TIMEOUT, Reason::BodyStalled, text)
+}
+
 fn above(limit: u64) -> Refusal {
     let text = format!("the body is above the service's limit of {limit} bytes: send less");
     Refusal::never(StatusCode::PAYLOAD_TOO_LARGE, Reason::BodyLimit, text)
@@ -92,15 +98,11 @@
 }
 
 async fn next(body: &mut ReqBody) -> Result<Option<Bytes>, Refusal> {
-    let stalled = |cause: String| {
-        let text = format!("the body did not arrive: {cause}; send it again");
-        Refusal::never(StatusCode::REQUEST_TIMEOUT, Reason::BodyStalled, text)
-    };
     loop {
         match tokio::time::timeout(STALL_LIMIT, body.next()).await {
-            Err(_) => return Err(stalled(format!("nothing came for {STALL_LIMIT:?}"))),
+            Err(_) => return Err(stalled(&format!("nothing came for {STALL_LIMIT:?}"))),
             Ok(None) => return Ok(None),
-            Ok(Some(Err(cause))) => return Err(stalled(cause.to_string())),
+            Ok(Some(Err(cause))) => return Err(stalled(&cause.to_string())),
             Ok(Some(Ok(frame))) => {
                 if let Ok(part) = frame.into_data() {
                     return Ok(Some(part));
--- a/crates/entry/src/keyed.rs
+++ b/crates/entry/src/keyed.rs
@@ -27,6 +27,8 @@
 const MAX_ROUNDS: u32 = 3;
 /// When to come back while no owner can be relied on.
 const RETRY: Duration = Duration::from_secs(1);
+/// Entries that are asked at once to hold a record; one is enough.
+const WITNESSES: usize = 2;
 /// How often the end of a run is told to the second holder of its record.
 const TELL_ATTEMPTS: u32 = 3;
 
@@ -171,13 +173,16 @@
             return Some(None);
         }
         let ask = Ask::Witness { record: record.clone() };
-        for witness in witnesses {
-            let (from, answer) = ask_peer(&self.node, &witness.name, &ask).await;
-            if from.as_ref() == Some(&witness) && answer == Some(Word::Taken) {
-                return Some(Some(witness.name));
-            }
-        }
-        None
+        let ask = &ask;
+        let questions = witnesses.into_iter().take(WITNESSES).map(|witness| {
+            Box::pin(async move {
+                let (from, answer) = ask_peer(&self.node, &witness.name, ask).await;
+                let held = from.as_ref() == Some(&witness) && answer == Some(Word::Taken);
+                held.then_some(witness.name).ok_or(())
+            })
+        });
+        let (witness, _) = future::select_ok(questions).await.ok()?;
+        Some(Some(witness))
     }
 
     /// Gets the answer of the run before; `None` when that run will never begin.
--- a/crates/entry/src/pass.rs
+++ b/crates/entry/src/pass.rs
@@ -17,6 +17,9 @@
     "upgrade",
 ];
 
+/// The longest pause between two parts of an answer.
+const STALL_LIMIT: Duration = Duration::from_secs(30);
+
 /// The answer of an endpoint: its head, and its body as it arrives.
 pub(crate) struct Answer {
     pub(crate) body: futures_util::stream::BoxStream<'static, io::Result<Bytes>>,
@@ -82,7 +85,9 @@
 
 async fn next(rest: Rest) -> Option<(io::Result<Bytes>, Rest)> {
     let (mut parts, mut passing, left) = rest?;
-    match parts.next().await {
+    let part = tokio::time::timeout(STALL_LIMIT, parts.next()).await;
+    let stalled = || Some(Err(io::Error::other("the answer stalled")));
+    match part.unwrap_or_else(|_| stalled()) {
         None if left.is_none_or(|left| left == 0) => {
             passing.finish();
             None
--- a/crates/entry/src/urgent.rs
+++ b/crates/entry/src/urgent.rs
@@ -76,9 +76,12 @@
         Some(_) => (limit.min(keyed::MAX_BODY_BYTES as u64), keyed::MAX_BODY_BYTES),
         None => (limit, body::HELD_BYTES),
     };
-    let body = match Body::read(body, admitted.inbound.length, limit, hold).await {
-        Ok(body) => body,
-        Err(refusal) => return Outcome::Refused(refusal),
+    let reading = Body::read(body, admitted.inbound.length, limit, hold);
+    let deadline = node.clock.timer(admitted.deadline);
+    let body = match tokio::time::timeout_at(deadline, reading).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(refusal)) => return Outcome::Refused(refusal),
+        Err(_) => return Outcome::Refused(body::stalled("the deadline passed")),
     };
     if let (Some(key), Body::Held(bytes)) = (&key, &body) {
         return Keyed::new(node, admitted, key, bytes.clone()).run().await;
