proof: lose answers before a takeover, and cut peers off

A new one submits a job while its owner is silent to its peers: it is accepted once, and not before.

--- a/crates/proof/tests/batch.rs
+++ b/crates/proof/tests/batch.rs
@@ -12,10 +12,13 @@
     },
     std::{
         collections::{BTreeMap, BTreeSet},
-        time::Instant,
+        time::{Duration, Instant},
     },
 };
 
+/// How long peers stay silent: longer than connections between them live without a sign of life.
+const SILENCE: Duration = Duration::from_secs(4);
+
 fn plan(test: &str) -> Plan {
     Plan::new(env!("CARGO_BIN_EXE_oleanderstage-proof"), env!("CARGO_TARGET_TMPDIR"), test)
 }
@@ -161,25 +164,46 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn writes_whose_answer_is_lost_neither_lose_nor_double() {
-    let fleet = plan("lost_answers").entries(2).schedulers(2).start().await.unwrap();
+    let mut fleet = plan("lost_answers").entries(2).schedulers(2).start().await.unwrap();
     let caller = fleet.caller().unwrap();
     let mut jobs = Vec::new();
     for index in 0..3 {
         let faults = Faults { lose_answers: 2, ..Faults::default() };
         fleet.platform.store().set_faults(faults);
-        jobs.push(caller.submit(&format!("job-{index}"), &spec(4, 500)).await.unwrap());
+        jobs.push(caller.submit(&format!("job-{index}"), &spec(4, 2_000)).await.unwrap());
     }
-    let mut last = None;
+    started(&fleet, 4).await;
+    assert!(fleet.platform.store().counters().lost_commits > 0);
+    let owner = fleet.owner().await.unwrap();
+    fleet.process(&format!("scheduler-{owner}")).unwrap().kill().unwrap();
     for job in &jobs {
-        last = Some(caller.wait(job).await.unwrap());
+        assert_eq!(caller.wait(job).await.unwrap().finished, 4);
     }
-    assert!(fleet.platform.store().counters().lost_commits > 0);
-    assert_eq!(last.map(|status| status.finished), Some(4));
     let summary = fleet.ledger.summary();
     assert_eq!(summary.finished, 12, "{summary:?}");
     assert_undoubled(&summary);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn jobs_submitted_past_silent_peers_are_accepted_once() {
+    let fleet = plan("silent_peers").entries(2).schedulers(2).start().await.unwrap();
+    let caller = fleet.caller().unwrap();
+    let owner = fleet.owner().await.unwrap();
+    let relay = fleet.quic_relay(&format!("scheduler-{owner}")).unwrap();
+    relay.swallow(true);
+    let submit = tokio::spawn({
+        let caller = caller.clone();
+        async move { caller.submit("job-1", &spec(3, 300)).await.unwrap() }
+    });
+    tokio::time::sleep(SILENCE).await;
+    assert!(!submit.is_finished(), "the job was accepted although its owner was out of reach");
+    relay.swallow(false);
+    let id = submit.await.unwrap();
+    let status = caller.wait(&id).await.unwrap();
+    assert_whole(&fleet, &status, 3);
+    assert_eq!(fleet.ledger.summary().runs, 3);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn racing_submits_under_one_key_make_one_job() {
     let mut fleet = plan("racing").entries(3).schedulers(2).start().await.unwrap();
