--- a/crates/core/src/owner.rs
+++ b/crates/core/src/owner.rs
@@ -9,10 +9,16 @@
 #[path = "owner_takeover.rs"]
 mod takeover;
 
-/// How often a scheduler looks whether a cell has an owner.
-pub const LOOK: Duration = Duration::from_secs(2);
+/// How often the first scheduler in rank looks whether a cell has an owner; the next looks half as
+/// often, the third a third as often, so that the calls for a cell grow with the logarithm of the
+/// schedulers.
+pub const LOOK: Duration = Duration::from_secs(1);
+/// Mean pause before a call is made again that was not answered well.
+pub const AGAIN: Duration = Duration::from_millis(500);
 /// How long a scheduler leaves a vacant cell to each of those that come before it.
 pub const RANK_DELAY: Duration = Duration::from_millis(1_000);
+/// As `RANK_DELAY`, for a cell that was handed over.
+pub const RELEASED_DELAY: Duration = Duration::from_millis(100);
 /// Pause after a value that was refused.
 pub const REFUSED_PAUSE: Duration = Duration::from_secs(30);
 
@@ -309,14 +315,14 @@
     fn released(&mut self, now: Instant, reply: &store::Reply) {
         match reply {
             store::Reply::Committed | store::Reply::Conflict => self.end(),
-            _ => self.pause(now, LOOK / 4),
+            _ => self.pause(now, AGAIN),
         }
     }
 
     fn seek(&mut self, now: Instant) {
         self.phase = Phase::Seeking;
         self.main_call = None;
-        self.pause(now, LOOK);
+        self.pause(now, LOOK * (1 + self.rank));
     }
 
     /// Answers the calls whose group is durable.
--- a/crates/core/src/owner_takeover.rs
+++ b/crates/core/src/owner_takeover.rs
@@ -37,9 +37,9 @@
             }
             store::Reply::Doubt => {
                 self.phase = Phase::Claiming { asked, doubt: true, lease, released };
-                self.pause(now, LOOK / 4);
+                self.pause(now, AGAIN);
             }
-            store::Reply::Refused if doubt => self.pause(now, LOOK / 4),
+            store::Reply::Refused if doubt => self.pause(now, AGAIN),
             _ => self.seek(now),
         }
         if asked + tenure::LEASE < now && matches!(self.phase, Phase::Claiming { .. }) {
@@ -73,7 +73,7 @@
 
     pub(super) fn loaded(&mut self, now: Instant, reply: &store::Reply) {
         let Phase::Loading { released } = self.phase else { return };
-        let store::Reply::Values(values) = reply else { return self.pause(now, LOOK / 4) };
+        let store::Reply::Values(values) = reply else { return self.pause(now, AGAIN) };
         if !self.covers(now) || !values.contains(&self.own()) {
             return self.lose(now);
         }
@@ -96,10 +96,19 @@
             return self.seek(now);
         }
         let vacant = *self.vacant.get_or_insert(now);
-        if now < vacant + RANK_DELAY * self.rank {
-            return self.seek(now);
-        }
         let term = find(journal::epoch(&self.cell)).cloned();
+        let before = term.as_ref().map(|value| sealed::open::<Term>(&value.key, &value.bytes));
+        let delay = match before {
+            Some(Ok(Term { released: true, .. })) => RELEASED_DELAY,
+            _ => RANK_DELAY,
+        };
+        let turn = vacant + delay * self.rank;
+        if now < turn {
+            self.seek(now);
+            self.next =
+                self.next.min(turn + Duration::from_millis(self.random.random_range(0..200)));
+            return;
+        }
         self.ask(store::Request::Grant);
         self.phase = Phase::Granting { asked: now, term };
     }
