Bound the commits of all cells together

A cell committed up to 50 times a second, so that 90 cells could ask for 4,500 writes of a service that takes several hundred. The interval grows with the number of cells; 1 to 300 cells stay under 100 commits a second together (`all_cells_together_commit_at_most_100_times_a_second`).

--- a/crates/core/src/dispatcher.rs
+++ b/crates/core/src/dispatcher.rs
@@ -4,6 +4,8 @@
 
 #[path = "dispatcher_calls.rs"]
 mod calls;
+#[path = "dispatcher_reliefs.rs"]
+mod reliefs;
 
 /// Tasks that are started in one step.
 pub const MAX_STARTS: usize = 256;
@@ -68,6 +70,7 @@
 
     /// Puts a configuration in force, of which `vms` belong to the cell.
     pub fn configure(&mut self, config: &Config, vms: &[config::Vm]) {
+        self.writer.pace(Partition::new(config).cells.len() as u32);
         let config = Partition::narrow(config, vms);
         self.queue.quotas.apply(&config.teams);
         self.health.apply(vms);
@@ -152,21 +155,6 @@
         self.judge(vm);
     }
 
-    /// Has a run write a checkpoint and stop, or be throttled, for the sake of a service.
-    pub fn relieve(&mut self, task: &task::Id, relief: Relief) {
-        let key = Key { index: task.index, serial: task.job.serial };
-        let Some(vm) = self.ledger.task(key).and_then(|task| task.vm.clone()) else { return };
-        let Some(contact) = self.contacts.get_mut(&vm) else { return };
-        let Some(held) = contact.runs.get_mut(&key) else { return };
-        match relief {
-            Relief::Evict => {
-                held.evict |= self.ledger.shift(key, stage::Event::Evict).is_some();
-            }
-            Relief::Throttle { share_milli } => held.throttle = Some(share_milli),
-        }
-        contact.wake();
-    }
-
     /// Returns whether some worker may still have runs of the previous owner.
     pub fn is_recovering(&self) -> bool {
         self.contacts.values().any(|contact| !contact.is_fenced())
@@ -360,33 +348,6 @@
         }
     }
 
-    /// Lets the runs on a worker make room for its services, as a report advises.
-    fn protect(&mut self, now: Instant, vm: &Name, report: &worker::Report) {
-        let Some(contact) = self.contacts.get(vm) else { return };
-        let runs = contact.runs.iter().filter(|(_, held)| held.sent);
-        let running: Vec<interference::Running> =
-            runs.filter_map(|(key, held)| self.running(*key, held)).collect();
-        let orders = self.health.report(now, vm, report, &running);
-        for (run, relief) in orders.reliefs {
-            self.relieve(&run.task, relief);
-        }
-        if let Some(contact) = self.contacts.get_mut(vm) {
-            contact.held = orders.hold;
-        }
-    }
-
-    fn running(&self, key: Key, held: &contact::Held) -> Option<interference::Running> {
-        let spec = &self.ledger.job(key.serial)?.spec;
-        let class = self.config.classes.iter().find(|class| class.name == spec.class);
-        Some(interference::Running {
-            checkpoints: class.is_some_and(|class| class.checkpoints),
-            class: spec.class.clone(),
-            processors_milli: spec.resources.processors_milli,
-            run: worker::Run { attempt: held.attempt, task: key.task(&self.cell) },
-            since: held.since,
-        })
-    }
-
     fn ready(&self, now: Instant, key: Key, record: &Record) -> Option<Instant> {
         let Record::Over { end, .. } = record else { return None };
         match end {
@@ -400,15 +361,6 @@
         }
     }
 
-    /// Evicts the runs that can write a checkpoint from a worker that will go.
-    fn vacate(&mut self, vm: &Name) {
-        let Some(contact) = self.contacts.get(vm) else { return };
-        let runs = contact.runs.iter().filter_map(|(key, held)| self.running(*key, held));
-        let movable: Vec<task::Id> =
-            runs.filter(|running| running.checkpoints).map(|running| running.run.task).collect();
-        movable.iter().for_each(|task| self.relieve(task, Relief::Evict));
-    }
-
     /// Applies a record, hands it to the writer, and returns its group.
     fn record(&mut self, now: Instant, record: Record) -> u64 {
         let Ok(changes) = self.ledger.apply(&record) else {
--- a/crates/core/src/writer.rs
+++ b/crates/core/src/writer.rs
@@ -2,8 +2,10 @@
 
 use super::*;
 
-/// Shortest time between two commits.
+/// Shortest time between two commits of a cell.
 pub const COMMIT_INTERVAL: Duration = Duration::from_millis(20);
+/// Commits a second of all cells together; with more cells each commits less often.
+pub const COMMITS_PER_SECOND: u32 = 100;
 /// First pause after a commit that failed; it doubles up to `MAX_PAUSE`.
 pub const MIN_PAUSE: Duration = Duration::from_millis(200);
 /// Longest pause after a commit that failed.
@@ -32,6 +34,7 @@
     /// The last group of the snapshot in force.
     head: u64,
     holder: Holder,
+    interval: Duration,
     journal_bytes: usize,
     /// Records of the group that is being collected.
     open: Vec<Record>,
@@ -106,6 +109,7 @@
             pause: MIN_PAUSE,
             random: Pcg64Mcg::seed_from_u64(holder.incarnation),
             holder,
+            interval: COMMIT_INTERVAL,
             resume: Instant::default(),
             snapshot: None,
             step: None,
@@ -149,6 +153,11 @@
         self.next_sequence()
     }
 
+    /// Takes the number of cells that share the key-value service.
+    pub fn pace(&mut self, cells: u32) {
+        self.interval = (Duration::from_secs(1) * cells / COMMITS_PER_SECOND).max(COMMIT_INTERVAL);
+    }
+
     /// Returns the call to make now, if any.
     pub fn poll(&mut self, now: Instant, ledger: &Ledger) -> Option<store::Request> {
         if now < self.resume || self.step.as_ref().is_some_and(|step| step.pending) {
@@ -159,7 +168,7 @@
         }
         let step = self.step.as_mut()?;
         step.pending = true;
-        self.resume = now + COMMIT_INTERVAL;
+        self.resume = now + self.interval;
         if step.kind == Kind::Append && step.doubt && self.faults != Faults::NoReadBack {
             let key = journal::group(&self.cell, self.committed + 1);
             return Some(store::Request::Read(vec![journal::owner(&self.cell), key]));
--- a/crates/core/tests/durable.rs
+++ b/crates/core/tests/durable.rs
@@ -25,6 +25,8 @@
 /// A writer with its key-value service, one transaction a step.
 struct Bench {
     ledger: Ledger,
+    /// Whether `past` is kept.
+    keeps_past: bool,
     now: Instant,
     /// The content after each group.
     past: BTreeMap<u64, Content>,
@@ -44,6 +46,7 @@
         let life = Arc::new(Stage::life().unwrap());
         Self {
             ledger: Ledger::new(life, Content::default()),
+            keeps_past: true,
             now: Instant(0),
             past: BTreeMap::from([(0, Content::default())]),
             store,
@@ -54,7 +57,9 @@
     fn record(&mut self, record: Record) {
         self.ledger.apply(&record).unwrap();
         let sequence = self.writer.push(record);
-        self.past.insert(sequence, self.ledger.content().clone());
+        if self.keeps_past {
+            self.past.insert(sequence, self.ledger.content().clone());
+        }
     }
 
     fn restored(&self) -> Result<Restored, sealed::Error> {
@@ -67,9 +72,14 @@
         Restored::read(&cell_id(), &values, &Arc::new(Stage::life().unwrap()))
     }
 
+    /// Lets time go by, and carries one transaction out, or returns false when there is none.
+    fn pass(&mut self) -> bool {
+        self.now = self.now + writer::COMMIT_INTERVAL;
+        self.step()
+    }
+
     /// Carries one transaction out, or returns false when there is none.
     fn step(&mut self) -> bool {
-        self.now = self.now + writer::COMMIT_INTERVAL;
         let Some(request) = self.writer.poll(self.now, &self.ledger) else { return false };
         let Request::Commit(txn) = request else { panic!("{request:?}") };
         assert!(self.store.apply(self.now, &txn));
@@ -94,7 +104,7 @@
     let mut most_keys = 0;
     for serial in 1..=600 {
         bench.submit(serial, 40);
-        while bench.step() {
+        while bench.pass() {
             let restored = bench.restored().unwrap();
             assert_eq!(restored.content, bench.past[&restored.sequence]);
             assert_eq!(restored.sequence, bench.writer.committed());
@@ -107,12 +117,29 @@
     assert!(bench.store.keys.len() < 300, "{} keys in the end", bench.store.keys.len());
 }
 
+#[test]
+fn all_cells_together_commit_at_most_100_times_a_second() {
+    for cells in [1, 4, 90, 300] {
+        let mut bench = Bench::new();
+        bench.keeps_past = false;
+        bench.writer.pace(cells);
+        let mut commits = 0;
+        for millis in 1..=10_000 {
+            bench.now = Instant::from_millis(millis);
+            bench.submit(millis.into(), 10);
+            commits += u32::from(bench.step());
+        }
+        assert!(commits * cells <= 10 * 100 + cells, "{commits} commits of each of {cells} cells");
+        assert!(commits > 0);
+    }
+}
+
 #[test]
 fn a_value_with_one_flipped_bit_is_refused_by_name() {
     let mut bench = Bench::new();
     for serial in 1..=4 {
         bench.submit(serial, 10);
-        while bench.step() {}
+        while bench.pass() {}
     }
     let keys: Vec<String> =
         bench.store.keys.keys().filter(|k| k.contains("journal")).cloned().collect();
@@ -135,7 +162,7 @@
     let mut bench = Bench::new();
     for serial in 1..=3 {
         bench.submit(serial, 10);
-        while bench.step() {}
+        while bench.pass() {}
     }
     bench.store.keys.remove(&journal::group(&cell_id(), 2));
     let error = bench.restored().unwrap_err().to_string();
