--- a/crates/core/src/partition.rs
+++ b/crates/core/src/partition.rs
@@ -40,30 +40,20 @@
         schedulers.iter().filter(|scheduler| place(**scheduler) < own).count() as u32
     }
 
-    /// Returns the configuration as a cell of `vms` keeps it: with the part of each quota that is the
-    /// cell's part of all VMs, rounded up, so that no cell has to ask another.
+    /// Returns the configuration as a cell of `vms` keeps it: with a part of each quota as large as the
+    /// cell's part of all VMs. The parts of all cells add up to the quota exactly, so that no cell
+    /// has to ask another.
     pub fn narrow(config: &Config, vms: &[config::Vm]) -> Config {
-        let sum = |vms: &[config::Vm]| {
-            vms.iter().fold(Resources::default(), |sum, vm| sum + vm.resources)
-        };
-        let (all, own) = (sum(&config.vms), sum(vms));
-        let part = |quota: u64, own: u64, all: u64| {
-            let scaled = u128::from(quota) * u128::from(own);
-            scaled.div_ceil(u128::from(all.max(1))).min(u128::from(quota)) as u64
-        };
+        let cells = Self::new(config).cells;
+        let before = cells.values().take_while(|cell| cell.first() != vms.first());
+        let before = before.fold(Resources::default(), |sum, cell| sum + total(cell));
+        let (all, through) = (total(&config.vms), before + total(vms));
         let narrow = |team: &config::Team| {
-            let quota = &team.quota;
-            let accelerators =
-                part(quota.accelerators.into(), own.accelerators.into(), all.accelerators.into());
-            let quota = Resources {
-                accelerators: accelerators as u32,
-                memory_mib: part(quota.memory_mib, own.memory_mib, all.memory_mib),
-                processors_milli: part(
-                    quota.processors_milli,
-                    own.processors_milli,
-                    all.processors_milli,
-                ),
-            };
+            let quota = portion(&team.quota, &through, &all).saturating_sub(&portion(
+                &team.quota,
+                &before,
+                &all,
+            ));
             config::Team { quota, ..team.clone() }
         };
         Config { teams: config.teams.iter().map(narrow).collect(), ..config.clone() }
@@ -95,3 +85,25 @@
         }
     }
 }
+
+/// Returns `quota` times `part` over `whole`, rounded down in every dimension.
+fn portion(quota: &Resources, part: &Resources, whole: &Resources) -> Resources {
+    let portion = |quota: u64, part: u64, whole: u64| {
+        (u128::from(quota) * u128::from(part) / u128::from(whole.max(1))) as u64
+    };
+    let accelerators =
+        portion(quota.accelerators.into(), part.accelerators.into(), whole.accelerators.into());
+    Resources {
+        accelerators: accelerators as u32,
+        memory_mib: portion(quota.memory_mib, part.memory_mib, whole.memory_mib),
+        processors_milli: portion(
+            quota.processors_milli,
+            part.processors_milli,
+            whole.processors_milli,
+        ),
+    }
+}
+
+fn total(vms: &[config::Vm]) -> Resources {
+    vms.iter().fold(Resources::default(), |sum, vm| sum + vm.resources)
+}
--- a/crates/core/tests/partition.rs
+++ b/crates/core/tests/partition.rs
@@ -63,14 +63,9 @@
 fn cells_share_a_quota_without_asking_each_other() {
     let config = config(60);
     let partition = Partition::new(&config);
-    let cells = partition.cells.len() as u64;
     let parts = partition.cells.values().map(|vms| Partition::narrow(&config, vms).teams[0].quota);
     let sum = parts.fold(Resources::default(), |sum, part| sum + part);
-    let quota = config.teams[0].quota;
-    assert!(quota.fits(&sum));
-    assert!(sum.processors_milli < quota.processors_milli + cells);
-    assert!(sum.memory_mib < quota.memory_mib + cells);
-    assert!(u64::from(sum.accelerators) < u64::from(quota.accelerators) + cells);
+    assert_eq!(sum, config.teams[0].quota);
 }
 
 #[test]
--- a/crates/core/tests/quota.rs
+++ b/crates/core/tests/quota.rs
@@ -84,3 +84,12 @@
     table.refund(&news, &amount(3));
     assert_eq!(table.used(&news), Resources::default());
 }
+
+#[test]
+fn what_runs_already_is_counted_above_the_quota_and_nothing_more_is_charged() {
+    let mut table = table(&[("news", 4)]);
+    let news = name("news");
+    table.book(&news, &amount(6));
+    let full = Refusal::Full { left: Resources::default(), team: news.clone() };
+    assert_eq!(table.charge(&news, &amount(1)), Err(full));
+}
