Count a worker's measurement once

Cause: owners ask for reports each second and after each batch, and workers tell the same late measurement until they have a newer one; each telling counted as evidence anew. Test: a_measurement_told_again_counts_once.

--- a/crates/core/src/interference_model.rs
+++ b/crates/core/src/interference_model.rs
@@ -59,6 +59,7 @@
     }
 
     /// Takes in a report on `vm` whose measurements are `age` old, and the runs there now.
+    /// Measurements that were taken in before, or are older than these, are ignored.
     pub fn report(
         &mut self,
         now: Instant,
@@ -69,8 +70,9 @@
     ) {
         running.iter().for_each(|running| self.learn_class(&running.class));
         let measured = now - age;
-        for service in &usage.services {
-            self.observe(measured, vm, service);
+        let Some(site) = self.sites.get_mut(vm) else { return };
+        if site.is_news(measured) {
+            usage.services.iter().for_each(|service| self.observe(measured, vm, service));
         }
         let Some(site) = self.sites.get_mut(vm) else { return };
         site.set_runs(running);
--- a/crates/core/src/interference_site.rs
+++ b/crates/core/src/interference_site.rs
@@ -4,6 +4,8 @@
 
 /// Sets of running classes that are remembered for late reports.
 const HISTORY_MAX: usize = 16;
+/// Measurements no further apart are the same, told twice.
+const SAME_MEASUREMENT: Duration = Duration::from_millis(200);
 /// Weight of a new residual in the worker's own mean.
 const RESIDUAL_GAIN: f64 = 0.05;
 
@@ -18,6 +20,8 @@
     history: Vec<(Instant, Vec<f64>)>,
     /// Load of each service, by service number.
     pub(super) loads: BTreeMap<usize, Occupancy>,
+    /// When the newest measurement was made.
+    measured: Option<Instant>,
     /// Mean relative residual of the worker's services.
     pub(super) residual: f64,
     /// Runs in progress, in the order given.
@@ -34,6 +38,7 @@
             evicting: BTreeSet::new(),
             history: Vec::new(),
             loads: BTreeMap::new(),
+            measured: None,
             residual: 0.0,
             runs: Vec::new(),
             steps: BTreeMap::new(),
@@ -49,6 +54,15 @@
         }
     }
 
+    /// Takes note of a measurement, and returns whether it is newer than all before.
+    pub(super) fn is_news(&mut self, measured: Instant) -> bool {
+        if self.measured.is_some_and(|last| measured <= last + SAME_MEASUREMENT) {
+            return false;
+        }
+        self.measured = Some(measured);
+        true
+    }
+
     /// Returns the largest share of the slots of any service that is expected soon.
     pub(super) fn load_ahead(&self) -> f64 {
         self.loads.values().map(Occupancy::ahead).fold(0.0, f64::max)
--- a/crates/core/tests/interference.rs
+++ b/crates/core/tests/interference.rs
@@ -214,3 +214,25 @@
     assert_eq!(started(0.5), None);
     assert_eq!(started(1.0), Some(Advice::Throttle { run: run(0), share_milli: 250 }));
 }
+
+#[test]
+fn a_measurement_told_again_counts_once() {
+    let mut once = Fixture::new(&[("mild", 0.1), ("noisy", 0.8)]);
+    once.reports(3, 0.4);
+    let mut again = Fixture::new(&[("mild", 0.1), ("noisy", 0.8)]);
+    again.reports(3, 0.4);
+    let usage = worker::Usage {
+        services: vec![worker::ServiceUsage {
+            load: 3.2,
+            mean_ms: 900.0,
+            requests: 12,
+            service: name("bulletin"),
+        }],
+        ..worker::Usage::default()
+    };
+    for late in 0..5 {
+        let (now, age) = (again.now + Duration::from_secs(late), LAG + Duration::from_secs(late));
+        again.model.report(now, &name("vm-2"), age, &usage, &[]);
+    }
+    assert_eq!(again.pair("noisy", 0.4).to_bits(), once.pair("noisy", 0.4).to_bits());
+}
