--- a/crates/core/src/partition.rs
+++ b/crates/core/src/partition.rs
@@ -40,6 +40,25 @@
         schedulers.iter().filter(|scheduler| place(**scheduler) < own).count() as u32
     }
 
+    /// Returns the configuration as a cell of `vms` keeps it: with a part of each quota as large as the
+    /// cell's part of all VMs. The parts of all cells add up to the quota exactly, so that no cell
+    /// has to ask another.
+    pub fn narrow(config: &Config, vms: &[config::Vm]) -> Config {
+        let cells = Self::new(config).cells;
+        let before = cells.values().take_while(|cell| cell.first() != vms.first());
+        let before = before.fold(Resources::default(), |sum, cell| sum + total(cell));
+        let (all, through) = (total(&config.vms), before + total(vms));
+        let narrow = |team: &config::Team| {
+            let quota = portion(&team.quota, &through, &all).saturating_sub(&portion(
+                &team.quota,
+                &before,
+                &all,
+            ));
+            config::Team { quota, ..team.clone() }
+        };
+        Config { teams: config.teams.iter().map(narrow).collect(), ..config.clone() }
+    }
+
     fn divide(&mut self, zone: &Name, racks: &BTreeMap<&Name, Vec<&config::Vm>>) {
         let total: usize = racks.values().map(Vec::len).sum();
         let count = match total {
@@ -66,3 +85,25 @@
         }
     }
 }
+
+/// Returns `quota` times `part` over `whole`, rounded down in every dimension.
+fn portion(quota: &Resources, part: &Resources, whole: &Resources) -> Resources {
+    let portion = |quota: u64, part: u64, whole: u64| {
+        (u128::from(quota) * u128::from(part) / u128::from(whole.max(1))) as u64
+    };
+    let accelerators =
+        portion(quota.accelerators.into(), part.accelerators.into(), whole.accelerators.into());
+    Resources {
+        accelerators: accelerators as u32,
+        memory_mib: portion(quota.memory_mib, part.memory_mib, whole.memory_mib),
+        processors_milli: portion(
+            quota.processors_milli,
+            part.processors_milli,
+            whole.processors_milli,
+        ),
+    }
+}
+
+fn total(vms: &[config::Vm]) -> Resources {
+    vms.iter().fold(Resources::default(), |sum, vm| sum + vm.resources)
+}
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -3,14 +3,16 @@
 
 use super::*;
 
-/// Tasks that wait, by team. Teams take turns by the largest share of their quota in use.
+/// Tasks that wait, by team, with the accounts of the teams.
 #[derive(Clone, Debug, Default)]
 pub struct Queue {
+    /// What each team uses of its quota.
+    pub quotas: quota::Table,
     /// Tasks that wait for the end of a back-off.
     delayed: BTreeSet<(Instant, Waiting)>,
-    /// Tasks that wait for room, by team and batch class; no lane is empty.
+    /// Tasks that wait for room, by team and batch class, as many as `quotas` counts; no lane is
+    /// empty.
     lanes: BTreeMap<Name, BTreeMap<Name, BTreeSet<Waiting>>>,
-    quotas: quota::Table,
 }
 
 /// A task that waits.
@@ -26,6 +28,14 @@
     pub team: Name,
 }
 
+impl Waiting {
+    /// Returns a task of `job` as one that waits.
+    pub fn new(key: Key, job: &ledger::Job) -> Self {
+        let (class, team) = (job.spec.class.clone(), job.spec.team.clone());
+        Self { order: job.order, class, key, team }
+    }
+}
+
 /// What waits longer in one pass: whole teams, and batch classes of teams.
 #[derive(Clone, Debug, Default)]
 pub struct Skipped {
@@ -50,11 +60,6 @@
 }
 
 impl Queue {
-    /// Replaces the quotas.
-    pub fn apply(&mut self, teams: &[config::Team]) {
-        self.quotas.apply(teams);
-    }
-
     /// Lets a task wait until `ready`.
     pub fn delay(&mut self, ready: Instant, waiting: Waiting) {
         self.delayed.insert((ready, waiting));
@@ -66,16 +71,6 @@
         self.quotas.order().find_map(|team| self.head(team, skipped))
     }
 
-    /// Counts resources as no longer in use by the team.
-    pub fn give_back(&mut self, team: &Name, resources: &Resources) {
-        self.quotas.refund(team, resources);
-    }
-
-    /// Returns whether the team's quota has room for `resources`.
-    pub fn has_quota(&self, team: &Name, resources: &Resources) -> bool {
-        resources.fits(&self.quotas.left(team))
-    }
-
     /// Moves the tasks whose back-off is over.
     pub fn mature(&mut self, now: Instant) {
         while self.delayed.first().is_some_and(|(ready, _)| *ready <= now) {
@@ -93,11 +88,6 @@
         }
     }
 
-    /// Returns what the team may use at once.
-    pub fn quota(&self, team: &Name) -> Resources {
-        self.quotas.quota(team)
-    }
-
     /// Takes a task that waits for room out.
     pub fn remove(&mut self, waiting: &Waiting) {
         let Some(lanes) = self.lanes.get_mut(&waiting.team) else { return };
@@ -110,11 +100,6 @@
         }
     }
 
-    /// Counts resources as in use by the team.
-    pub fn take(&mut self, team: &Name, resources: &Resources) {
-        self.quotas.occupy(team, resources);
-    }
-
     fn head(&self, team: &Name, skipped: &Skipped) -> Option<&Waiting> {
         if skipped.teams.contains(team) {
             return None;
--- a/crates/core/tests/queue.rs
+++ b/crates/core/tests/queue.rs
@@ -19,7 +19,7 @@
 fn queue(tasks: &[(&str, &str)]) -> Queue {
     let mut queue = Queue::default();
     let team = |team| config::Team { name: name(team), quota: amount(10) };
-    queue.apply(&["news", "shops"].map(team));
+    queue.quotas.apply(&["news", "shops"].map(team));
     for (i, (team, class)) in tasks.iter().enumerate() {
         let key = Key { index: 0, serial: i as u128 };
         queue.push(Waiting { class: name(class), key, order: i as u64, team: name(team) });
@@ -37,7 +37,7 @@
             continue;
         }
         queue.remove(&waiting);
-        queue.take(&waiting.team, &amount(1));
+        queue.quotas.charge(&waiting.team, &amount(1)).unwrap();
         placed.push(waiting.order);
     }
     placed
