--- a/crates/core/benches/policy/scenario.rs
+++ b/crates/core/benches/policy/scenario.rs
@@ -33,17 +33,19 @@
     RackLoss,
     ShiftedInterference,
     TopOfTheHour,
+    ZoneLoss,
 }
 
 impl Scenario {
     /// Every scenario.
-    pub(crate) const ALL: [Self; 7] = [
+    pub(crate) const ALL: [Self; 8] = [
         Self::Calm,
         Self::TopOfTheHour,
         Self::NoisyWave,
         Self::ShiftedInterference,
         Self::FailingWorkers,
         Self::RackLoss,
+        Self::ZoneLoss,
         Self::Overload,
     ];
 
@@ -75,6 +77,7 @@
             Self::RackLoss => "rack-loss",
             Self::ShiftedInterference => "shifted-interference",
             Self::TopOfTheHour => "top-of-the-hour",
+            Self::ZoneLoss => "zone-loss",
         }
     }
 
--- a/crates/core/benches/policy/world.rs
+++ b/crates/core/benches/policy/world.rs
@@ -187,15 +187,15 @@
                 let step = self.vms.len() / failing;
                 (0..failing).for_each(|i| self.vms[i * step].health = vm::Health::Failing);
             }
-            Scenario::RackLoss => self.lose_rack(0),
+            Scenario::RackLoss => self.lose(|vm| vm.rack == 0),
             Scenario::ShiftedInterference => self.truth.shift(),
+            Scenario::ZoneLoss => self.lose(|vm| vm.zone == 0),
             _ => {}
         }
     }
 
-    fn lose_rack(&mut self, rack: usize) {
-        let lost: Vec<usize> =
-            (0..self.vms.len()).filter(|vm| self.vms[*vm].rack == rack).collect();
+    fn lose(&mut self, is_lost: impl Fn(&Vm) -> bool) {
+        let lost: Vec<usize> = (0..self.vms.len()).filter(|vm| is_lost(&self.vms[*vm])).collect();
         for vm in lost {
             self.vms[vm].health = vm::Health::Lost;
             for unit in self.vms[vm].units.clone() {
