--- a/crates/core/src/dispatcher.rs
+++ b/crates/core/src/dispatcher.rs
@@ -225,7 +225,8 @@
     }
 
     fn enqueue(&mut self, key: Key, ready: Option<Instant>) {
-        let Some(waiting) = self.waiting(key) else { return };
+        let Some(job) = self.ledger.job(key.serial) else { return };
+        let waiting = queue::Waiting::new(key, job);
         match ready {
             Some(ready) => self.queue.delay(ready, waiting),
             None => self.queue.push(waiting),
@@ -264,8 +265,8 @@
                 self.enqueue(change.key, ready);
             }
             stage::Action::Withdraw => {
-                if let Some(waiting) = self.waiting(change.key) {
-                    self.queue.remove(&waiting);
+                if let Some(job) = self.ledger.job(change.key.serial) {
+                    self.queue.remove(&queue::Waiting::new(change.key, job));
                 }
             }
         }
@@ -409,12 +410,6 @@
         contact.wake();
     }
 
-    fn waiting(&self, key: Key) -> Option<queue::Waiting> {
-        let job = self.ledger.job(key.serial)?;
-        let (class, team) = (job.spec.class.clone(), job.spec.team.clone());
-        Some(queue::Waiting { order: job.order, class, key, team })
-    }
-
     /// Has a worker forget what is durable, and stop what it should not have.
     fn tidy(&mut self, now: Instant, vm: &Name, report: &worker::Report) {
         let Some(contact) = self.contacts.get(vm) else { return };
--- a/crates/core/tests/queue.rs
+++ b/crates/core/tests/queue.rs
@@ -37,7 +37,7 @@
             continue;
         }
         queue.remove(&waiting);
-        queue.quotas.book(&waiting.team, &amount(1));
+        queue.quotas.charge(&waiting.team, &amount(1)).unwrap();
         placed.push(waiting.order);
     }
     placed
