--- a/crates/cli/src/entries.rs
+++ b/crates/cli/src/entries.rs
@@ -15,6 +15,9 @@
     pub(crate) name: Name,
     /// The revision in force there.
     pub(crate) revision: Option<Revision>,
+    /// The schedulers that it probes.
+    #[serde(default)]
+    pub(crate) schedulers: Vec<Scheduler>,
     /// Whether it serves or leaves.
     pub(crate) state: String,
     /// The VMs that it sends to.
@@ -35,6 +38,19 @@
     pub(crate) owner: Name,
 }
 
+/// A scheduler as an entry hears it.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(crate) struct Scheduler {
+    /// Whether it answered the last probe.
+    pub(crate) heard: bool,
+    /// Whether it takes nothing new.
+    pub(crate) leaving: bool,
+    /// The scheduler.
+    pub(crate) name: Name,
+    /// The revision in force there.
+    pub(crate) revision: Option<Revision>,
+}
+
 /// A VM as an entry uses it.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub(crate) struct Host {
--- a/crates/cli/src/status.rs
+++ b/crates/cli/src/status.rs
@@ -88,6 +88,7 @@
     let answered = rows.iter().filter(|row| row.status.is_some()).count();
     let _ = writeln!(text, "{answered} of {} entries answered", rows.len());
     if detail {
+        text.push_str(&schedulers(rows));
         text.push_str(&cells(rows));
         text.push_str(&vms(rows));
     }
@@ -111,6 +112,28 @@
     text
 }
 
+/// Returns the schedulers, each as the entry that heard the highest revision of it.
+fn schedulers(rows: &[Row]) -> String {
+    let mut newest: BTreeMap<&Name, &entries::Scheduler> = BTreeMap::new();
+    for scheduler in statuses(rows).flat_map(|status| &status.schedulers) {
+        let best = newest.entry(&scheduler.name).or_insert(scheduler);
+        if best.revision < scheduler.revision {
+            *best = scheduler;
+        }
+    }
+    let mut text = format!("\n{:<20} {:>8}  {}\n", "scheduler", "revision", "state");
+    for scheduler in newest.values() {
+        let revision = scheduler.revision.map_or("none".into(), |revision| revision.0.to_string());
+        let state = match scheduler {
+            entries::Scheduler { heard: false, .. } => "not heard",
+            entries::Scheduler { leaving: true, .. } => "leaving",
+            _ => "serving",
+        };
+        let _ = writeln!(text, "{:<20} {revision:>8}  {state}", scheduler.name.as_str());
+    }
+    text
+}
+
 fn statuses<'a>(rows: &'a [Row]) -> impl Iterator<Item = &'a entries::Status> {
     rows.iter().filter_map(|row| row.status.as_ref())
 }
--- a/crates/cli/tests/entries.rs
+++ b/crates/cli/tests/entries.rs
@@ -50,20 +50,22 @@
 }
 
 impl Bench {
-    async fn start(topic: &str) -> Self {
+    /// Starts two entries that know the `schedulers`.
+    async fn start(topic: &str, schedulers: &[settings::Peer]) -> Self {
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(topic);
         fs::create_dir_all(&folder).unwrap();
         fs::write(folder.join("config.jsonc"), CONFIG).unwrap();
-        let names = [name("entry-1"), name("entry-2")];
+        let names = [name("entry-1"), name("entry-2"), name("scheduler-1")];
         let set = keys::Set::generate(&names).unwrap();
         fs::write(folder.join("ca.pem"), &set.authority).unwrap();
         let platform = Platform::start("127.0.0.1:0".parse().unwrap()).await.unwrap();
         let addresses = [free_udp(), free_udp()];
         let mut bench = Self { entries: vec![], folder, platform };
+        for (name, pair) in names.iter().zip(&set.pairs) {
+            fs::write(bench.folder.join(format!("{name}.pem")), &pair.certificate).unwrap();
+            fs::write(bench.folder.join(format!("{name}.key")), &pair.key).unwrap();
+        }
         for own in 0..2 {
-            let path = |end: &str| bench.folder.join(format!("{}.{end}", names[own]));
-            fs::write(path("pem"), &set.pairs[own].certificate).unwrap();
-            fs::write(path("key"), &set.pairs[own].key).unwrap();
             let (other, zone) = (1 - own, name("kigali-1"));
             let peer = settings::Peer {
                 address: addresses[other],
@@ -76,13 +78,9 @@
                 name: names[own].clone(),
                 peers: vec![peer],
                 quic: addresses[own],
-                schedulers: vec![],
+                schedulers: schedulers.to_vec(),
                 store: bench.store(),
-                tls: settings::Tls {
-                    authority: bench.folder.join("ca.pem"),
-                    certificate: path("pem"),
-                    key: path("key"),
-                },
+                tls: bench.tls(&names[own]),
                 vm_list: format!("{}/vms", bench.store()),
                 zone,
             };
@@ -116,14 +114,43 @@
         (printed, output.status.code().unwrap())
     }
 
+    /// Starts the scheduler that the entries know as `peer`.
+    fn schedule(&self, peer: &settings::Peer) {
+        let settings = settings::Scheduler {
+            entries: vec![],
+            metrics: None,
+            name: peer.name.clone(),
+            peers: vec![],
+            quic: peer.address,
+            store: self.store(),
+            tls: self.tls(&peer.name),
+            vm_list: format!("{}/vms", self.store()),
+            zone: peer.zone.clone(),
+        };
+        tokio::spawn(oleanderstage_scheduler::serve(settings, CancellationToken::new()));
+    }
+
+    fn tls(&self, name: &Name) -> settings::Tls {
+        settings::Tls {
+            authority: self.folder.join("ca.pem"),
+            certificate: self.folder.join(format!("{name}.pem")),
+            key: self.folder.join(format!("{name}.key")),
+        }
+    }
+
     fn store(&self) -> String {
         format!("http://{}", self.platform.address())
     }
 }
 
+fn scheduler() -> settings::Peer {
+    let (name, zone) = (name("scheduler-1"), name("kigali-1"));
+    settings::Peer { address: free_udp(), name, zone }
+}
+
 #[tokio::test]
 async fn a_submission_is_in_force_at_all_entries_and_a_drain_takes_one_out() {
-    let bench = Bench::start("entries").await;
+    let bench = Bench::start("entries", &[]).await;
     let submit = "submit config.jsonc --store STORE --submission s-1 --wait ONE --wait TWO";
     let (text, exit) = bench.run(submit).await;
     assert_eq!(exit, 0, "{text}");
@@ -140,15 +167,19 @@
 }
 
 #[tokio::test]
-async fn status_shows_vms_with_the_slots_of_all_entries() {
-    let bench = Bench::start("detail").await;
+async fn status_shows_schedulers_cells_and_vms_over_all_entries() {
+    let peer = scheduler();
+    let bench = Bench::start("detail", std::slice::from_ref(&peer)).await;
+    bench.schedule(&peer);
     fs::write(bench.folder.join("config.jsonc"), CONFIG.replacen('{', HOSTED, 1)).unwrap();
     let submit = "submit config.jsonc --store STORE --wait ONE --wait TWO";
     let (text, exit) = bench.run(submit).await;
     assert_eq!(exit, 0, "{text}");
     let until = tokio::time::Instant::now() + Duration::from_secs(30);
     let mut text = String::new();
-    while !text.trim_end().ends_with("  8") {
+    while !(text.contains("kigali-1.0") && text.trim_end().ends_with("  8"))
+        || text.contains("not heard")
+    {
         assert!(tokio::time::Instant::now() < until, "{text}");
         text = bench.run("status --detail ONE TWO").await.0;
     }
@@ -156,9 +187,18 @@
     bench.platform.stop().await;
 }
 
+#[tokio::test]
+async fn a_scheduler_that_does_not_answer_is_named_by_wait() {
+    let bench = Bench::start("silent", &[scheduler()]).await;
+    let (text, exit) = bench.run("submit config.jsonc --store STORE --wait ONE").await;
+    assert_eq!(exit, 6, "{text}");
+    assert!(text.contains("scheduler `scheduler-1` does not answer"), "{text}");
+    bench.platform.stop().await;
+}
+
 #[tokio::test]
 async fn the_report_counts_refusals_over_both_entries() {
-    let bench = Bench::start("report").await;
+    let bench = Bench::start("report", &[]).await;
     let submit = "submit config.jsonc --store STORE --wait ONE --wait TWO";
     let (text, exit) = bench.run(submit).await;
     assert_eq!(exit, 0, "{text}");
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -73,6 +73,7 @@
 mod run;
 mod server;
 mod service;
+mod signs;
 mod slot;
 mod ticket;
 mod urgent;
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -29,6 +29,8 @@
     pub(crate) pools: Pools,
     pub(crate) schedulers: Vec<Link>,
     pub(crate) settings: settings::Entry,
+    /// What schedulers said last.
+    pub(crate) signs: signs::Signs,
     services: Mutex<BTreeMap<Name, Arc<Service>>>,
 }
 
@@ -66,6 +68,7 @@
             schedulers: settings.schedulers.iter().map(link).collect(),
             services: Mutex::default(),
             settings,
+            signs: signs::Signs::default(),
         }))
     }
 
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -32,9 +32,14 @@
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        if let Ok(Reply::Probe(sign)) = link.call(&Call::Probe(sign(&node)), PROBE_LIMIT).await {
+        let sign = match link.call(&Call::Probe(sign(&node)), PROBE_LIMIT).await {
+            Ok(Reply::Probe(sign)) => Some(sign),
+            _ => None,
+        };
+        if let Some(sign) = &sign {
             node.cells.learn(&link.peer, &sign.cells);
         }
+        node.signs.learn(&link.peer, sign);
     }
 }
 
