--- a/crates/proof/src/load.rs
+++ b/crates/proof/src/load.rs
@@ -51,6 +51,11 @@
         lock(&self.tally).answered
     }
 
+    /// Returns the count of connections lost so far while a request was in progress.
+    pub fn cut(&self) -> u64 {
+        lock(&self.tally).cut
+    }
+
     /// Waits until `more` further answers have come.
     pub async fn grow(&self, more: u64) -> Result<(), Error> {
         let goal = self.answered() + more;
