--- a/crates/core/tests/key_owner.rs
+++ b/crates/core/tests/key_owner.rs
@@ -205,6 +205,47 @@
     insta::assert_snapshot!(session.text);
 }
 
+/// Starts `a` as a new owner that heard from all others. Its own process started last.
+fn heir() -> Session {
+    Session::new(2).entered().at(2_500).collected("b", vec![]).collected("c", vec![]).permits()
+}
+
+/// Returns a key minted at `minted_ms`.
+fn minted(minted_ms: u64) -> Id {
+    Id { hash: opaque().hash, minted_ms: Some(minted_ms) }
+}
+
+#[test]
+fn a_new_owner_answers_unknown_for_keys_that_it_cannot_vouch_for() {
+    const HORIZON_MS: u64 = WALL_MS;
+    let outcome = |at_ms: u64, id: Id, idempotent: bool| {
+        let mut session = heir().at(at_ms).entered();
+        let mut ask = run(id);
+        if let Ask::Run { idempotent: mark, .. } = &mut ask {
+            *mark = idempotent;
+        }
+        match session.owner.answer(session.now(), &ask) {
+            Answer::Permitted(_) => "permitted",
+            Answer::Unvouched => "unknown",
+            Answer::Future => "from the future",
+            _ => "other",
+        }
+    };
+    let lines = [
+        ("minted 10 s after the horizon", outcome(20_000, minted(HORIZON_MS + 10_000), false)),
+        ("minted later", outcome(20_000, minted(HORIZON_MS + 10_001), false)),
+        ("minted before, idempotent", outcome(20_000, minted(HORIZON_MS), true)),
+        ("minted 5 s ahead", outcome(20_000, minted(WALL_MS + 25_000), false)),
+        ("minted further ahead", outcome(20_000, minted(WALL_MS + 25_001), false)),
+        ("minted 10 min ago", outcome(620_000, minted(WALL_MS + 20_000), false)),
+        ("minted a little later", outcome(620_000, minted(WALL_MS + 20_001), false)),
+        ("opaque", outcome(615_000, opaque(), false)),
+        ("opaque, once records are gone", outcome(615_001, opaque(), false)),
+    ];
+    let text: String = lines.iter().map(|(key, told)| format!("{key}: {told}\n")).collect();
+    insta::assert_snapshot!(text);
+}
+
 #[test]
 fn a_permission_that_comes_late_begins_nothing() {
     let begin = |at_ms, sent_ms| {
