--- a/crates/core/src/dispatcher.rs
+++ b/crates/core/src/dispatcher.rs
@@ -4,6 +4,8 @@
 
 #[path = "dispatcher_calls.rs"]
 mod calls;
+#[path = "dispatcher_reliefs.rs"]
+mod reliefs;
 
 /// Tasks that are started in one step.
 pub const MAX_STARTS: usize = 256;
@@ -68,6 +70,7 @@
 
     /// Puts a configuration in force, of which `vms` belong to the cell.
     pub fn configure(&mut self, config: &Config, vms: &[config::Vm]) {
+        self.writer.pace(Partition::new(config).cells.len() as u32);
         let config = Partition::narrow(config, vms);
         self.queue.quotas.apply(&config.teams);
         self.health.apply(vms);
@@ -152,21 +155,6 @@
         self.judge(vm);
     }
 
-    /// Has a run write a checkpoint and stop, or be throttled, for the sake of a service.
-    pub fn relieve(&mut self, task: &task::Id, relief: Relief) {
-        let key = Key { index: task.index, serial: task.job.serial };
-        let Some(vm) = self.ledger.task(key).and_then(|task| task.vm.clone()) else { return };
-        let Some(contact) = self.contacts.get_mut(&vm) else { return };
-        let Some(held) = contact.runs.get_mut(&key) else { return };
-        match relief {
-            Relief::Evict => {
-                held.evict |= self.ledger.shift(key, stage::Event::Evict).is_some();
-            }
-            Relief::Throttle { share_milli } => held.throttle = Some(share_milli),
-        }
-        contact.wake();
-    }
-
     /// Returns whether some worker may still have runs of the previous owner.
     pub fn is_recovering(&self) -> bool {
         self.contacts.values().any(|contact| !contact.is_fenced())
@@ -238,7 +226,7 @@
 
     fn enqueue(&mut self, key: Key, ready: Option<Instant>) {
         let Some(job) = self.ledger.job(key.serial) else { return };
-        let waiting = queue::Waiting { key, order: job.order, team: job.spec.team.clone() };
+        let waiting = queue::Waiting::new(key, job);
         match ready {
             Some(ready) => self.queue.delay(ready, waiting),
             None => self.queue.push(waiting),
@@ -277,8 +265,9 @@
                 self.enqueue(change.key, ready);
             }
             stage::Action::Withdraw => {
-                let order = self.ledger.job(change.key.serial).map_or(0, |job| job.order);
-                self.queue.remove(&queue::Waiting { key: change.key, order, team });
+                if let Some(job) = self.ledger.job(change.key.serial) {
+                    self.queue.remove(&queue::Waiting::new(change.key, job));
+                }
             }
         }
     }
@@ -308,28 +297,27 @@
     }
 
     fn place_all(&mut self, now: Instant) {
-        let mut skipped = BTreeSet::new();
+        let mut skipped = queue::Skipped::default();
         for _ in 0..MAX_STARTS {
             let Some(waiting) = self.queue.first(&skipped).cloned() else { return };
-            if !self.place(now, &waiting) {
-                skipped.insert(waiting.team);
-            }
+            self.place(now, &waiting, &mut skipped);
         }
     }
 
-    /// Places a task, or returns false if its team has to wait.
-    fn place(&mut self, now: Instant, waiting: &queue::Waiting) -> bool {
+    /// Places a task, or notes who has to wait: its team for its quota, its batch class for room.
+    fn place(&mut self, now: Instant, waiting: &queue::Waiting, skipped: &mut queue::Skipped) {
         let key = waiting.key;
         let stage = self.ledger.task(key).map(|task| task.stage);
         let Some(demand) =
             demand(&self.cell, &self.ledger, key).filter(|_| stage == Some(Stage::Queued))
         else {
             self.queue.remove(waiting);
-            return true;
+            return;
         };
         if let Err(refusal) = self.queue.quotas.charge(&demand.team, &demand.resources) {
             self.waits.insert(key.serial, refusal.to_string());
-            return false;
+            skipped.insert_team(waiting);
+            return;
         }
         let (contacts, health) = (&self.contacts, &self.health);
         let busy = |vm: &Name| contacts.get(vm).is_some_and(|contact| !contact.runs.is_empty());
@@ -339,7 +327,7 @@
             Err(placement::Refusal::NoRoom) => {
                 self.queue.quotas.refund(&demand.team, &demand.resources);
                 self.waits.insert(key.serial, placement::Refusal::NoRoom.to_string());
-                return false;
+                skipped.insert_class(waiting);
             }
             Err(refusal) => {
                 self.queue.quotas.refund(&demand.team, &demand.resources);
@@ -347,7 +335,6 @@
                 self.record(now, Record::Fail { reason, serial: key.serial });
             }
         }
-        true
     }
 
     fn place_of(&self, vm: &config::Vm) -> placement::Worker {
@@ -360,33 +347,6 @@
         }
     }
 
-    /// Lets the runs on a worker make room for its services, as a report advises.
-    fn protect(&mut self, now: Instant, vm: &Name, report: &worker::Report) {
-        let Some(contact) = self.contacts.get(vm) else { return };
-        let runs = contact.runs.iter().filter(|(_, held)| held.sent);
-        let running: Vec<interference::Running> =
-            runs.filter_map(|(key, held)| self.running(*key, held)).collect();
-        let orders = self.health.report(now, vm, report, &running);
-        for (run, relief) in orders.reliefs {
-            self.relieve(&run.task, relief);
-        }
-        if let Some(contact) = self.contacts.get_mut(vm) {
-            contact.held = orders.hold;
-        }
-    }
-
-    fn running(&self, key: Key, held: &contact::Held) -> Option<interference::Running> {
-        let spec = &self.ledger.job(key.serial)?.spec;
-        let class = self.config.classes.iter().find(|class| class.name == spec.class);
-        Some(interference::Running {
-            checkpoints: class.is_some_and(|class| class.checkpoints),
-            class: spec.class.clone(),
-            processors_milli: spec.resources.processors_milli,
-            run: worker::Run { attempt: held.attempt, task: key.task(&self.cell) },
-            since: held.since,
-        })
-    }
-
     fn ready(&self, now: Instant, key: Key, record: &Record) -> Option<Instant> {
         let Record::Over { end, .. } = record else { return None };
         match end {
@@ -400,15 +360,6 @@
         }
     }
 
-    /// Evicts the runs that can write a checkpoint from a worker that will go.
-    fn vacate(&mut self, vm: &Name) {
-        let Some(contact) = self.contacts.get(vm) else { return };
-        let runs = contact.runs.iter().filter_map(|(key, held)| self.running(*key, held));
-        let movable: Vec<task::Id> =
-            runs.filter(|running| running.checkpoints).map(|running| running.run.task).collect();
-        movable.iter().for_each(|task| self.relieve(task, Relief::Evict));
-    }
-
     /// Applies a record, hands it to the writer, and returns its group.
     fn record(&mut self, now: Instant, record: Record) -> u64 {
         let Ok(changes) = self.ledger.apply(&record) else {
--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -15,10 +15,12 @@
 /// What `GET /status` shows.
 #[derive(Serialize)]
 struct Status {
-    cells: Vec<cell::Id>,
+    cells: Vec<cells::Page>,
     name: Name,
     revision: Option<config::Revision>,
+    schedulers: Vec<signs::Page>,
     state: oleanderstage_core::drain::State,
+    vms: Vec<hosts::Page>,
     zone: Name,
 }
 
@@ -83,10 +85,12 @@
 
     fn status(&self, response: &mut Response) {
         let status = Status {
-            cells: self.node.cells.known(),
+            cells: self.node.cells.pages(),
             name: self.node.settings.name.clone(),
             revision: self.node.follower.current().map(|current| current.revision),
+            schedulers: self.node.signs.pages(),
             state: self.node.drain.state(),
+            vms: self.node.hosts.pages(),
             zone: self.node.settings.zone.clone(),
         };
         write_json(StatusCode::OK, serde_json::to_vec(&status).unwrap_or_default(), response);
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -29,6 +29,8 @@
     pub(crate) pools: Pools,
     pub(crate) schedulers: Vec<Link>,
     pub(crate) settings: settings::Entry,
+    /// What schedulers said last.
+    pub(crate) signs: signs::Signs,
     services: Mutex<BTreeMap<Name, Arc<Service>>>,
 }
 
@@ -66,11 +68,18 @@
             schedulers: settings.schedulers.iter().map(link).collect(),
             services: Mutex::default(),
             settings,
+            signs: signs::Signs::default(),
         }))
     }
 
     /// Counts an answer passed on whole.
-    pub(crate) fn answered(&self, service: &Name, latency: Duration, in_time: bool) {
+    pub(crate) fn answered(
+        &self,
+        service: &Name,
+        vm: Option<&Name>,
+        latency: Duration,
+        in_time: bool,
+    ) {
         let cause = match in_time {
             true => counters::Cause::Answered,
             false => counters::Cause::AnsweredLate,
@@ -78,7 +87,8 @@
         self.counters.count(service, cause);
         if let Some(service) = self.service(service) {
             let objective = &service.config.objective;
-            self.counters.answered(self.clock.now(), &service.config.name, latency, objective);
+            let (now, name) = (self.clock.now(), &service.config.name);
+            self.counters.answered(now, name, vm, latency, objective);
         }
         let metric = format!("service.{service}.latency");
         let _ = self.metrics.time(&metric, latency.as_millis() as u64);
