Tell a refused caller the mean latency without a look at every endpoint

The wait was the mean over all endpoints, computed at each refusal: linear in the fleet on the path that overload takes. The table now keeps one moving mean.

--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -56,6 +56,8 @@
     /// Ends of pauses and ejections, soonest first.
     due: BTreeSet<(Instant, Name)>,
     ejected: usize,
+    /// Moving mean of all endpoints' latency, in microseconds; 0 before the first answer.
+    mean: u64,
     random: Pcg64Mcg,
     /// Candidates that a choice has looked at, over the table's life.
     examined: u64,
@@ -77,6 +79,7 @@
             due: BTreeSet::new(),
             ejected: 0,
             examined: 0,
+            mean: 0,
             random: Pcg64Mcg::seed_from_u64(seed),
             targets: BTreeMap::new(),
             zone,
@@ -111,9 +114,7 @@
 
     /// Returns when a slot may come free, for a refusal's `Retry-After`.
     pub fn expected_wait(&self) -> Duration {
-        let means: Vec<u64> = self.targets.values().filter_map(Target::mean_micros).collect();
-        let mean = means.iter().sum::<u64>() / means.len().max(1) as u64;
-        Duration::from_micros(mean)
+        Duration::from_micros(self.mean)
     }
 
     /// Gives `vm` nothing new from now on, until it is listed anew.
@@ -152,7 +153,10 @@
         let Some(target) = self.targets.get_mut(vm) else { return };
         target.outstanding = target.outstanding.saturating_sub(1);
         match end {
-            End::Answered { latency } => target.answered(latency),
+            End::Answered { latency } => {
+                self.mean = target::moving_mean(Some(self.mean).filter(|mean| *mean > 0), latency);
+                target.answered(latency);
+            }
             End::Cancelled => {}
             End::Failed | End::Lost => {
                 target.failures += 1;
--- a/crates/core/src/target.rs
+++ b/crates/core/src/target.rs
@@ -49,11 +49,7 @@
     }
 
     pub(crate) fn answered(&mut self, latency: Duration) {
-        let sample = latency.as_micros() as u64;
-        self.mean = Some(match self.mean {
-            Some(mean) => mean - mean / MEAN_PARTS + sample / MEAN_PARTS,
-            None => sample,
-        });
+        self.mean = Some(moving_mean(self.mean, latency));
         self.ejections = 0;
         self.failures = 0;
     }
@@ -64,10 +60,6 @@
         self.mean.map(|mean| mean * (slots + u64::from(self.outstanding)) / slots)
     }
 
-    pub(crate) fn mean_micros(&self) -> Option<u64> {
-        self.mean
-    }
-
     pub(crate) fn revise(&mut self, endpoint: &route::Endpoint) {
         self.slots = endpoint.slots.min(endpoint.connections);
     }
@@ -88,3 +80,9 @@
         !self.leaving && !paused && self.outstanding < self.slots
     }
 }
+
+/// Returns the mean after one more latency, in microseconds.
+pub(crate) fn moving_mean(mean: Option<u64>, latency: Duration) -> u64 {
+    let sample = latency.as_micros() as u64;
+    mean.map_or(sample, |mean| mean - mean / MEAN_PARTS + sample / MEAN_PARTS)
+}
--- a/crates/core/tests/urgent.rs
+++ b/crates/core/tests/urgent.rs
@@ -221,3 +221,14 @@
     assert!(shrunk < 50, "{shrunk}");
     assert_eq!(serve(10, 6_400), 100);
 }
+
+#[test]
+fn a_refusal_is_told_the_mean_latency_as_its_wait() {
+    let mut table = table(&fleet(4));
+    assert_eq!(table.expected_wait(), Duration::ZERO);
+    for millis in [80, 80, 160] {
+        let vm = table.pick(Instant(0), &[]).unwrap();
+        table.end(Instant(0), &vm, End::Answered { latency: Duration::from_millis(millis) });
+    }
+    assert_eq!(table.expected_wait(), Duration::from_millis(90));
+}
