--- a/crates/core/tests/batch_invariants.rs
+++ b/crates/core/tests/batch_invariants.rs
@@ -20,7 +20,7 @@
 const SESSION: Duration = Duration::from_secs(240);
 const SETTLED: Duration = Duration::from_secs(1_200);
 /// Sessions of one run in CI.
-const COUNT: u64 = 40;
+const COUNT: u64 = 150;
 const SEED: u64 = 11;
 /// Sessions in which a fault has to be found.
 const MUTANT_COUNT: u64 = 200;
