--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -10,7 +10,8 @@
     pub quotas: quota::Table,
     /// Tasks that wait for the end of a back-off.
     delayed: BTreeSet<(Instant, Waiting)>,
-    /// Tasks that wait for room, by team and batch class; no lane is empty.
+    /// Tasks that wait for room, by team and batch class, as many as `quotas` counts; no lane is
+    /// empty.
     lanes: BTreeMap<Name, BTreeMap<Name, BTreeSet<Waiting>>>,
 }
 
@@ -27,6 +28,14 @@
     pub team: Name,
 }
 
+impl Waiting {
+    /// Returns a task of `job` as one that waits.
+    pub fn new(key: Key, job: &ledger::Job) -> Self {
+        let (class, team) = (job.spec.class.clone(), job.spec.team.clone());
+        Self { order: job.order, class, key, team }
+    }
+}
+
 /// What waits longer in one pass: whole teams, and batch classes of teams.
 #[derive(Clone, Debug, Default)]
 pub struct Skipped {
