--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -10,7 +10,8 @@
     pub quotas: quota::Table,
     /// Tasks that wait for the end of a back-off.
     delayed: BTreeSet<(Instant, Waiting)>,
-    /// Tasks that wait for room, by team and batch class; no lane is empty.
+    /// Tasks that wait for room, by team and batch class, as many as `quotas` counts; no lane is
+    /// empty.
     lanes: BTreeMap<Name, BTreeMap<Name, BTreeSet<Waiting>>>,
 }
 
