Let a leaving owner of keys wait for another entry to join

An entry that left while it was the only member of the map had left at once, with every partition: the next owners took them over as lost, and told fresh keys that are not idempotent `unknown`. The new test fails without this.

--- a/crates/core/src/key_owner.rs
+++ b/crates/core/src/key_owner.rs
@@ -14,7 +14,7 @@
     key_call::{Answer, Ask},
     key_census::Census,
     key_event::{Action, Change, Event, Reading},
-    key_map::{Map, Member},
+    key_map::{Map, Member, Part},
     key_record::{End, Grant, Record, Table},
     key_tenure::Tenure,
     key_tenures::Tenures,
@@ -113,10 +113,12 @@
         self.census.list(now, map, names);
     }
 
-    /// Returns whether nothing is left to be handed over.
+    /// Returns whether nothing is left to be handed over. An owner without other members waits for
+    /// one to join; how long, and whether one can, is for the caller to know.
     pub fn has_left(&self) -> bool {
-        let alone = self.map().is_none_or(|map| map.members.len() <= 1);
-        self.leaving && (alone || self.tenures.are_handed_over())
+        let mine = |part: &Part| part.owner.as_ref() == Some(&self.me);
+        let owns = self.map().is_some_and(|map| map.parts.iter().any(mine));
+        self.leaving && !owns && self.tenures.are_handed_over()
     }
 
     /// Returns whether this process may rely on owning its partitions now.
--- a/crates/core/tests/key_owner.rs
+++ b/crates/core/tests/key_owner.rs
@@ -295,3 +295,16 @@
     assert_eq!(machine.state(), State::Over);
     insta::assert_snapshot!(text);
 }
+
+#[test]
+fn an_owner_without_other_members_has_not_left_while_it_owns_partitions() {
+    let mut session = Session::new(1);
+    session.map.members = BTreeSet::from([member("a")]);
+    let mut session = session.read(&["a"]);
+    session.owner.leave();
+    assert!(!session.owner.has_left());
+    session.map.members.insert(member("b"));
+    session.map.parts.iter_mut().for_each(|part| part.owner = Some(member("b")));
+    let session = session.read(&["a", "b"]);
+    assert!(session.owner.has_left());
+}
--- a/crates/entry/src/keys.rs
+++ b/crates/entry/src/keys.rs
@@ -204,7 +204,8 @@
             tokio::time::sleep(TICK).await;
         }
     };
-    if tokio::time::timeout(HANDOVER_LIMIT, handed_over).await.is_err() {
+    let limit = if keys.peers.is_empty() { Duration::ZERO } else { HANDOVER_LIMIT };
+    if tokio::time::timeout(limit, handed_over).await.is_err() && !limit.is_zero() {
         log::warn!("keys_not_handed_over");
     }
     let lease = lock(&keys.lease).take();
