Go on answering for a while after an entry's keys are handed over

An entry that left counted its records as told when it had made the answer, and closed its connections within 50 ms of that; a new owner that never got the answer collected from the others instead, and called fresh keys unvouched. It now answers for 1.5 s more, longer than a repeated question takes. Changes of the map are told in the log, which showed the order of events.

--- a/crates/entry/src/keys.rs
+++ b/crates/entry/src/keys.rs
@@ -31,6 +31,9 @@
 pub(crate) const CALL_LIMIT: Duration = Duration::from_millis(700);
 /// How often a run that was permitted is looked for until it begins.
 const BEGIN_POLL: Duration = Duration::from_millis(20);
+/// How long an entry that has told its records goes on answering: a new owner whose answer was lost
+/// asks again after `ASK_INTERVAL`, and may take `CALL_LIMIT`.
+const FAREWELL: Duration = Duration::from_millis(1_500);
 /// How long an entry that leaves waits for its partitions to be taken over.
 const HANDOVER_LIMIT: Duration = Duration::from_secs(8);
 
@@ -46,6 +49,8 @@
     /// Ends of the runs in progress here.
     runs: Mutex<BTreeMap<key::Id, watch::Receiver<Option<End>>>>,
     store: store::Client,
+    /// Version of the map that was last told in the log.
+    version: AtomicU64,
 }
 
 impl Keys {
@@ -58,9 +63,22 @@
             runs: Mutex::default(),
             store,
             tasks: TaskTracker::new(),
+            version: AtomicU64::new(0),
         }
     }
 
+    /// Tells a change of the map in the log.
+    fn tell(&self, map: Option<&Map>) {
+        let Some(map) = map else { return };
+        if self.version.swap(map.version, Ordering::Relaxed) == map.version {
+            return;
+        }
+        let members: Vec<String> = map.members.iter().map(Member::to_string).collect();
+        let members = members.join(" ");
+        let owned = map.parts.iter().filter(|part| part.owner.is_some()).count();
+        log::info!(members = members, owned = owned, version = map.version; "key_map_changed");
+    }
+
     /// Answers a question of a peer, or of this entry itself.
     pub(crate) fn answer(&self, now: Now, ask: &Ask) -> Answer {
         lock(&self.owner).answer(now, ask)
@@ -204,9 +222,11 @@
             tokio::time::sleep(TICK).await;
         }
     };
-    let limit = if keys.peers.is_empty() { Duration::ZERO } else { HANDOVER_LIMIT };
-    if tokio::time::timeout(limit, handed_over).await.is_err() && !limit.is_zero() {
-        log::warn!("keys_not_handed_over");
+    if !keys.peers.is_empty() {
+        match tokio::time::timeout(HANDOVER_LIMIT, handed_over).await {
+            Ok(()) => tokio::time::sleep(FAREWELL).await,
+            Err(_) => log::warn!("keys_not_handed_over"),
+        }
     }
     let lease = lock(&keys.lease).take();
     if let Some(lease) = lease
@@ -228,7 +248,11 @@
             let succeeded = commit(&node.keys, change).await;
             key_event::Event::Committed { enter, sent, succeeded }
         }
-        key_event::Action::Read => key_event::Event::Read(read(&node.keys).await),
+        key_event::Action::Read => {
+            let reading = read(&node.keys).await;
+            node.keys.tell(reading.as_ref().and_then(|reading| reading.map.as_ref()));
+            key_event::Event::Read(reading)
+        }
         key_event::Action::Renew => {
             key_event::Event::Renewed { sent, succeeded: renew(&node.keys).await }
         }
