--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -5,6 +5,7 @@
     jobs::Verb,
     node::Node,
     refusal::{Reason, Refusal},
+    reqwest::{Version, header::CONNECTION},
 };
 
 /// Passes each request to the part that answers it.
@@ -56,10 +57,19 @@
             ("POST", ["drain"]) => self.drain(response),
             (method, _) => no_such(method, &path, response),
         }
+        self.close_if_leaving(request.version(), response);
     }
 }
 
 impl Front {
+    /// Tells a caller on HTTP/1 to use another connection, so that none sends a request into the end
+    /// of a drain; HTTP/2 has its own farewell.
+    fn close_if_leaving(&self, version: Version, response: &mut Response) {
+        if version <= Version::HTTP_11 && !self.node.drain.state().is_healthy() {
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+    }
+
     fn drain(&self, response: &mut Response) {
         self.node.drain.tell();
         write_json(StatusCode::ACCEPTED, b"{}".to_vec(), response);
--- a/crates/entry/tests/drain.rs
+++ b/crates/entry/tests/drain.rs
@@ -15,6 +15,8 @@
     assert_eq!(got.status, 202);
     let health = send(bench.http.get(bench.url(0, "/health"))).await;
     assert_eq!(health.status, 503);
+    let health = bench.http.get(bench.url(0, "/health")).send().await.unwrap();
+    assert_eq!(health.headers().get("connection").unwrap(), "close");
     let during = send(bench.post(0, "/services/site/a", "")).await;
     assert_eq!(during.outcome, "answered", "requests are taken during the grace");
     let mut running = bench.entries.remove(0);
