--- a/crates/scheduler/src/run.rs
+++ b/crates/scheduler/src/run.rs
@@ -29,6 +29,7 @@
     let settings: settings::Scheduler =
         settings::read(&arguments.settings).map_err(|error| *error)?;
     if arguments.check {
+        println!("`{}` is in order", arguments.settings.display());
         return Ok(());
     }
     let _logs = oleanderstage_telemetry::logs::start().into_diagnostic()?;
--- a/crates/wire/tests/calls.rs
+++ b/crates/wire/tests/calls.rs
@@ -3,8 +3,10 @@
 #![allow(clippy::unwrap_used)]
 
 use {
-    oleanderstage_core::{Name, config::Revision},
-    oleanderstage_wire::{Call, Identity, Listener, Reply, error::Step, keys},
+    oleanderstage_core::{Name, Resources, config::Revision, job},
+    oleanderstage_wire::{
+        Call, Identity, Listener, Reply, codec::MAX_FRAME_BYTES, error::Step, keys,
+    },
     std::{fs, path::PathBuf, time::Duration},
 };
 
@@ -65,3 +67,26 @@
         .unwrap_err();
     assert_eq!(error.step, Step::Connect);
 }
+
+#[tokio::test]
+async fn a_frame_above_the_limit_is_named_and_not_sent_and_the_link_goes_on() {
+    let set = keys::Set::generate(&[name("a"), name("b")]).unwrap();
+    let (_server, address) = serve(&identity("limit", &set, 0, "a"));
+    let client =
+        Listener::bind("127.0.0.1:0".parse().unwrap(), &identity("limit", &set, 1, "b")).unwrap();
+    let link = client.link(&name("a"), address);
+    let spec = job::Spec {
+        class: name("render"),
+        payload: "x".repeat(MAX_FRAME_BYTES),
+        resources: Resources { accelerators: 0, memory_mib: 1, processors_milli: 1 },
+        run_ms: 1,
+        tasks: 1,
+        team: name("news"),
+    };
+    let id = "zone-1.0.1".parse().unwrap();
+    let error = link.call(&Call::Submit { id, spec }, LIMIT).await.unwrap_err();
+    assert_eq!(error.step, Step::Code);
+    assert!(error.to_string().contains("above the limit of 2097152"), "{error}");
+    let reply = link.call(&Call::Config { have: Revision(1) }, LIMIT).await.unwrap();
+    assert_eq!(reply, Reply::Done);
+}
