--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -167,11 +167,6 @@
         self.refresh(now, vm);
     }
 
-    /// Returns the requests in progress at `vm`.
-    pub fn outstanding(&self, vm: &Name) -> u32 {
-        self.targets.get(vm).map_or(0, |target| target.outstanding)
-    }
-
     fn eject(&mut self, now: Instant, vm: &Name) {
         let bound = (self.targets.len() * EJECT_SHARE_PERCENT / 100).max(1);
         let Some(target) = self.targets.get_mut(vm) else { return };
