Serve jobs on the users' platform: adapter, cells, and a program for their VMs

The whole path, thin: settings, store, configuration, discovery, cells under leases, group commits, runs.

--- /dev/null
+++ b/crates/fleet/src/admission.rs
@@ -0,0 +1,90 @@
+//! Chooses the cell of a new job. Answers bursts of wide jobs at many fronts at once, each of which
+//! knows the cells only as they were a moment ago: what this front has sent since counts too.
+
+use super::*;
+
+/// The cells as their owners last told, and what this front has sent since.
+#[derive(Debug, Default)]
+pub struct Board {
+    cells: BTreeMap<u32, Seen>,
+}
+
+#[derive(Debug, Default)]
+struct Seen {
+    head: Head,
+    revision: u64,
+    /// Processors that jobs sent since reserve, in thousandths of a core.
+    sent_milli: u64,
+    /// Core-milliseconds of jobs sent since, by priority.
+    sent_work: BTreeMap<u32, u64>,
+}
+
+/// What a job asks of a cell.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Demand {
+    /// Its queue's priority.
+    pub priority: u32,
+    /// Processors that its widest step reserves, in thousandths of a core.
+    pub reserved_milli: u64,
+    /// Its work, in core-milliseconds by the estimates.
+    pub work: u64,
+}
+
+/// How long a job waits for reserved processors that are in use, in milliseconds: about the time
+/// that a short task holds them.
+const RESERVED_WAIT_MS: u64 = 1_000;
+
+impl Demand {
+    /// Returns what a submission to a queue asks for.
+    pub fn new(submission: &Submission, queue: &Queue) -> Self {
+        let work = |step: &Step| {
+            u64::from(step.count) * step.estimate_ms * step.resources.processors_milli / 1_000
+        };
+        let reserved = |step: &Step| u64::from(step.count) * step.reserved().processors_milli;
+        Self {
+            priority: queue.priority,
+            reserved_milli: submission.steps.iter().map(reserved).max().unwrap_or(0),
+            work: submission.steps.iter().filter(|step| !step.lasting).map(work).sum(),
+        }
+    }
+}
+
+impl Board {
+    /// Takes in a cell's head.
+    pub fn observe(&mut self, head: Head, revision: u64) {
+        let seen = self.cells.entry(head.cell).or_default();
+        if revision <= seen.revision {
+            return;
+        }
+        *seen = Seen { head, revision, ..Seen::default() };
+    }
+
+    /// Returns the jobs without a started task in a queue.
+    pub fn pending(&self, queue: &str) -> u64 {
+        self.cells.values().filter_map(|seen| seen.head.pending.get(queue)).sum()
+    }
+
+    /// Chooses the cell that serves the job soonest, and counts the job there.
+    pub fn choose(&mut self, demand: Demand) -> Option<u32> {
+        let (&cell, seen) = self
+            .cells
+            .iter_mut()
+            .filter(|(_, seen)| seen.head.total_milli > 0)
+            .min_by_key(|(cell, seen)| (seen.wait_ms(demand), **cell))?;
+        seen.sent_milli += demand.reserved_milli;
+        *seen.sent_work.entry(demand.priority).or_default() += demand.work;
+        Some(cell)
+    }
+}
+
+impl Seen {
+    /// Returns how long a job is likely to wait, in milliseconds.
+    fn wait_ms(&self, demand: Demand) -> u64 {
+        let ahead = |work: &BTreeMap<u32, u64>| work.range(..=demand.priority).map(|(_, w)| w).sum();
+        let backlog: u64 = ahead(&self.head.backlog);
+        let sent: u64 = ahead(&self.sent_work);
+        let total = self.head.total_milli.max(1);
+        let short = (self.sent_milli + demand.reserved_milli).saturating_sub(self.head.free_milli);
+        (backlog + sent + demand.work) * 1_000 / total + short * RESERVED_WAIT_MS / total
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/cell_record.rs
@@ -0,0 +1,192 @@
+//! Group commits of a cell's records. Answers many ends a second under a store that takes few
+//! writes, and stores that lose answers: the head makes each commit happen once, and in order.
+
+use {super::*, action::Report, event::Outcome};
+
+/// Entries that one transaction takes.
+const ENTRIES: usize = 32;
+/// The shortest time between commits of progress, in milliseconds: groups ends into one write.
+const GROUP_MS: u64 = 15;
+/// Between heads that only tell the load, in milliseconds.
+const LOAD_MS: u64 = 500;
+/// Before a commit that the store refused or did not answer is sent again, in milliseconds.
+const AGAIN_MS: u64 = 150;
+
+/// A commit under way.
+#[derive(Debug)]
+pub(crate) struct Pending {
+    commit: Commit,
+    /// Changes up to this count are in it.
+    covers: u64,
+    /// When it is sent again; `None` while an answer is awaited.
+    again_at: Option<u64>,
+}
+
+impl Cell {
+    /// Sends the next commit when one is due.
+    pub(crate) fn record(&mut self, clock: Clock) {
+        if let Some(pending) = &mut self.commit {
+            if pending.again_at.is_some_and(|at| at <= clock.now) {
+                pending.again_at = None;
+                self.actions.push(Action::Commit(Box::new(pending.commit.clone())));
+            }
+            return;
+        }
+        let age = clock.now.saturating_sub(self.committed_at);
+        if age < GROUP_MS || (self.dirty.is_empty() && (age < LOAD_MS || self.leaving)) {
+            return;
+        }
+        let (commit, whole) = self.build();
+        let same_load = self.dirty.is_empty() && Self::same_load(&commit.head, &self.head);
+        if commit.entries() == 2 && same_load {
+            self.committed_at = clock.now;
+            return;
+        }
+        let covers = if whole { self.changes } else { self.durable };
+        self.actions.push(Action::Commit(Box::new(commit.clone())));
+        self.commit = Some(Pending { commit, covers, again_at: None });
+    }
+
+    fn same_load(left: &Head, right: &Head) -> bool {
+        left.free_milli == right.free_milli
+            && left.backlog == right.backlog
+            && left.pending == right.pending
+    }
+
+    /// Builds a commit of as many changed jobs as fit; returns whether all did.
+    fn build(&mut self) -> (Commit, bool) {
+        let mut commit = Commit {
+            expected: Vec::new(),
+            head: self.next_head(),
+            head_revision: self.head_revision,
+            progress: Vec::new(),
+            removed: Vec::new(),
+            tickets: Vec::new(),
+        };
+        let ids: Vec<job::Id> = self.dirty.iter().copied().collect();
+        for id in ids {
+            let Some(job) = self.jobs.get(&id) else {
+                self.dirty.remove(&id);
+                continue;
+            };
+            let mut next = commit.clone();
+            add(&mut next, id, job, self.head_cell());
+            if next.entries() > ENTRIES {
+                return (commit, false);
+            }
+            commit = next;
+            self.dirty.remove(&id);
+        }
+        (commit, true)
+    }
+
+    fn head_cell(&self) -> u32 {
+        self.head.cell
+    }
+
+    fn next_head(&self) -> Head {
+        let mut head = Head {
+            backlog: BTreeMap::new(),
+            cell: self.head.cell,
+            free_milli: 0,
+            generation: self.head.generation,
+            owner: self.head.owner.clone(),
+            pending: BTreeMap::new(),
+            sequence: self.head.sequence + 1,
+            total_milli: 0,
+        };
+        for worker in self.workers.values().filter(|worker| worker.fenced && worker.missed == 0) {
+            head.free_milli += worker.room().processors_milli;
+            head.total_milli += worker.capacity().processors_milli;
+        }
+        for job in self.jobs.values().filter(|job| job.outcome.is_none()) {
+            *head.backlog.entry(job.queue.priority).or_default() += job.work_left();
+            if !job.begun {
+                *head.pending.entry(job.queue.name.clone()).or_default() += 1;
+            }
+        }
+        head
+    }
+
+    pub(crate) fn committed(&mut self, clock: Clock, outcome: Outcome) {
+        let Some(mut pending) = self.commit.take() else { return };
+        match outcome {
+            Outcome::Committed(revision) => self.apply(clock, &pending, revision),
+            Outcome::Conflict(tickets) => {
+                self.dirty.extend(pending.commit.progress.iter().map(|(id, _)| *id));
+                self.dirty.extend(pending.commit.removed.iter().copied());
+                self.dirty.extend(pending.commit.tickets.iter().map(|(id, _)| *id));
+                for (id, revision, ticket) in tickets {
+                    self.conflicting(clock, id, revision, ticket.as_ref());
+                }
+            }
+            Outcome::Lost => self.lose(),
+            Outcome::Refused | Outcome::Unknown => {
+                pending.again_at = Some(clock.now + AGAIN_MS);
+                self.commit = Some(pending);
+            }
+        }
+    }
+
+    fn apply(&mut self, clock: Clock, pending: &Pending, revision: u64) {
+        let commit = &pending.commit;
+        self.committed_at = clock.now;
+        self.durable = self.durable.max(pending.covers);
+        self.head = commit.head.clone();
+        self.head_revision = revision;
+        for (id, ticket) in &commit.tickets {
+            if let Some(job) = self.jobs.get_mut(id) {
+                job.ticket = ticket.state;
+                job.ticket_revision = revision;
+            }
+        }
+        for id in &commit.removed {
+            let Some(job) = self.jobs.remove(id) else { continue };
+            let after_ms = clock.unix.saturating_sub(job.accepted_at_ms);
+            let state = job.outcome.unwrap_or(State::Completed);
+            self.report(Report::JobOver { job: *id, state, after_ms });
+        }
+    }
+
+    /// Takes in a ticket that is not as this owner left it: its caller cancelled the job.
+    fn conflicting(
+        &mut self,
+        clock: Clock,
+        id: job::Id,
+        revision: u64,
+        ticket: Option<&Ticket>,
+    ) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        if revision == job.ticket_revision {
+            return;
+        }
+        job.ticket_revision = revision;
+        if let Some(ticket) = ticket {
+            job.ticket = ticket.state;
+        }
+        let cancelled = ticket.is_none_or(|ticket| ticket.state == State::Cancelled);
+        if cancelled {
+            job.cancelled = true;
+            job.ticket = State::Cancelled;
+            self.finish(id, State::Cancelled);
+            self.stop_job(clock, id, action::StopReason::Cancelled);
+        }
+    }
+}
+
+/// Adds the changes of one job.
+fn add(commit: &mut Commit, id: job::Id, job: &Job, cell: u32) {
+    let state = job.outcome.unwrap_or(if job.begun { State::Running } else { State::Queued });
+    if state != job.ticket {
+        commit.expected.push((id, job.ticket_revision));
+        commit.tickets.push((id, Ticket { cell, queue: job.queue.name.clone(), state }));
+    }
+    if job.outcome.is_some() {
+        commit.removed.push(id);
+        return;
+    }
+    let progress = job.progress();
+    if progress != Progress::default() {
+        commit.progress.push((id, progress));
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/cell_schedule.rs
@@ -0,0 +1,150 @@
+//! Places waiting tasks on workers, urgent queues and older jobs first.
+
+use super::*;
+
+/// Steps that found no room before the rest waits for the next change, so that a long queue does
+/// not cost more than a short one.
+const MISSES: usize = 48;
+/// Run numbers that one owner may use for a task that it found: higher than any start that an
+/// earlier owner did not record.
+const RUNS_PER_GENERATION: u32 = 64;
+
+impl Cell {
+    pub(crate) fn place(&mut self, clock: Clock) {
+        if !self.unplaced || self.leaving {
+            return;
+        }
+        self.unplaced = false;
+        let fenced = self.unfenced.is_empty();
+        let ids: Vec<job::Id> = self.order.iter().map(|&(_, _, id)| id).collect();
+        let mut misses = 0;
+        for id in ids {
+            let Some(job) = self.jobs.get(&id) else { continue };
+            if job.recovered && !fenced {
+                continue;
+            }
+            for (occurrence, step) in open_stages(job, clock.unix) {
+                if !self.place_stage(clock, id, occurrence, step) {
+                    misses += 1;
+                }
+                if misses >= MISSES {
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Places the waiting tasks of a step; returns whether none is left waiting.
+    fn place_stage(&mut self, clock: Clock, id: job::Id, occurrence: u32, step: u16) -> bool {
+        let Some(job) = self.jobs.get(&id) else { return true };
+        let Some(stage) = job.stage(occurrence, step) else { return true };
+        let shape = stage.step.clone();
+        let service = job.queue.service.clone();
+        let recovered = job.recovered;
+        let mut placed = placed(stage);
+        let waiting: Vec<u16> = stage.waiting.iter().copied().collect();
+        if shape.gang {
+            return self.place_gang(clock, id, occurrence, step);
+        }
+        for index in waiting {
+            let name = task::Name { job: id, occurrence, step, index };
+            let Some(task) = self.jobs.get(&id).and_then(|job| job.task(&name)) else { continue };
+            let demand = placement::Demand {
+                now: clock.now,
+                service: &service,
+                step: &shape,
+                avoid: task.failed_at.as_deref(),
+                placed: &placed,
+            };
+            let Some(worker) = placement::choose(&self.workers, &demand).cloned() else {
+                return false;
+            };
+            let run = self.next_run(task.last_run, recovered);
+            *placed.entry(worker.clone()).or_default() += 1;
+            self.start(clock, &worker, name, run);
+        }
+        true
+    }
+
+    /// Places all members of a gang at once, or none.
+    fn place_gang(&mut self, clock: Clock, id: job::Id, occurrence: u32, step: u16) -> bool {
+        let Some(job) = self.jobs.get(&id) else { return true };
+        let Some(stage) = job.stage(occurrence, step) else { return true };
+        if stage.waiting.len() < stage.tasks.len() {
+            return true;
+        }
+        let shape = stage.step.clone();
+        let service = job.queue.service.clone();
+        let last = stage.tasks.iter().map(|task| task.last_run).max().unwrap_or(0);
+        let run = self.next_run(last, job.recovered);
+        let mut placed = BTreeMap::new();
+        let mut chosen: Vec<(Arc<str>, task::Name)> = Vec::new();
+        for index in 0..shape.count {
+            let name = task::Name { job: id, occurrence, step, index };
+            let demand = placement::Demand {
+                now: clock.now,
+                service: &service,
+                step: &shape,
+                avoid: None,
+                placed: &placed,
+            };
+            let Some(worker) = placement::choose(&self.workers, &demand).cloned() else { break };
+            // Reserves the room so that the next member sees it taken.
+            if let Some(entry) = self.workers.get_mut(&worker) {
+                entry.insert(name, Run::new(clock.now, run, shape.clone()));
+            }
+            *placed.entry(worker.clone()).or_default() += 1;
+            chosen.push((worker, name));
+        }
+        for (worker, name) in &chosen {
+            if let Some(entry) = self.workers.get_mut(worker) {
+                entry.remove(name);
+            }
+        }
+        if chosen.len() < usize::from(shape.count) {
+            return false;
+        }
+        for (worker, name) in chosen {
+            self.start(clock, &worker, name, run);
+        }
+        true
+    }
+
+    /// Returns the number of a task's next run. An earlier owner may have used numbers that are
+    /// recorded nowhere.
+    fn next_run(&self, last: u32, recovered: bool) -> u32 {
+        let floor =
+            if recovered { self.head.generation.saturating_mul(RUNS_PER_GENERATION) } else { 0 };
+        last.max(floor) + 1
+    }
+}
+
+/// Returns the steps of a job with tasks that may start now.
+fn open_stages(job: &Job, unix: u64) -> Vec<(u32, u16)> {
+    let mut open = Vec::new();
+    for (number, occurrence) in (0..).zip(&job.occurrences) {
+        if occurrence.due_at_ms > unix {
+            break;
+        }
+        for (step, stage) in (0..).zip(&occurrence.stages) {
+            if !stage.waiting.is_empty() && occurrence.is_open(usize::from(step)) {
+                open.push((number, step));
+            }
+        }
+    }
+    open
+}
+
+/// Returns how many tasks of a stage each worker has.
+fn placed(stage: &job::Stage) -> BTreeMap<Arc<str>, u16> {
+    let mut placed = BTreeMap::new();
+    if stage.step.per_worker == 0 {
+        return placed;
+    }
+    for task in &stage.tasks {
+        if let task::Standing::Active { worker, .. } = &task.standing {
+            *placed.entry(worker.clone()).or_default() += 1;
+        }
+    }
+    placed
+}
--- /dev/null
+++ b/crates/fleet/src/run.rs
@@ -0,0 +1,50 @@
+//! A run that a worker holds, or may hold.
+
+use super::*;
+
+/// How far a run is known to be.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Phase {
+    /// The start is under way, or its outcome is unknown.
+    Starting {
+        /// The next time the order is sent again; `None` while an answer is awaited.
+        retry_at: Option<u64>,
+        /// An earlier order may still arrive.
+        uncertain: bool,
+    },
+    /// The worker confirmed the start, or refused it as old; a look sent at `since` or later that
+    /// does not list it proves it over.
+    Confirmed {
+        /// When the answer came, in milliseconds.
+        since: u64,
+    },
+    /// A stop was ordered.
+    Stopping {
+        /// The next time the order is sent again; `None` while an answer is awaited.
+        retry_at: Option<u64>,
+        /// When the stop was confirmed, in milliseconds.
+        confirmed: Option<u64>,
+    },
+}
+
+/// A run at a worker.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// Processors in use at the last look, in thousandths of a core, or the tail latency in
+    /// milliseconds for a serving task.
+    pub figure: Option<f64>,
+    /// Since when a task that should use processors has used none, in milliseconds.
+    pub idle_since: Option<u64>,
+    /// The run's number.
+    pub number: u32,
+    /// The pace that was last ordered, in percent.
+    pub percent: u32,
+    /// How far it is.
+    pub phase: Phase,
+    /// When the start was ordered, in milliseconds.
+    pub started: u64,
+    /// The step's shape.
+    pub step: Arc<Step>,
+    /// Since when the task's tail has been over its target, in milliseconds.
+    pub over_since: Option<u64>,
+}
--- /dev/null
+++ b/crates/fleet/src/state.rs
@@ -0,0 +1,28 @@
+//! What a caller is told of a job.
+
+use super::*;
+
+/// The state of a job.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum State {
+    /// Cancelled by its caller.
+    Cancelled,
+    /// Every task ended as done.
+    Completed,
+    /// A task failed as often as its queue allows.
+    Failed,
+    /// Accepted, no task has started.
+    Queued,
+    /// Refused after a submission whose outcome was unknown; never runs.
+    Refused,
+    /// A task has started.
+    Running,
+}
+
+impl State {
+    /// Returns whether the job is over.
+    pub fn is_final(self) -> bool {
+        matches!(self, Self::Cancelled | Self::Completed | Self::Failed)
+    }
+}
--- /dev/null
+++ b/crates/node/src/keys.rs
@@ -0,0 +1,78 @@
+//! The keys of the store.
+
+use super::*;
+
+/// The prefix of cells' heads.
+pub(crate) const HEADS: &str = "h/";
+/// The prefix of what all VMs follow: the map of cells and the VMs.
+pub(crate) const FLEET: &str = "m/";
+/// The map of cells.
+pub(crate) const MAP: &str = "m/map";
+/// The prefix of the VMs' entries, each under its VM's lease.
+pub(crate) const VMS: &str = "m/vm/";
+
+const OWNER: &str = "@owner";
+const CANCELLED: &str = ".cancelled";
+
+/// What a key under a cell's prefix holds.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Entry {
+    Cancelled(job::Id),
+    Job(job::Id),
+    Owner,
+}
+
+pub(crate) fn head(cell: u32) -> String {
+    format!("{HEADS}{cell}")
+}
+
+/// Returns the prefix of a cell's owner, jobs and cancellation marks. They share one, so that a
+/// watch tells of a new owner before any job that is accepted in its time.
+pub(crate) fn cell(cell: u32) -> String {
+    format!("c/{cell}/")
+}
+
+pub(crate) fn owner(number: u32) -> String {
+    format!("{}{OWNER}", cell(number))
+}
+
+pub(crate) fn job(number: u32, id: job::Id) -> String {
+    format!("{}{id}", cell(number))
+}
+
+pub(crate) fn cancelled(number: u32, id: job::Id) -> String {
+    format!("{}{id}{CANCELLED}", cell(number))
+}
+
+pub(crate) fn progress_prefix(cell: u32) -> String {
+    format!("p/{cell}/")
+}
+
+pub(crate) fn progress(cell: u32, id: job::Id) -> String {
+    format!("{}{id}", progress_prefix(cell))
+}
+
+pub(crate) fn ticket(id: job::Id) -> String {
+    format!("j/{id}")
+}
+
+pub(crate) fn vm(name: &str) -> String {
+    format!("{VMS}{name}")
+}
+
+/// Returns what a key under the prefix of a cell holds.
+pub(crate) fn entry(number: u32, key: &str) -> Option<Entry> {
+    let rest = key.strip_prefix(&cell(number))?;
+    if rest == OWNER {
+        return Some(Entry::Owner);
+    }
+    match rest.strip_suffix(CANCELLED) {
+        Some(id) => id.parse().ok().map(Entry::Cancelled),
+        None => rest.parse().ok().map(Entry::Job),
+    }
+}
+
+/// Returns the ID in the last part of a key.
+pub(crate) fn last_id(key: &str) -> Option<job::Id> {
+    key.rsplit('/').next()?.parse().ok()
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,55 @@
+//! The program of a VM of the users' platform: answers callers, and owns cells of workers.
+
+use {
+    argh::FromArgs,
+    bytes::Bytes,
+    http_body_util::{BodyExt, Full, Limited},
+    hyper::{Method, Request, Response, StatusCode, body::Incoming, service::service_fn},
+    hyper_util::rt::TokioIo,
+    miette::IntoDiagnostic,
+    oleanderstage_adapter::{
+        Boot, Http, Orders, Store, boot, caller, configuration, orders, registration,
+        store::{self, Item, Txn},
+    },
+    oleanderstage_fleet::{
+        Action, Assignment, Cell, Clock, Commit, Config, Event, Head, Limits, Progress, Queue,
+        Registration, State, Ticket, action, admission, assignment, cell,
+        event::{Outcome, Refusal},
+        job,
+    },
+    std::{
+        cell::{Cell as Slot, RefCell},
+        collections::{BTreeMap, HashMap},
+        convert::Infallible,
+        net::SocketAddr,
+        path::{Path, PathBuf},
+        rc::Rc,
+        sync::Arc,
+        time::{Duration, SystemTime, UNIX_EPOCH},
+    },
+    tokio::{
+        net::TcpListener,
+        signal::unix::{SignalKind, signal},
+        sync::{Notify, mpsc},
+        task::spawn_local,
+        time::sleep,
+    },
+};
+
+use {follow::{Follow, Seen}, node::Node};
+
+pub use run::run;
+
+mod discovery;
+mod follow;
+mod front;
+mod keys;
+mod map;
+mod meter;
+mod node;
+mod owner;
+mod run;
+mod serve;
+mod session;
+mod submit;
+mod time;
--- /dev/null
+++ b/crates/node/src/meter.rs
@@ -0,0 +1,94 @@
+//! Counters and latency histograms, as text for the metrics address.
+
+use {
+    super::*,
+    action::Report,
+    prometheus::{Encoder, HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry, TextEncoder},
+    submit::Reply,
+};
+
+/// The metrics of this process.
+pub(crate) struct Meter {
+    answers: IntCounterVec,
+    events: IntCounterVec,
+    latency: HistogramVec,
+    registry: Registry,
+}
+
+/// Upper bounds of latency buckets, in milliseconds: from a store call to a lost job.
+const BUCKETS_MS: [f64; 12] =
+    [2.0, 5.0, 10.0, 20.0, 50.0, 100.0, 250.0, 500.0, 1_000.0, 2_500.0, 5_000.0, 15_000.0];
+
+impl Meter {
+    pub(crate) fn new() -> Result<Self, prometheus::Error> {
+        let registry = Registry::new();
+        let answers = IntCounterVec::new(
+            Opts::new("oleanderstage_answers_total", "answers to callers"),
+            &["method", "outcome"],
+        )?;
+        let events = IntCounterVec::new(
+            Opts::new("oleanderstage_events_total", "decisions and changes of belief"),
+            &["event"],
+        )?;
+        let buckets = BUCKETS_MS.to_vec();
+        let options = HistogramOpts::new("oleanderstage_latency_ms", "latencies in milliseconds");
+        let latency = HistogramVec::new(options.buckets(buckets), &["what"])?;
+        registry.register(Box::new(answers.clone()))?;
+        registry.register(Box::new(events.clone()))?;
+        registry.register(Box::new(latency.clone()))?;
+        Ok(Self { answers, events, latency, registry })
+    }
+
+    /// Counts an event.
+    pub(crate) fn event(&self, name: &str) {
+        self.events.with_label_values(&[name]).inc();
+    }
+
+    /// Counts an answer to a caller.
+    pub(crate) fn answered(&self, method: &Method, outcome: &Reply, took_ms: u64) {
+        let name = match outcome {
+            Reply::Accepted => "accepted",
+            Reply::Cancelled => "cancelled",
+            Reply::Gone => "gone",
+            Reply::NotRun(_) => "not-run",
+            Reply::State(_) => "state",
+            Reply::Unknown => "unknown",
+        };
+        self.answers.with_label_values(&[method.as_str(), name]).inc();
+        self.latency.with_label_values(&["answer"]).observe(took_ms as f64);
+    }
+
+    /// Counts and logs a decision of a cell.
+    pub(crate) fn report(&self, cell: u32, report: &Report) {
+        let name = match report {
+            Report::End { after_ms, .. } => {
+                self.latency.with_label_values(&["run"]).observe(*after_ms as f64);
+                "run-ended"
+            }
+            Report::JobOver { after_ms, .. } => {
+                self.latency.with_label_values(&["job"]).observe(*after_ms as f64);
+                "job-over"
+            }
+            Report::Pace { .. } => "pace",
+            Report::Refused { .. } => "order-refused",
+            Report::Released { .. } => "run-released",
+            Report::Start { after_ms, .. } => {
+                self.latency.with_label_values(&["start"]).observe(*after_ms as f64);
+                "run-started"
+            }
+            Report::Stop { .. } => "run-stopped",
+            Report::Worker { .. } => "worker-believed",
+        };
+        self.event(name);
+        log::info!(cell, detail:serde = report; "{name}");
+    }
+
+    /// Returns all metrics as text.
+    pub(crate) fn text(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            log::error!(error:% = error; "metrics-unreadable");
+        }
+        text
+    }
+}
--- /dev/null
+++ b/crates/node/src/run.rs
@@ -0,0 +1,103 @@
+//! The program's command line, start and stop.
+
+use {super::*, serve::Door};
+
+/// Answers callers and owns cells of workers on a VM of the users' platform.
+#[derive(Debug, FromArgs)]
+struct Arguments {
+    /// check the settings and exit
+    #[argh(switch)]
+    check: bool,
+    /// file of settings; by default the one that OLEANDERSTAGE_BOOT names
+    #[argh(option)]
+    settings: Option<PathBuf>,
+    /// port of the metrics page on this VM's address
+    #[argh(option, default = "METRICS_PORT")]
+    metrics_port: u16,
+}
+
+/// The port of the metrics page, as in deploy/system.toml.
+const METRICS_PORT: u16 = 9_464;
+/// Left of the grace period for the process to end, in milliseconds.
+const GRACE_SLACK_MS: u64 = 1_500;
+
+/// Runs the program with the arguments, of which the first is its name.
+pub fn run(arguments: impl Iterator<Item = String>) -> miette::Result<()> {
+    let arguments: Vec<String> = arguments.collect();
+    let texts: Vec<&str> = arguments.iter().map(String::as_str).collect();
+    let (name, rest) = texts.split_first().unwrap_or((&"oleanderstage-node", &[]));
+    let arguments = match Arguments::from_args(&[name], rest) {
+        Ok(arguments) => arguments,
+        Err(exit) if exit.status.is_ok() => {
+            println!("{}", exit.output);
+            return Ok(());
+        }
+        Err(exit) => return Err(miette::miette!("{}", exit.output.trim())),
+    };
+    let path = settings_path(arguments.settings.as_deref())?;
+    let boot = read(&path)?;
+    if arguments.check {
+        println!("`{}` is in order", path.display());
+        return Ok(());
+    }
+    let _logs = oleanderstage_telemetry::logs::start_bounded().into_diagnostic()?;
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().into_diagnostic()?;
+    let local = tokio::task::LocalSet::new();
+    local.block_on(&runtime, serve(boot, arguments.metrics_port))
+}
+
+fn settings_path(given: Option<&Path>) -> miette::Result<PathBuf> {
+    match given {
+        Some(path) => Ok(path.into()),
+        None => std::env::var(boot::VARIABLE).map(PathBuf::from).map_err(|_| {
+            miette::miette!("give --settings, or set {} to the settings file", boot::VARIABLE)
+        }),
+    }
+}
+
+fn read(path: &Path) -> miette::Result<Boot> {
+    let text = std::fs::read_to_string(path)
+        .map_err(|error| miette::miette!("cannot read `{}`: {error}", path.display()))?;
+    text.parse().map_err(|error: boot::Error| miette::miette!("`{}`: {error}", path.display()))
+}
+
+async fn serve(boot: Boot, metrics_port: u16) -> miette::Result<()> {
+    let front = TcpListener::bind(boot.front).await.into_diagnostic()?;
+    let ready = TcpListener::bind(boot.ready).await.into_diagnostic()?;
+    let metrics = TcpListener::bind((boot.ip, metrics_port)).await.into_diagnostic()?;
+    log::info!(vm = boot.vm, zone = boot.zone, front:% = boot.front; "started");
+    let node = Rc::new(Node::new(boot)?);
+    spawn_local(serve::listen(node.clone(), front, Door::Front));
+    spawn_local(serve::listen(node.clone(), ready, Door::Ready));
+    spawn_local(serve::listen(node.clone(), metrics, Door::Metrics));
+    spawn_local(session::keep(node.clone()));
+    spawn_local(discovery::config(node.clone()));
+    spawn_local(discovery::workers(node.clone()));
+    spawn_local(discovery::heads(node.clone()));
+    spawn_local(map::follow(node.clone()));
+    spawn_local(map::steer(node.clone()));
+    spawn_local(owner::supervise(node.clone()));
+    until_told(&node).await
+}
+
+/// Waits for SIGTERM, hands everything over, and goes on answering for most of the grace period:
+/// callers keep their connections until the process is gone.
+async fn until_told(node: &Rc<Node>) -> miette::Result<()> {
+    let mut hangup = signal(SignalKind::hangup()).into_diagnostic()?;
+    let mut terminate = signal(SignalKind::terminate()).into_diagnostic()?;
+    loop {
+        tokio::select! {
+            _ = hangup.recv() => log::info!(vm = node.boot.vm; "reload-asked"),
+            _ = terminate.recv() => break,
+        }
+    }
+    log::info!(vm = node.boot.vm, grace_ms = node.boot.grace_ms; "stopping");
+    node.leaving.set(true);
+    node.wake();
+    session::leave(node).await;
+    sleep(Duration::from_millis(node.boot.grace_ms.saturating_sub(GRACE_SLACK_MS))).await;
+    log::info!(vm = node.boot.vm; "stopped");
+    log::logger().flush();
+    Ok(())
+}
