--- a/crates/fleet/src/action.rs
+++ b/crates/fleet/src/action.rs
@@ -87,10 +87,21 @@
         /// From acceptance, in milliseconds.
         after_ms: u64,
     },
-    /// The pace of a worker's filling tasks changed.
+    /// A job was passed on to another cell.
+    Moved {
+        /// The job's ID.
+        job: job::Id,
+        /// The cell that has it now.
+        to: u32,
+    },
+    /// A filling task is paced.
     Pace {
         /// The worker's id.
         worker: Arc<str>,
+        /// The task.
+        task: task::Name,
+        /// The run's number.
+        run: u32,
         /// The worst tail as a share of its target, in percent.
         tail_percent: u32,
         /// The new pace, in percent.
@@ -183,8 +194,8 @@
     Leaving,
     /// Its start was not answered.
     NoAnswer,
-    /// Serving tasks beside it are over their target.
-    Disturbs,
+    /// Serving tasks beside it slow it down to next to nothing.
+    Crowded,
     /// No job that is to run has this task there.
     Unwanted,
 }
--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -21,7 +21,9 @@
 
 /// What a job asks of a cell.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Demand {
+pub struct Demand<'a> {
+    /// The image of its largest filling step.
+    pub filling: Option<&'a str>,
     /// Its queue's priority.
     pub priority: u32,
     /// Processors that its widest step reserves, in thousandths of a core.
@@ -34,14 +36,21 @@
 /// that a short task holds them.
 const RESERVED_WAIT_MS: u64 = 1_000;
 
-impl Demand {
+/// A cell counts as at least this part of its size for any image: its tasks end and make room.
+const SLOWEST: u64 = 20;
+/// Waits that differ by less than this count as equal, in milliseconds.
+const WAIT_STEP_MS: u64 = 100;
+
+impl<'a> Demand<'a> {
     /// Returns what a submission to a queue asks for.
-    pub fn new(submission: &Submission, queue: &Queue) -> Self {
+    pub fn new(submission: &'a Submission, queue: &Queue) -> Self {
         let work = |step: &Step| {
             u64::from(step.count) * step.estimate_ms * step.resources.processors_milli / 1_000
         };
         let reserved = |step: &Step| u64::from(step.count) * step.reserved().processors_milli;
+        let filling = submission.steps.iter().filter(|step| step.fills).max_by_key(|s| work(s));
         Self {
+            filling: filling.map(|step| step.image.as_str()),
             priority: queue.priority,
             reserved_milli: submission.steps.iter().map(reserved).max().unwrap_or(0),
             work: submission.steps.iter().filter(|step| !step.lasting).map(work).sum(),
@@ -59,32 +68,58 @@
         *seen = Seen { head, revision, ..Seen::default() };
     }
 
+    /// Returns a cell other than `own` that serves a job sooner by `margin_ms`, and counts the job
+    /// there.
+    pub fn better(&mut self, own: u32, demand: Demand<'_>, margin_ms: u64) -> Option<u32> {
+        let here = self.cells.get(&own)?.rank(demand).0 * WAIT_STEP_MS;
+        let (&cell, seen) = self
+            .cells
+            .iter_mut()
+            .filter(|(cell, seen)| **cell != own && seen.head.total_milli > 0)
+            .min_by_key(|(cell, seen)| (seen.rank(demand), **cell))?;
+        if seen.rank(demand).0 * WAIT_STEP_MS + margin_ms > here {
+            return None;
+        }
+        seen.count(demand);
+        Some(cell)
+    }
+
     /// Returns the jobs without a started task in a queue.
     pub fn pending(&self, queue: &str) -> u64 {
         self.cells.values().filter_map(|seen| seen.head.pending.get(queue)).sum()
     }
 
     /// Chooses the cell that serves the job soonest, and counts the job there.
-    pub fn choose(&mut self, demand: Demand) -> Option<u32> {
+    pub fn choose(&mut self, demand: Demand<'_>) -> Option<u32> {
         let (&cell, seen) = self
             .cells
             .iter_mut()
             .filter(|(_, seen)| seen.head.total_milli > 0)
-            .min_by_key(|(cell, seen)| (seen.wait_ms(demand), **cell))?;
-        seen.sent_milli += demand.reserved_milli;
-        *seen.sent_work.entry(demand.priority).or_default() += demand.work;
+            .min_by_key(|(cell, seen)| (seen.rank(demand), **cell))?;
+        seen.count(demand);
         Some(cell)
     }
 }
 
 impl Seen {
-    /// Returns how long a job is likely to wait, in milliseconds.
-    fn wait_ms(&self, demand: Demand) -> u64 {
+    fn count(&mut self, demand: Demand<'_>) {
+        self.sent_milli += demand.reserved_milli;
+        *self.sent_work.entry(demand.priority).or_default() += demand.work;
+    }
+
+    /// Returns how badly the cell suits: how long the job is likely to wait, in milliseconds, then
+    /// the share of the processors that would be reserved, in thousandths.
+    fn rank(&self, demand: Demand<'_>) -> (u64, u64) {
         let ahead = |work: &BTreeMap<u32, u64>| work.range(..=demand.priority).map(|(_, w)| w).sum();
         let backlog: u64 = ahead(&self.head.backlog);
         let sent: u64 = ahead(&self.sent_work);
         let total = self.head.total_milli.max(1);
-        let short = (self.sent_milli + demand.reserved_milli).saturating_sub(self.head.free_milli);
-        (backlog + sent + demand.work) * 1_000 / total + short * RESERVED_WAIT_MS / total
+        let used = total.saturating_sub(self.head.free_milli) + self.sent_milli;
+        let reserved = used + demand.reserved_milli;
+        let usable = demand.filling.and_then(|image| self.head.usable_milli.get(image));
+        let speed = usable.copied().unwrap_or(total).max(total / SLOWEST);
+        let wait = (backlog + sent + demand.work) * 1_000 / speed
+            + reserved.saturating_sub(total) * RESERVED_WAIT_MS / total;
+        (wait / WAIT_STEP_MS, reserved * 1_000 / total)
     }
 }
--- a/crates/fleet/src/assignment.rs
+++ b/crates/fleet/src/assignment.rs
@@ -19,8 +19,12 @@
     pub processors_milli: u64,
 }
 
-/// The fewest workers of a cell: a job should find room for its widest step.
-const WORKERS_PER_CELL: usize = 5;
+/// Processors that a worker costs its cell's owner, in thousandths of a core, from runs at about
+/// three starts a second for each worker.
+const MILLI_PER_WORKER: u64 = 2;
+/// The share of an owner's processors that its cell may take on a calm day, in percent: a burst
+/// doubles the starts, and the VM answers callers too. Larger cells waste less room.
+const OWNER_PERCENT: u64 = 45;
 /// VMs with less than this share of the strongest one's processors own no cells, in percent.
 const STRONG_PERCENT: u64 = 50;
 
@@ -33,7 +37,7 @@
         }
         let mut next = self.clone();
         if next.owners.is_empty() {
-            let cells = strong.len().min(workers.len() / WORKERS_PER_CELL).max(1);
+            let cells = cells_for(vms, &strong, workers.len());
             next.owners = vec![String::new(); cells];
         }
         next.give_away(&strong, vms);
@@ -101,6 +105,13 @@
     }
 }
 
+/// Returns how many cells the workers are divided into.
+fn cells_for(vms: &BTreeMap<String, Vm>, strong: &[&String], workers: usize) -> usize {
+    let least = strong.iter().filter_map(|name| vms.get(*name)).map(|vm| vm.processors_milli).min();
+    let room = least.unwrap_or(0) * OWNER_PERCENT / 100 / MILLI_PER_WORKER;
+    workers.div_ceil(room.max(1) as usize).clamp(1, strong.len())
+}
+
 fn strong(vms: &BTreeMap<String, Vm>) -> Vec<&String> {
     let most = vms.values().map(|vm| vm.processors_milli).max().unwrap_or(0);
     vms.iter()
--- a/crates/fleet/src/cell.rs
+++ b/crates/fleet/src/cell.rs
@@ -23,6 +23,8 @@
 pub struct Cell {
     pub(crate) acquired_at: u64,
     pub(crate) actions: Vec<Action>,
+    /// The cells as their owners last told.
+    pub(crate) board: admission::Board,
     /// Counts changes that have to be recorded.
     pub(crate) changes: u64,
     pub(crate) commit: Option<cell_record::Pending>,
@@ -32,6 +34,8 @@
     pub(crate) dirty: BTreeSet<job::Id>,
     /// Changes up to this count are recorded.
     pub(crate) durable: u64,
+    /// When `usable` was worked out, in milliseconds.
+    pub(crate) gauged_at: u64,
     pub(crate) head: Head,
     pub(crate) head_revision: u64,
     pub(crate) jobs: HashMap<job::Id, Job>,
@@ -42,6 +46,14 @@
     pub(crate) lost: bool,
     /// Jobs in the order in which their tasks are placed.
     pub(crate) order: BTreeSet<(u32, u64, job::Id)>,
+    /// What filling tasks do to serving ones.
+    pub(crate) pressure: pressure::Pressure,
+    /// When jobs to pass on were last looked for, in milliseconds.
+    pub(crate) rebalanced_at: u64,
+    /// When tasks to move were last looked for, in milliseconds.
+    pub(crate) relocated_at: u64,
+    /// Processors that tasks of a filling image would find, in thousandths of a core.
+    pub(crate) usable: BTreeMap<String, u64>,
     /// Room or work has changed since the last placement.
     pub(crate) unplaced: bool,
     /// Workers that may still run what an earlier owner ordered.
@@ -59,12 +71,17 @@
         let mut cell = Self {
             acquired_at: start.acquired_at,
             actions: Vec::new(),
+            board: admission::Board::default(),
             changes: 0,
             commit: None,
             committed_at: start.acquired_at,
             config: start.config,
             dirty: BTreeSet::new(),
             durable: 0,
+            gauged_at: 0,
+            rebalanced_at: 0,
+            relocated_at: 0,
+            usable: BTreeMap::new(),
             head: start.head,
             head_revision: start.head_revision,
             jobs: HashMap::new(),
@@ -73,6 +90,7 @@
             lookups: BTreeSet::new(),
             lost: false,
             order: BTreeSet::new(),
+            pressure: pressure::Pressure::default(),
             unplaced: true,
             unfenced: members.keys().cloned().collect(),
             workers: BTreeMap::new(),
@@ -94,6 +112,11 @@
             Event::Accepted { id, record, revision } => {
                 self.add(id, record, &Progress::default(), revision, false);
             }
+            Event::Board(heads) => {
+                for (head, revision) in heads {
+                    self.board.observe(head, revision);
+                }
+            }
             Event::Cancelled { id, revision } => self.cancel(clock, id, revision),
             Event::Commit(outcome) => self.committed(clock, outcome),
             Event::Configured(config) => self.config = config,
@@ -117,7 +140,10 @@
     fn settle(&mut self, clock: Clock) {
         self.expire(clock);
         self.resend(clock);
+        self.relocate(clock);
         self.place(clock);
+        self.gauge(clock);
+        self.rebalance(clock);
         self.record(clock);
         self.look(clock);
     }
--- a/crates/fleet/src/cell_ends.rs
+++ b/crates/fleet/src/cell_ends.rs
@@ -13,6 +13,10 @@
 const FAILURES_TO_PAUSE: u32 = 3;
 /// How long a worker that fails what it starts gets nothing new, in milliseconds.
 const FAILING_PAUSE_MS: u64 = 4_000;
+/// Paces that differ by less are left as they are, in percentage points.
+const PACE_STEP: u32 = 8;
+/// The most that one order raises a pace by, in percentage points.
+const PACE_RISE: u32 = 40;
 /// A task that should use processors and uses none for this long hangs, in milliseconds.
 const HANG_MS: u64 = 1_200;
 /// How long a new run may use no processor before it counts as idle, in milliseconds.
@@ -72,7 +76,8 @@
             self.runs_on(clock, id, row);
         }
         self.unlisted(clock, id, sent, &listing);
-        self.pace(id);
+        if std::env::var_os("HOME").is_some() { let w=&self.workers[id]; let v: Vec<String> = w.runs.iter().filter(|(n,_)| listing.running.iter().any(|r| r.task==**n)).map(|(n,r)| format!("{}:{}:{}:{}:{}:{}:{}", &n.to_string()[..6], r.step.image, if r.step.fills {'f'} else if r.step.target_ms>0 {'s'} else {'c'}, r.step.resources.processors_milli, r.step.target_ms, r.pace.unwrap_or(999), r.figure.unwrap_or(-1.0))).collect(); eprintln!("DBG {} {} {}", clock.now, id, v.join(" ")); }
+        self.pace(clock, id);
     }
 
     /// Takes in an end, once.
@@ -211,11 +216,11 @@
         if matches!(run.phase, Phase::Starting { .. }) {
             run.phase = Phase::Confirmed { since: clock.now };
         }
-        run.percent = row.percent;
+        run.progress = row.progress;
         run.figure = Some(row.figure);
         let old = clock.now >= run.started + WARM_UP_MS;
         let serves = run.step.target_ms > 0;
-        if serves || row.figure > 0.0 || !old || row.percent == 0 {
+        if serves || run.step.fills || row.figure > 0.0 || !old {
             run.idle_since = None;
         } else {
             run.idle_since.get_or_insert(clock.now);
@@ -252,7 +257,8 @@
         }
         let mut run = Run::new(clock.now, row.run, step);
         run.phase = Phase::Confirmed { since: clock.now };
-        run.percent = row.percent;
+        run.pace = None;
+        run.progress = row.progress;
         worker.insert(name, run);
         if wanted {
             stage.waiting.remove(&name.index);
@@ -348,32 +354,33 @@
     }
 
     /// Paces the filling tasks of a worker by the tails of its serving ones.
-    fn pace(&mut self, id: &Arc<str>) {
+    fn pace(&mut self, clock: Clock, id: &Arc<str>) {
         let Some(worker) = self.workers.get_mut(id) else { return };
-        let worst = worker
-            .runs
-            .values()
-            .filter(|run| run.step.target_ms > 0 && run.step.lasting)
-            .filter_map(|run| Some(run.figure? * 100.0 / run.step.target_ms as f64))
-            .reduce(f64::max);
-        let before = worker.pace.percent;
-        worker.pace.observe(worst);
-        let percent = worker.pace.percent;
+        let worst = worker.feel(clock.now, &mut self.pressure);
+        let paces: BTreeMap<String, u32> = worker
+            .paces(clock.now, &self.pressure)
+            .into_iter()
+            .map(|(image, pace)| (image.to_owned(), pace))
+            .collect();
         let mut orders = Vec::new();
         for (name, run) in &mut worker.runs {
+            let Some(&pace) = paces.get(&run.step.image) else { continue };
             let running = matches!(run.phase, Phase::Confirmed { .. });
-            if run.step.fills && running && run.percent != percent {
-                run.percent = percent;
-                orders.push((*name, run.number));
+            let near = run.pace.is_some_and(|old| {
+                old.abs_diff(pace) < PACE_STEP && (old == pace || (pace != 0 && pace != 100))
+            });
+            if !run.step.fills || !running || near {
+                continue;
             }
+            // A rise goes in steps, since figures tell of a pace half a second later.
+            let next = run.pace.map_or(pace, |old| pace.min(old + PACE_RISE));
+            run.pace = Some(next);
+            orders.push((*name, run.number, next));
         }
-        for (task, run) in orders {
+        let tail_percent = (worst * 100.0) as u32;
+        for (task, run, percent) in orders {
             self.actions.push(Action::Pace { worker: id.clone(), task, run, percent });
-        }
-        if before != percent {
-            self.unplaced = true;
-            let tail_percent = worst.unwrap_or(0.0) as u32;
-            self.report(Report::Pace { worker: id.clone(), tail_percent, percent });
+            self.report(Report::Pace { worker: id.clone(), task, run, tail_percent, percent });
         }
     }
 }
--- a/crates/fleet/src/cell_record.rs
+++ b/crates/fleet/src/cell_record.rs
@@ -9,6 +9,14 @@
 const GROUP_MS: u64 = 15;
 /// Between heads that only tell the load, in milliseconds.
 const LOAD_MS: u64 = 500;
+/// Between looks for jobs to pass on, in milliseconds.
+const REBALANCE_MS: u64 = 200;
+/// A job is passed on after it has waited for this long, in milliseconds.
+const MOVE_AFTER_MS: u64 = 250;
+/// How much sooner another cell must serve a job, in milliseconds.
+const MOVE_MARGIN_MS: u64 = 400;
+/// Jobs passed on at once.
+const MOVES: usize = 4;
 /// Before a commit that the store refused or did not answer is sent again, in milliseconds.
 const AGAIN_MS: u64 = 150;
 
@@ -23,6 +31,67 @@
 }
 
 impl Cell {
+    /// Works out what a task of each filling image would find, every `LOAD_MS`.
+    pub(crate) fn gauge(&mut self, clock: Clock) {
+        if clock.now < self.gauged_at + LOAD_MS {
+            return;
+        }
+        self.gauged_at = clock.now;
+        let mut images: BTreeMap<&str, &Arc<Step>> = BTreeMap::new();
+        for job in self.jobs.values() {
+            for stage in job.occurrences.iter().flat_map(|occurrence| &occurrence.stages) {
+                if stage.step.fills {
+                    images.insert(&stage.step.image, &stage.step);
+                }
+            }
+        }
+        let mut usable: BTreeMap<String, u64> = BTreeMap::new();
+        for (image, step) in images {
+            let found = |worker: &Worker| {
+                let pace = u64::from(worker.pace_with(clock.now, &self.pressure, step));
+                placement::unused_milli(worker).max(0) as u64 * pace / 100
+            };
+            let workers = self.workers.values().filter(|worker| worker.is_usable(clock.now));
+            usable.insert(image.into(), workers.map(found).sum());
+        }
+        // What is known of an image holds until a job with it comes again.
+        self.usable.extend(usable);
+    }
+
+    /// Passes jobs that have not begun on to cells that serve them sooner.
+    pub(crate) fn rebalance(&mut self, clock: Clock) {
+        if self.leaving || clock.now < self.rebalanced_at + REBALANCE_MS {
+            return;
+        }
+        self.rebalanced_at = clock.now;
+        let fenced = self.unfenced.is_empty();
+        let mut moves = Vec::new();
+        for (_, _, id) in &self.order {
+            let Some(job) = self.jobs.get(id) else { continue };
+            let waited = clock.unix.saturating_sub(job.accepted_at_ms);
+            let settled = fenced || !job.recovered;
+            if job.begun || job.moving_to.is_some() || !settled || waited < MOVE_AFTER_MS {
+                continue;
+            }
+            if job.record.submission.is_timed() {
+                continue;
+            }
+            let demand = admission::Demand::new(&job.record.submission, &job.queue);
+            if let Some(cell) = self.board.better(self.head.cell, demand, MOVE_MARGIN_MS) {
+                moves.push((*id, cell));
+            }
+            if moves.len() >= MOVES {
+                break;
+            }
+        }
+        for (id, cell) in moves {
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.moving_to = Some(cell);
+                self.touch(id);
+            }
+        }
+    }
+
     /// Sends the next commit when one is due.
     pub(crate) fn record(&mut self, clock: Clock) {
         if let Some(pending) = &mut self.commit {
@@ -59,6 +128,7 @@
             expected: Vec::new(),
             head: self.next_head(),
             head_revision: self.head_revision,
+            moved: Vec::new(),
             progress: Vec::new(),
             removed: Vec::new(),
             tickets: Vec::new(),
@@ -92,6 +162,7 @@
             generation: self.head.generation,
             owner: self.head.owner.clone(),
             pending: BTreeMap::new(),
+            usable_milli: self.usable.clone(),
             sequence: self.head.sequence + 1,
             total_milli: 0,
         };
@@ -113,6 +184,11 @@
         match outcome {
             Outcome::Committed(revision) => self.apply(clock, &pending, revision),
             Outcome::Conflict(tickets) => {
+                for (id, _, _) in &pending.commit.moved {
+                    if let Some(job) = self.jobs.get_mut(id) {
+                        job.moving_to = None;
+                    }
+                }
                 self.dirty.extend(pending.commit.progress.iter().map(|(id, _)| *id));
                 self.dirty.extend(pending.commit.removed.iter().copied());
                 self.dirty.extend(pending.commit.tickets.iter().map(|(id, _)| *id));
@@ -142,6 +218,11 @@
         }
         for id in &commit.removed {
             let Some(job) = self.jobs.remove(id) else { continue };
+            self.order.remove(&(job.queue.priority, job.accepted_at_ms, *id));
+            if let (Some(to), None) = (job.moving_to, job.outcome) {
+                self.report(Report::Moved { job: *id, to });
+                continue;
+            }
             let after_ms = clock.unix.saturating_sub(job.accepted_at_ms);
             let state = job.outcome.unwrap_or(State::Completed);
             self.report(Report::JobOver { job: *id, state, after_ms });
@@ -176,6 +257,14 @@
 
 /// Adds the changes of one job.
 fn add(commit: &mut Commit, id: job::Id, job: &Job, cell: u32) {
+    if let Some(cell) = job.moving_to.filter(|_| job.outcome.is_none()) {
+        commit.expected.push((id, job.ticket_revision));
+        let ticket = Ticket { cell, queue: job.queue.name.clone(), state: State::Queued };
+        commit.tickets.push((id, ticket));
+        commit.moved.push((id, cell, job.record.clone()));
+        commit.removed.push(id);
+        return;
+    }
     let state = job.outcome.unwrap_or(if job.begun { State::Running } else { State::Queued });
     if state != job.ticket {
         commit.expected.push((id, job.ticket_revision));
--- a/crates/fleet/src/cell_schedule.rs
+++ b/crates/fleet/src/cell_schedule.rs
@@ -9,6 +9,14 @@
 /// earlier owner did not record.
 const RUNS_PER_GENERATION: u32 = 64;
 
+/// The least pace at which a filling task is placed while its job is young, in percent: slower ones
+/// do better to wait for another worker.
+const LEAST_PACE: u32 = 45;
+/// The least pace at which a filling task is placed at all, in percent.
+const LAST_PACE: u32 = 15;
+/// After this long a job takes nearly any worker, in milliseconds.
+const PATIENCE_MS: u64 = 2_500;
+
 impl Cell {
     pub(crate) fn place(&mut self, clock: Clock) {
         if !self.unplaced || self.leaving {
@@ -20,7 +28,7 @@
         let mut misses = 0;
         for id in ids {
             let Some(job) = self.jobs.get(&id) else { continue };
-            if job.recovered && !fenced {
+            if job.moving_to.is_some() || (job.recovered && !fenced) {
                 continue;
             }
             for (occurrence, step) in open_stages(job, clock.unix) {
@@ -41,6 +49,8 @@
         let shape = stage.step.clone();
         let service = job.queue.service.clone();
         let recovered = job.recovered;
+        let waited = clock.unix.saturating_sub(job.accepted_at_ms);
+        let least_pace = if waited < PATIENCE_MS { LEAST_PACE } else { LAST_PACE };
         let mut placed = placed(stage);
         let waiting: Vec<u16> = stage.waiting.iter().copied().collect();
         if shape.gang {
@@ -54,6 +64,8 @@
                 service: &service,
                 step: &shape,
                 avoid: task.failed_at.as_deref(),
+                pressure: &self.pressure,
+                least_pace,
                 placed: &placed,
             };
             let Some(worker) = placement::choose(&self.workers, &demand).cloned() else {
@@ -86,6 +98,8 @@
                 service: &service,
                 step: &shape,
                 avoid: None,
+                pressure: &self.pressure,
+                least_pace: 0,
                 placed: &placed,
             };
             let Some(worker) = placement::choose(&self.workers, &demand).cloned() else { break };
@@ -119,6 +133,63 @@
     }
 }
 
+impl Cell {
+    /// Stops filling tasks that are paced to next to nothing where another worker suits them.
+    pub(crate) fn relocate(&mut self, clock: Clock) {
+        if self.leaving || clock.now < self.relocated_at + RELOCATE_MS {
+            return;
+        }
+        self.relocated_at = clock.now;
+        let mut stops = Vec::new();
+        for (id, worker) in &self.workers {
+            let slow = worker.runs.iter().find(|(_, run)| {
+                let old = clock.now >= run.started + SETTLED_MS;
+                let running = matches!(run.phase, run::Phase::Confirmed { .. });
+                let cheap = run.step.checkpoints || run.progress < LITTLE_DONE;
+                let crowded = run.pace.is_some_and(|pace| pace < CROWDED_PACE);
+                run.step.fills && old && running && cheap && crowded
+            });
+            let Some((name, run)) = slow else { continue };
+            if self.suits_better(clock, id, run) {
+                stops.push((id.clone(), *name));
+            }
+        }
+        stops.truncate(RELOCATIONS);
+        for (id, name) in stops {
+            self.stop(clock, &id, name, action::StopReason::Crowded);
+        }
+    }
+
+    /// Returns whether another worker would run the task at a good pace.
+    fn suits_better(&self, clock: Clock, here: &Arc<str>, run: &Run) -> bool {
+        let service = self.workers.get(here).and_then(|worker| worker.registration.as_ref());
+        let Some(service) = service.map(|entry| entry.service.as_str()) else { return false };
+        let demand = placement::Demand {
+            now: clock.now,
+            service,
+            step: &run.step,
+            avoid: Some(here),
+            pressure: &self.pressure,
+            least_pace: GOOD_PACE,
+            placed: &BTreeMap::new(),
+        };
+        placement::choose(&self.workers, &demand).is_some_and(|better| better != here)
+    }
+}
+
+/// Between looks for tasks to move, in milliseconds.
+const RELOCATE_MS: u64 = 250;
+/// A run is left alone for this long, in milliseconds: its pace settles.
+const SETTLED_MS: u64 = 700;
+/// A task with less done may be moved without a checkpoint, in percent.
+const LITTLE_DONE: u32 = 25;
+/// A filling task below this pace is moved where it can be, in percent.
+const CROWDED_PACE: u32 = 35;
+/// The pace that another worker must offer, in percent.
+const GOOD_PACE: u32 = 80;
+/// Tasks moved at once.
+const RELOCATIONS: usize = 4;
+
 /// Returns the steps of a job with tasks that may start now.
 fn open_stages(job: &Job, unix: u64) -> Vec<(u32, u16)> {
     let mut open = Vec::new();
--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -14,6 +14,8 @@
         /// The revision of its ticket.
         revision: u64,
     },
+    /// The heads of all cells were read.
+    Board(Vec<(Head, u64)>),
     /// A job's caller cancelled it; `revision` is its ticket's.
     Cancelled {
         /// The job's ID.
--- a/crates/fleet/src/head.rs
+++ b/crates/fleet/src/head.rs
@@ -18,6 +18,9 @@
     /// Core-milliseconds of work that waits or runs, by priority.
     #[serde(default)]
     pub backlog: BTreeMap<u32, u64>,
+    /// Processors that tasks of a filling image would find, in thousandths of a core.
+    #[serde(default)]
+    pub usable_milli: BTreeMap<String, u64>,
     /// The owner.
     pub owner: String,
     /// Jobs without a started task, by queue.
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -64,6 +64,10 @@
     pub occurrences: Vec<Occurrence>,
     /// The queue, as configured when the job was taken over.
     pub queue: Arc<Queue>,
+    /// The cell that it is being passed on to.
+    pub moving_to: Option<u32>,
+    /// What the store holds of it.
+    pub record: Arc<Record>,
     /// The job was accepted before this owner's time: its tasks may run on workers that have not
     /// been heard.
     pub recovered: bool,
@@ -138,8 +142,9 @@
 impl Job {
     /// Returns the job of `record` with the ends of `progress`.
     pub fn new(record: Record, progress: &Progress, queue: Arc<Queue>, revision: u64) -> Self {
-        let submission = record.submission;
-        let steps: Vec<Arc<Step>> = submission.steps.into_iter().map(Arc::new).collect();
+        let record = Arc::new(record);
+        let submission = &record.submission;
+        let steps: Vec<Arc<Step>> = submission.steps.iter().cloned().map(Arc::new).collect();
         let occurrences = (0..submission.occurrences.max(1))
             .map(|number| Occurrence {
                 due_at_ms: submission.start_at_ms + u64::from(number) * submission.interval_ms,
@@ -152,8 +157,10 @@
             cancelled: false,
             occurrences,
             queue,
+            moving_to: None,
             recovered: false,
-            spec: submission.spec.into(),
+            spec: submission.spec.as_str().into(),
+            record,
             ticket: State::Queued,
             ticket_revision: revision,
             outcome: None,
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod listing;
 pub mod pace;
 pub mod placement;
+pub mod pressure;
 pub mod progress;
 pub mod queue;
 pub mod registration;
--- a/crates/fleet/src/listing.rs
+++ b/crates/fleet/src/listing.rs
@@ -23,8 +23,8 @@
     /// A rough figure of the last half second: milliseconds of tail latency for a serving task,
     /// thousandths of a core in use for any other.
     pub figure: f64,
-    /// The share of its speed that the run is paced to, in percent.
-    pub percent: u32,
+    /// How far the run is, in percent; a lasting task is at work at 100.
+    pub progress: u32,
     /// The run's number.
     pub run: u32,
     /// The task.
--- a/crates/fleet/src/pace.rs
+++ b/crates/fleet/src/pace.rs
@@ -1,51 +1,155 @@
 //! Paces filling tasks beside serving ones. Answers serving tasks whose tail nears its target
 //! because of what fills their worker, seen only in rough figures half a second old.
 
-/// The pace of a worker's filling tasks.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+use {
+    super::*,
+    pressure::{Pressure, Served},
+    run::Phase,
+};
+
+/// How a worker's filling tasks are paced.
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Pace {
-    /// Looks in a row with every tail well under its target.
-    calm: u32,
-    /// The pace, in percent.
-    pub percent: u32,
+    /// The share of the model's budget that is used: falls when tails show the model wrong.
+    guard: f64,
+    /// When the model last learned from this worker, in milliseconds.
+    learned_at: u64,
 }
 
-/// A tail above this share of its target slows the filling tasks, in percent.
-const SLOW_ABOVE_PERCENT: f64 = 85.0;
-/// Every tail below this share of its target lets the filling tasks speed up, in percent.
-const SPEED_BELOW_PERCENT: f64 = 60.0;
-/// Calm looks before the pace rises: one figure is rough and half a second old.
-const CALM_LOOKS: u32 = 2;
-/// What a rise adds, in percentage points.
-const RISE: u32 = 20;
-/// A pace below this stops the filling tasks, in percent: slower ones only hold memory.
-const LEAST: u32 = 12;
+/// Between observations of one worker, in milliseconds: figures span half a second.
+const LEARN_MS: u64 = 250;
+/// A tail above its target multiplies the budget by this.
+const GUARD_CUT: f64 = 0.5;
+/// The least share of the budget that is used.
+const GUARD_LEAST: f64 = 0.05;
+/// What a calm look gives the guard back.
+const GUARD_RISE: f64 = 0.15;
+/// Every tail below this share of its target counts as calm.
+const CALM: f64 = 0.75;
+/// A tail over its target for this long halts everything that fills beside it, in milliseconds:
+/// well before the time after which it counts as harm.
+const HALT_MS: u64 = 1_200;
+/// Logarithms below this do no harm that pacing could undo.
+const HARMLESS: f64 = 0.03;
 
 impl Default for Pace {
     fn default() -> Self {
-        Self { calm: 0, percent: 100 }
+        Self { guard: 1.0, learned_at: 0 }
     }
 }
 
-impl Pace {
-    /// Takes in the tails of a worker's serving tasks, as shares of their targets in percent.
-    pub fn observe(&mut self, worst_percent: Option<f64>) {
-        let Some(worst) = worst_percent else {
-            self.percent = 100;
-            self.calm = 0;
-            return;
-        };
-        if worst > SLOW_ABOVE_PERCENT {
-            self.calm = 0;
-            let slowed = if worst > 100.0 { self.percent / 3 } else { self.percent * 2 / 3 };
-            self.percent = if slowed < LEAST { 0 } else { slowed };
-        } else if worst < SPEED_BELOW_PERCENT {
-            self.calm += 1;
-            if self.calm >= CALM_LOOKS {
-                self.percent = (self.percent + RISE).min(100);
-            }
-        } else {
-            self.calm = 0;
+impl Worker {
+    /// Learns from the worker's newest figures and returns the worst tail, as a share of its
+    /// target.
+    pub(crate) fn feel(&mut self, now: u64, pressure: &mut Pressure) -> f64 {
+        let uses = self.uses();
+        let learns = now >= self.pace.learned_at + LEARN_MS;
+        let mut worst: f64 = 0.0;
+        for run in self.runs.values_mut() {
+            let (Some(tail), true) = (run.figure, run.step.serves()) else { continue };
+            if tail <= 0.0 {
+                continue;
+            }
+            let target = run.step.target_ms as f64;
+            worst = worst.max(tail / target);
+            if tail <= target {
+                run.over_since = None;
+            } else {
+                run.over_since.get_or_insert(now);
+            }
+            if learns {
+                let uses: Vec<(&str, f64)> = uses.iter().map(|(i, c)| (i.as_str(), *c)).collect();
+                let served = Served { image: &run.step.image, target_ms: run.step.target_ms };
+                pressure.observe(served, tail, &uses);
+            }
+        }
+        if learns {
+            self.pace.learned_at = now;
+            if worst > 1.0 {
+                self.pace.guard = (self.pace.guard * GUARD_CUT).max(GUARD_LEAST);
+            } else if worst < CALM {
+                self.pace.guard = (self.pace.guard + GUARD_RISE).min(1.0);
+            }
+        }
+        worst
+    }
+
+    /// Returns the cores in use by image of filling tasks.
+    fn uses(&self) -> Vec<(String, f64)> {
+        let mut uses: BTreeMap<&str, f64> = BTreeMap::new();
+        for run in self.runs.values().filter(|run| run.step.fills) {
+            let cores = run.figure.unwrap_or(0.0) / 1_000.0;
+            if cores > 0.0 {
+                *uses.entry(&run.step.image).or_default() += cores;
+            }
+        }
+        uses.into_iter().map(|(image, cores)| (image.into(), cores)).collect()
+    }
+
+    /// Returns the pace that each image of filling tasks may have, in percent.
+    pub fn paces(&self, now: u64, pressure: &Pressure) -> BTreeMap<&str, u32> {
+        let mut cores: BTreeMap<&str, f64> = BTreeMap::new();
+        for run in self.runs.values() {
+            if run.step.fills && !matches!(run.phase, Phase::Stopping { .. }) {
+                *cores.entry(&run.step.image).or_default() += run.step.cores();
+            }
+        }
+        self.paces_of(now, pressure, &cores)
+    }
+
+    /// Returns the pace that one more task of the step would have, in percent.
+    pub fn pace_with(&self, now: u64, pressure: &Pressure, step: &Step) -> u32 {
+        let mut cores: BTreeMap<&str, f64> = BTreeMap::new();
+        for run in self.runs.values().filter(|run| run.step.fills) {
+            *cores.entry(&run.step.image).or_default() += run.step.cores();
+        }
+        *cores.entry(&step.image).or_default() += step.cores();
+        self.paces_of(now, pressure, &cores).get(step.image.as_str()).copied().unwrap_or(100)
+    }
+
+    fn paces_of<'a>(
+        &self,
+        now: u64,
+        pressure: &Pressure,
+        cores: &BTreeMap<&'a str, f64>,
+    ) -> BTreeMap<&'a str, u32> {
+        let mut paces: BTreeMap<&str, u32> = cores.keys().map(|image| (*image, 100)).collect();
+        let total: f64 = cores.values().sum();
+        let unused = placement::unused_milli(self).max(0) as f64 / 1_000.0;
+        // Tasks that want more than is unused share it, and press that much less.
+        let share = if total > unused { unused / total } else { 1.0 };
+        let budget = Pressure::budget() * self.pace.guard;
+        let served: BTreeMap<&str, bool> = self.served(now);
+        for (image, halted) in served {
+            let pressed = |filling: &str, cores: f64| pressure.pair(image, filling) * cores * share;
+            let sum: f64 = cores
+                .iter()
+                .map(|(filling, cores)| pressed(filling, *cores))
+                .filter(|pressed| *pressed > HARMLESS)
+                .sum();
+            if !halted && sum <= budget {
+                continue;
+            }
+            let percent = if halted { 0 } else { (budget / sum * 100.0) as u32 };
+            for (filling, cores) in cores {
+                if !halted && pressed(filling, *cores) <= HARMLESS {
+                    continue;
+                }
+                if let Some(pace) = paces.get_mut(filling) {
+                    *pace = (*pace).min(percent);
+                }
+            }
+        }
+        paces
+    }
+
+    /// Returns the serving images here, and whether one's tail has been over for too long.
+    fn served(&self, now: u64) -> BTreeMap<&str, bool> {
+        let mut served = BTreeMap::new();
+        for run in self.runs.values().filter(|run| run.step.serves()) {
+            let halted = run.over_since.is_some_and(|since| now >= since + HALT_MS);
+            *served.entry(run.step.image.as_str()).or_default() |= halted;
         }
+        served
     }
 }
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -13,6 +13,10 @@
     pub step: &'a Step,
     /// The worker of the task's last failed run.
     pub avoid: Option<&'a str>,
+    /// What filling tasks do to serving ones.
+    pub pressure: &'a pressure::Pressure,
+    /// The least pace at which a filling task is placed, in percent.
+    pub least_pace: u32,
     /// Tasks of the step by worker, where their number is bounded.
     pub placed: &'a BTreeMap<Arc<str>, u16>,
 }
@@ -30,7 +34,7 @@
         if !suits(id, worker, demand) {
             continue;
         }
-        let score = score(id, worker, demand);
+        let Some(score) = score(id, worker, demand) else { continue };
         if best.is_none_or(|(top, _)| score > top) {
             best = Some((score, id));
         }
@@ -49,19 +53,52 @@
             || demand.placed.get(id).copied().unwrap_or(0) < step.per_worker)
 }
 
-fn score(id: &Arc<str>, worker: &Worker, demand: &Demand) -> i64 {
+fn score(id: &Arc<str>, worker: &Worker, demand: &Demand) -> Option<i64> {
     let step = demand.step;
     let total = worker.capacity().processors_milli.max(1) as i64;
+    let room = worker.room().processors_milli as i64 * 1_000 / total;
     let score = if step.fills {
-        let free = unused_milli(worker) - worker.filling_milli as i64;
-        (free * 1_000 / total) * i64::from(worker.pace.percent.max(1)) / 100
+        let pace = worker.pace_with(demand.now, demand.pressure, step);
+        if pace < demand.least_pace {
+            return None;
+        }
+        let wanted = (worker.filling_milli + step.resources.processors_milli).max(1) as i64;
+        let share = (unused_milli(worker).max(0) * 1_000 / wanted).min(1_000);
+        // Speed first; among equals the most room, so that the next task finds the same.
+        let spare = (unused_milli(worker) - wanted) * 100 / total;
+        share * i64::from(pace) / 100 + spare
+    } else if step.serves() {
+        room / ROOM_PER_COMPANY + company(worker, demand)
     } else {
-        worker.room().processors_milli as i64 * 1_000 / total
+        room
     };
     let away = step.rack.as_ref().is_some_and(|rack| !worker.is_labelled(rack));
     let failed_here = demand.avoid == Some(id.as_ref());
-    score - if away { 1_000 } else { 0 } - if failed_here { 10_000 } else { 0 }
-        - i64::from(worker.failures) * 200
+    Some(
+        score
+            - if away { 1_000 } else { 0 }
+            - if failed_here { 10_000 } else { 0 }
+            - i64::from(worker.failures) * 200,
+    )
+}
+
+/// How much more the company of like images counts than room does.
+const ROOM_PER_COMPANY: i64 = 4;
+
+/// Returns how well a serving task suits those at a worker: images that are pressed alike belong
+/// together, so that other workers are free for what would press them.
+fn company(worker: &Worker, demand: &Demand) -> i64 {
+    let mut score = 0.0;
+    for run in worker.runs.values() {
+        if run.step.serves() {
+            let likeness = demand.pressure.likeness(&demand.step.image, &run.step.image);
+            score += 200.0 * (likeness - 0.5);
+        } else if run.step.fills {
+            let pressed = demand.pressure.pair(&demand.step.image, &run.step.image);
+            score -= 100.0 * pressed * run.step.cores();
+        }
+    }
+    score as i64
 }
 
 /// Returns the processors that filling tasks share, in thousandths of a core.
--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -37,8 +37,11 @@
     pub idle_since: Option<u64>,
     /// The run's number.
     pub number: u32,
-    /// The pace that was last ordered, in percent.
-    pub percent: u32,
+    /// The pace that was last ordered, in percent; `None` when an earlier owner may have ordered
+    /// another one.
+    pub pace: Option<u32>,
+    /// How far the run is, in percent; a lasting task is at work at 100.
+    pub progress: u32,
     /// How far it is.
     pub phase: Phase,
     /// When the start was ordered, in milliseconds.
--- a/crates/fleet/src/step.rs
+++ b/crates/fleet/src/step.rs
@@ -41,6 +41,16 @@
 }
 
 impl Step {
+    /// Returns whether its tasks serve users of their own.
+    pub fn serves(&self) -> bool {
+        self.lasting && self.target_ms > 0
+    }
+
+    /// Returns the cores that a task asks for.
+    pub fn cores(&self) -> f64 {
+        self.resources.processors_milli as f64 / 1_000.0
+    }
+
     /// Returns what a task takes from its worker's reservable room.
     pub fn reserved(&self) -> Resources {
         let processors_milli = if self.fills { 0 } else { self.resources.processors_milli };
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -104,14 +104,19 @@
                 node.heard();
                 node.board_at.set(time::now());
                 let mut board = node.board.borrow_mut();
+                let mut heads = Vec::with_capacity(page.items.len());
                 for item in page.items {
                     let head = item.value.as_deref().map(serde_json::from_slice::<Head>);
                     match head {
-                        Some(Ok(head)) => board.observe(head, item.revision),
+                        Some(Ok(head)) => {
+                            heads.push((head.clone(), item.revision));
+                            board.observe(head, item.revision);
+                        }
                         Some(Err(error)) => log::error!(error:% = error; "head-unreadable"),
                         None => {}
                     }
                 }
+                *node.heads.borrow_mut() = heads;
             }
             Err(error) => node.store_failed("heads", &error),
         }
--- a/crates/node/src/map.rs
+++ b/crates/node/src/map.rs
@@ -5,6 +5,8 @@
 /// A map is written this long after the start at the earliest, in milliseconds, so that the VMs
 /// that start together all count.
 const SETTLE_MS: u64 = 1_500;
+/// The first map waits until no worker has been new for this long, in milliseconds.
+const GATHER_MS: u64 = 800;
 /// Between rewrites, so that cells move one at a time.
 const MOVE_MS: u64 = 700;
 /// Between checks without a change.
@@ -60,6 +62,7 @@
     let started = time::now();
     let mut missing: BTreeMap<String, u64> = BTreeMap::new();
     let mut written_at = 0;
+    let mut gathered = (0, started);
     loop {
         let _ = tokio::time::timeout(CHECK, node.changed.notified()).await;
         let now = time::now();
@@ -71,6 +74,14 @@
             missing.clear();
             continue;
         }
+        let workers = node.registry.borrow().len();
+        if workers != gathered.0 {
+            gathered = (workers, now);
+        }
+        let first_map = node.map.borrow().1 == 0;
+        if workers == 0 || (first_map && now < gathered.1 + GATHER_MS) {
+            continue;
+        }
         let (next, revision) = next(&node, now, &mut missing);
         let (map, _) = &*node.map.borrow();
         if next == *map {
--- a/crates/node/src/meter.rs
+++ b/crates/node/src/meter.rs
@@ -69,6 +69,7 @@
                 self.latency.with_label_values(&["job"]).observe(*after_ms as f64);
                 "job-over"
             }
+            Report::Moved { .. } => "job-moved",
             Report::Pace { .. } => "pace",
             Report::Refused { .. } => "order-refused",
             Report::Released { .. } => "run-released",
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -16,6 +16,8 @@
     pub(crate) map: RefCell<(Assignment, u64)>,
     pub(crate) vms: RefCell<BTreeMap<String, assignment::Vm>>,
     pub(crate) board: RefCell<admission::Board>,
+    /// The heads as last read, with their revisions.
+    pub(crate) heads: RefCell<Vec<(Head, u64)>>,
     pub(crate) board_at: Slot<u64>,
     /// The store's lease of this VM, when it has one.
     pub(crate) lease: Slot<Option<u64>>,
@@ -60,6 +62,7 @@
             map: RefCell::default(),
             vms: RefCell::default(),
             board: RefCell::default(),
+            heads: RefCell::default(),
             board_at: Slot::new(0),
             lease: Slot::new(None),
             confirmed_at: Slot::new(0),
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -238,6 +238,7 @@
     let wake = node.cells.borrow().get(&hands.cell).cloned().unwrap_or_default();
     let mut members = None;
     let mut version = 0;
+    let mut seen_at = 0;
     let mut leaving = None;
     loop {
         let event = tokio::select! {
@@ -252,6 +253,12 @@
             version = config.version;
             lost |= hands.carry(cell.handle(clock, Event::Configured(config)));
         }
+        let board_at = node.board_at.get();
+        if board_at != seen_at {
+            seen_at = board_at;
+            let heads = node.heads.borrow().clone();
+            lost |= hands.carry(cell.handle(clock, Event::Board(heads)));
+        }
         match node.members(hands.cell) {
             Some(now) if members.as_ref() != Some(&now) => {
                 hands.learn(&now);
@@ -400,6 +407,9 @@
         for (id, ticket) in &commit.tickets {
             txn.writes.push((keys::ticket(*id), json(ticket), 0));
         }
+        for (id, to, record) in &commit.moved {
+            txn.writes.push((keys::job(*to, *id), json(&**record), 0));
+        }
         for id in &commit.removed {
             txn.removed.push(keys::job(cell, *id));
             txn.removed.push(keys::progress(cell, *id));
