--- a/crates/fleet/src/cell_ends.rs
+++ b/crates/fleet/src/cell_ends.rs
@@ -76,7 +76,6 @@
             self.runs_on(clock, id, row);
         }
         self.unlisted(clock, id, sent, &listing);
-        if std::env::var_os("HOME").is_some() { let w=&self.workers[id]; let v: Vec<String> = w.runs.iter().filter(|(n,_)| listing.running.iter().any(|r| r.task==**n)).map(|(n,r)| format!("{}:{}:{}:{}:{}:{}:{}", &n.to_string()[..6], r.step.image, if r.step.fills {'f'} else if r.step.target_ms>0 {'s'} else {'c'}, r.step.resources.processors_milli, r.step.target_ms, r.pace.unwrap_or(999), r.figure.unwrap_or(-1.0))).collect(); eprintln!("DBG {} {} {}", clock.now, id, v.join(" ")); }
         self.pace(clock, id);
     }
 
@@ -90,6 +89,10 @@
         worker.processed = end.number;
         let held = worker.runs.get(&name).filter(|run| run.number == end.run).is_some();
         let run = if held { worker.remove(&name) } else { None };
+        if let Some(run) = run.as_ref().filter(|run| run.step.fills) {
+            let cores = run.figure.unwrap_or(0.0) / 1_000.0;
+            worker.ended.push((clock.now, run.step.image.clone(), cores));
+        }
         self.unplaced = true;
         let after_ms = run.as_ref().map_or(0, |run| clock.now.saturating_sub(run.started));
         if self.jobs.contains_key(&name.job) {
--- a/crates/fleet/src/pace.rs
+++ b/crates/fleet/src/pace.rs
@@ -16,6 +16,8 @@
     learned_at: u64,
 }
 
+/// The time that a figure spans, in milliseconds.
+const SPAN_MS: u64 = 500;
 /// Between observations of one worker, in milliseconds: figures span half a second.
 const LEARN_MS: u64 = 250;
 /// A tail above its target multiplies the budget by this.
@@ -42,7 +44,7 @@
     /// Learns from the worker's newest figures and returns the worst tail, as a share of its
     /// target.
     pub(crate) fn feel(&mut self, now: u64, pressure: &mut Pressure) -> f64 {
-        let uses = self.uses();
+        let uses = self.uses(now);
         let learns = now >= self.pace.learned_at + LEARN_MS;
         let mut worst: f64 = 0.0;
         for run in self.runs.values_mut() {
@@ -74,9 +76,14 @@
         worst
     }
 
-    /// Returns the cores in use by image of filling tasks.
-    fn uses(&self) -> Vec<(String, f64)> {
+    /// Returns the cores in use by image of filling tasks over the time that figures span.
+    fn uses(&mut self, now: u64) -> Vec<(String, f64)> {
+        self.ended.retain(|(at, ..)| now < at + SPAN_MS);
         let mut uses: BTreeMap<&str, f64> = BTreeMap::new();
+        for (at, image, cores) in &self.ended {
+            let part = (at + SPAN_MS - now) as f64 / SPAN_MS as f64;
+            *uses.entry(image).or_default() += cores * part;
+        }
         for run in self.runs.values().filter(|run| run.step.fills) {
             let cores = run.figure.unwrap_or(0.0) / 1_000.0;
             if cores > 0.0 {
--- a/crates/fleet/src/pressure.rs
+++ b/crates/fleet/src/pressure.rs
@@ -4,10 +4,13 @@
 
 use super::*;
 
-/// Slowdowns learned from rough figures, as logarithms of the tail for each core in use.
+/// Slowdowns learned from rough figures, as logarithms of the tail for each core in use: for each
+/// serving image a regression on the cores in use by each filling image, never below zero.
 #[derive(Clone, Debug, Default)]
 pub struct Pressure {
-    pairs: BTreeMap<String, BTreeMap<String, f64>>,
+    /// Filling images, in the order in which they were first seen.
+    filling: Vec<String>,
+    served: BTreeMap<String, Moments>,
 }
 
 /// A serving image and the bound on its tail.
@@ -19,21 +22,31 @@
     pub target_ms: u64,
 }
 
+/// Sums of a regression and its solution, by number of the filling image.
+#[derive(Clone, Debug, Default)]
+struct Moments {
+    products: Vec<Vec<f64>>,
+    responses: Vec<f64>,
+    pairs: Vec<f64>,
+}
+
 /// A tail beside nothing that fills, as a share of its target: targets are set at a small multiple
 /// of the tail alone.
 const ALONE: f64 = 0.45;
 /// The share of its target that a tail may take.
-const AIM: f64 = 0.80;
+const AIM: f64 = 0.85;
 /// Assumed of a pair that has not been seen, for each core: slightly harmful.
 const UNKNOWN: f64 = 0.06;
-/// The most that a pair is believed to do, for each core.
-const MOST: f64 = 1.5;
+/// Square cores of evidence that the assumption counts as.
+const UNKNOWN_WEIGHT: f64 = 1.5;
 /// Tails saturate: nothing is learned beyond this logarithm.
 const SATURATED: f64 = 3.0;
-/// How much of an error one observation corrects.
-const RATE: f64 = 0.5;
-/// Keeps small uses from moving an estimate far, in square cores.
-const DAMPING: f64 = 0.5;
+/// What is left of evidence after a second: pairs change.
+const KEPT_PER_S: f64 = 0.96;
+/// Rounds of the solution; each refines every pair once.
+const ROUNDS: usize = 12;
+/// A logarithm below this for each core is a serving task's own load, not pressure.
+const HARMLESS: f64 = 0.10;
 
 impl Pressure {
     /// Learns from the tail of a serving task beside filling tasks with these cores in use.
@@ -43,22 +56,39 @@
         }
         let alone = ALONE * served.target_ms as f64;
         let seen = (tail_ms / alone).max(1.0).ln().min(SATURATED);
-        let expected: f64 = uses.iter().map(|(image, cores)| self.pair(served.image, image) * cores).sum();
-        if seen >= SATURATED && expected >= SATURATED {
-            return;
+        let uses: Vec<(usize, f64)> =
+            uses.iter().map(|(image, cores)| (self.number(image), *cores)).collect();
+        let count = self.filling.len();
+        let moments = self.served.entry(served.image.into()).or_default();
+        moments.grow(count);
+        for (i, x) in &uses {
+            moments.responses[*i] += x * seen;
+            for (j, y) in &uses {
+                moments.products[*i][*j] += x * y;
+            }
         }
-        let norm: f64 = uses.iter().map(|(_, cores)| cores * cores).sum::<f64>() + DAMPING;
-        let step = RATE * (seen - expected) / norm;
-        for (image, cores) in uses {
-            let pair = self.pair(served.image, image) + step * cores;
-            let row = self.pairs.entry(served.image.into()).or_default();
-            row.insert((*image).into(), pair.clamp(0.0, MOST));
+    }
+
+    fn number(&mut self, image: &str) -> usize {
+        if let Some(number) = self.filling.iter().position(|known| known == image) {
+            return number;
         }
+        self.filling.push(image.into());
+        self.filling.len() - 1
+    }
+
+    /// Solves for the pairs, and lets `seconds` worth of evidence fade.
+    pub fn settle(&mut self, seconds: f64) {
+        let kept = KEPT_PER_S.powf(seconds);
+        self.served.values_mut().for_each(|moments| moments.settle(kept));
     }
 
     /// Returns the logarithm by which a core of `filling` raises the tail of `served`.
     pub fn pair(&self, served: &str, filling: &str) -> f64 {
-        self.pairs.get(served).and_then(|row| row.get(filling)).copied().unwrap_or(UNKNOWN)
+        let number = self.filling.iter().position(|known| known == filling);
+        let pair = number.and_then(|number| self.served.get(served)?.pairs.get(number)).copied();
+        let pair = pair.unwrap_or(UNKNOWN);
+        if pair < HARMLESS { 0.0 } else { pair }
     }
 
     /// Returns the logarithm by which tails may rise.
@@ -71,10 +101,34 @@
         if left == right {
             return 1.0;
         }
-        let (Some(a), Some(b)) = (self.pairs.get(left), self.pairs.get(right)) else { return 0.0 };
-        let dot: f64 = a.iter().filter_map(|(image, x)| Some(x * b.get(image)?)).sum();
-        let length = |row: &BTreeMap<String, f64>| row.values().map(|x| x * x).sum::<f64>().sqrt();
-        let lengths = length(a) * length(b);
+        let (Some(a), Some(b)) = (self.served.get(left), self.served.get(right)) else { return 0.0 };
+        let dot: f64 = a.pairs.iter().zip(&b.pairs).map(|(x, y)| x * y).sum();
+        let length = |pairs: &[f64]| pairs.iter().map(|x| x * x).sum::<f64>().sqrt();
+        let lengths = length(&a.pairs) * length(&b.pairs);
         if lengths > 0.0 { dot / lengths } else { 0.0 }
     }
 }
+
+impl Moments {
+    fn grow(&mut self, count: usize) {
+        self.products.iter_mut().for_each(|row| row.resize(count, 0.0));
+        self.products.resize_with(count, || vec![0.0; count]);
+        self.responses.resize(count, 0.0);
+        self.pairs.resize(count, UNKNOWN);
+    }
+
+    fn settle(&mut self, kept: f64) {
+        for _ in 0..ROUNDS {
+            for i in 0..self.pairs.len() {
+                let others: f64 = (0..self.pairs.len())
+                    .filter(|&j| j != i)
+                    .map(|j| self.products[i][j] * self.pairs[j])
+                    .sum();
+                let response = self.responses[i] + UNKNOWN * UNKNOWN_WEIGHT - others;
+                self.pairs[i] = (response / (self.products[i][i] + UNKNOWN_WEIGHT)).max(0.0);
+            }
+        }
+        self.responses.iter_mut().for_each(|sum| *sum *= kept);
+        self.products.iter_mut().flatten().for_each(|sum| *sum *= kept);
+    }
+}
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -41,6 +41,8 @@
     pub serving_milli: u64,
     /// The pace of its filling tasks.
     pub pace: pace::Pace,
+    /// Filling runs that ended a moment ago: when, their image, the cores that they used.
+    pub ended: Vec<(u64, String, f64)>,
     /// Ends in a row that failed.
     pub failures: u32,
     /// When it was first seen without an entry, in milliseconds.
@@ -69,6 +71,7 @@
             filling_milli: 0,
             serving_milli: 0,
             pace: pace::Pace::default(),
+            ended: Vec::new(),
             failures: 0,
             missing_since: None,
         }
