--- a/crates/fleet/src/action.rs
+++ b/crates/fleet/src/action.rs
@@ -174,6 +174,8 @@
     NotListed,
     /// The order was refused.
     Refused,
+    /// Another worker answers at its address.
+    Replaced,
     /// A stop fenced it off before it arrived.
     Stopped,
 }
--- a/crates/fleet/src/cell_ends.rs
+++ b/crates/fleet/src/cell_ends.rs
@@ -13,6 +13,8 @@
 const FAILURES_TO_PAUSE: u32 = 3;
 /// How long a worker that fails what it starts gets nothing new, in milliseconds.
 const FAILING_PAUSE_MS: u64 = 4_000;
+/// Between looks at a worker that another one has replaced, in milliseconds.
+const REPLACED_LOOK_MS: u64 = 1_000;
 /// Paces that differ by less are left as they are, in percentage points.
 const PACE_STEP: u32 = 8;
 /// The most that one order raises a pace by, in percentage points.
@@ -36,6 +38,7 @@
         match answer {
             Ok(listing) => self.listed(clock, id, sent, listing),
             Err(Refusal::Fenced) => self.lose(),
+            Err(Refusal::Reborn) => self.replaced(clock, id),
             Err(_) => {
                 worker.missed += 1;
                 let runs = worker.runs.len();
@@ -47,6 +50,23 @@
         }
     }
 
+    /// Another worker answers at the address: what this one ran is over.
+    fn replaced(&mut self, clock: Clock, id: &Arc<str>) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        worker.missed += 1;
+        worker.look_at = clock.now + REPLACED_LOOK_MS;
+        let names: Vec<task::Name> = worker.runs.keys().copied().collect();
+        self.unfenced.remove(id);
+        if names.is_empty() {
+            return;
+        }
+        let (state, runs) = (WorkerState::Reborn, names.len());
+        self.report(Report::Worker { worker: id.clone(), state, runs });
+        for name in names {
+            self.release(clock, id, name, Proof::Replaced);
+        }
+    }
+
     fn listed(&mut self, clock: Clock, id: &Arc<str>, sent: u64, listing: Listing) {
         let Some(worker) = self.workers.get_mut(id) else { return };
         let runs = worker.runs.len();
--- a/crates/fleet/src/cell_orders.rs
+++ b/crates/fleet/src/cell_orders.rs
@@ -97,6 +97,8 @@
                 let retry_at = Some(clock.now + limits::RETRY_MS);
                 run.phase = Phase::Starting { retry_at, uncertain: true };
             }
+            // Earlier orders went to a life that is over, or carried an earlier deadline.
+            Refusal::Reborn | Refusal::Late => self.release(clock, id, name, Proof::Refused),
             _ if uncertain => {
                 let retry_at = Some(clock.now + limits::RETRY_MS);
                 run.phase = Phase::Stopping { retry_at, confirmed: None };
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -316,6 +316,10 @@
         }
     }
 
+    fn peer<'a>(&self, address: SocketAddr, id: &'a str) -> orders::Peer<'a> {
+        orders::Peer { address, fence: self.fence, id }
+    }
+
     fn address(&self, worker: &Arc<str>) -> Option<SocketAddr> {
         self.addresses.borrow().get(worker).copied()
     }
@@ -339,20 +343,19 @@
 /// Carries one action out.
 async fn perform(hands: Rc<Hands>, action: Action) {
     let orders = &hands.node.orders;
-    let fence = hands.fence;
     match action {
         Action::Start { worker, task, run, spec, lease_until, checkpoint } => {
             let start =
                 orders::Start { task, run, spec: &spec, lease_until, checkpoint: &checkpoint };
             let answer = match hands.address(&worker) {
-                Some(address) => orders.start(address, fence, start).await,
+                Some(address) => orders.start(hands.peer(address, &worker), start).await,
                 None => Err(Refusal::Unreachable),
             };
             hands.send(Event::Start { worker, task, run, answer });
         }
         Action::Stop { worker, task, run } => {
             let answer = match hands.address(&worker) {
-                Some(address) => orders.stop(address, fence, task, run).await,
+                Some(address) => orders.stop(hands.peer(address, &worker), task, run).await,
                 None => Err(Refusal::Unreachable),
             };
             hands.send(Event::Stop { worker, task, run, answer });
@@ -361,7 +364,8 @@
             let sent = time::now();
             let answer = match hands.address(&worker) {
                 Some(address) => {
-                    orders.look(address, fence, acknowledged, lease_until, wait_ms).await
+                    let peer = hands.peer(address, &worker);
+                    orders.look(peer, acknowledged, lease_until, wait_ms).await
                 }
                 None => Err(Refusal::Unreachable),
             };
@@ -369,7 +373,7 @@
         }
         Action::Pace { worker, task, run, percent } => {
             let Some(address) = hands.address(&worker) else { return };
-            if let Err(reason) = orders.pace(address, fence, task, run, percent).await {
+            if let Err(reason) = orders.pace(hands.peer(address, &worker), task, run, percent).await {
                 log::warn!(worker = &*worker, task:% = task, reason:? = reason; "pace-refused");
             }
         }
