--- a/crates/fleet/src/assignment.rs
+++ b/crates/fleet/src/assignment.rs
@@ -21,7 +21,7 @@
 
 /// Processors that a worker costs its cell's owner, in thousandths of a core, from runs at about
 /// three starts a second for each worker.
-const MILLI_PER_WORKER: u64 = 2;
+const MILLI_PER_WORKER: u64 = 1;
 /// The share of an owner's processors that its cell may take on a calm day, in percent: a burst
 /// doubles the starts, and the VM answers callers too. Larger cells waste less room.
 const OWNER_PERCENT: u64 = 45;
--- a/crates/fleet/src/cell_ends.rs
+++ b/crates/fleet/src/cell_ends.rs
@@ -115,7 +115,8 @@
         }
         self.unplaced = true;
         let after_ms = run.as_ref().map_or(0, |run| clock.now.saturating_sub(run.started));
-        if self.jobs.contains_key(&name.job) {
+        if let Some(job) = self.jobs.get_mut(&name.job) {
+            job.begun = true;
             let (task, run, how) = (name, end.run, end.how);
             self.report(Report::End { task, run, worker: id.clone(), how, after_ms });
         }
