--- a/crates/fleet/src/pace.rs
+++ b/crates/fleet/src/pace.rs
@@ -76,9 +76,11 @@
         worst
     }
 
-    /// Returns the cores in use by image of filling tasks over the time that figures span.
+    /// Returns the share of the processors in use by image of filling tasks, over the time that
+    /// figures span.
     fn uses(&mut self, now: u64) -> Vec<(String, f64)> {
         self.ended.retain(|(at, ..)| now < at + SPAN_MS);
+        let total = self.cores();
         let mut uses: BTreeMap<&str, f64> = BTreeMap::new();
         for (at, image, cores) in &self.ended {
             let part = (at + SPAN_MS - now) as f64 / SPAN_MS as f64;
@@ -90,7 +92,7 @@
                 *uses.entry(&run.step.image).or_default() += cores;
             }
         }
-        uses.into_iter().map(|(image, cores)| (image.into(), cores)).collect()
+        uses.into_iter().map(|(image, cores)| (image.into(), cores / total)).collect()
     }
 
     /// Returns the pace that each image of filling tasks may have, in percent.
@@ -128,7 +130,9 @@
         let budget = Pressure::budget() * self.pace.guard;
         let served: BTreeMap<&str, bool> = self.served(now);
         for (image, halted) in served {
-            let pressed = |filling: &str, cores: f64| pressure.pair(image, filling) * cores * share;
+            let pressed = |filling: &str, cores: f64| {
+                pressure.pair(image, filling) * cores * share / self.cores()
+            };
             let sum: f64 = cores
                 .iter()
                 .map(|(filling, cores)| pressed(filling, *cores))
@@ -150,6 +154,11 @@
         paces
     }
 
+    /// Returns the worker's cores.
+    pub fn cores(&self) -> f64 {
+        (self.capacity().processors_milli as f64 / 1_000.0).max(1.0)
+    }
+
     /// Returns the serving images here, and whether one's tail has been over for too long.
     fn served(&self, now: u64) -> BTreeMap<&str, bool> {
         let mut served = BTreeMap::new();
--- a/crates/fleet/src/pressure.rs
+++ b/crates/fleet/src/pressure.rs
@@ -4,8 +4,9 @@
 
 use super::*;
 
-/// Slowdowns learned from rough figures, as logarithms of the tail for each core in use: for each
-/// serving image a regression on the cores in use by each filling image, never below zero.
+/// Slowdowns learned from rough figures, as logarithms of the tail for a whole worker's
+/// processors in use: for each serving image a regression on the share of the processors that each
+/// filling image uses, never below zero.
 #[derive(Clone, Debug, Default)]
 pub struct Pressure {
     /// Filling images, in the order in which they were first seen.
@@ -35,21 +36,22 @@
 const ALONE: f64 = 0.45;
 /// The share of its target that a tail may take.
 const AIM: f64 = 0.85;
-/// Assumed of a pair that has not been seen, for each core: slightly harmful.
-const UNKNOWN: f64 = 0.06;
-/// Square cores of evidence that the assumption counts as.
-const UNKNOWN_WEIGHT: f64 = 1.5;
+/// Assumed of a pair that has not been seen, for a whole worker: slightly harmful.
+const UNKNOWN: f64 = 1.0;
+/// Evidence that the assumption counts as: looks at a tenth of a worker in use, about half a dozen.
+const UNKNOWN_WEIGHT: f64 = 0.06;
 /// Tails saturate: nothing is learned beyond this logarithm.
 const SATURATED: f64 = 3.0;
 /// What is left of evidence after a second: pairs change.
 const KEPT_PER_S: f64 = 0.96;
 /// Rounds of the solution; each refines every pair once.
 const ROUNDS: usize = 12;
-/// A logarithm below this for each core is a serving task's own load, not pressure.
-const HARMLESS: f64 = 0.10;
+/// A logarithm below this for a whole worker is a serving task's own load, not pressure.
+const HARMLESS: f64 = 1.5;
 
 impl Pressure {
-    /// Learns from the tail of a serving task beside filling tasks with these cores in use.
+    /// Learns from the tail of a serving task beside filling tasks that use these shares of the worker's
+    /// processors.
     pub fn observe(&mut self, served: Served, tail_ms: f64, uses: &[(&str, f64)]) {
         if uses.is_empty() || served.target_ms == 0 {
             return;
@@ -57,7 +59,7 @@
         let alone = ALONE * served.target_ms as f64;
         let seen = (tail_ms / alone).max(1.0).ln().min(SATURATED);
         let uses: Vec<(usize, f64)> =
-            uses.iter().map(|(image, cores)| (self.number(image), *cores)).collect();
+            uses.iter().map(|(image, share)| (self.number(image), *share)).collect();
         let count = self.filling.len();
         let moments = self.served.entry(served.image.into()).or_default();
         moments.grow(count);
@@ -83,7 +85,7 @@
         self.served.values_mut().for_each(|moments| moments.settle(kept));
     }
 
-    /// Returns the logarithm by which a core of `filling` raises the tail of `served`.
+    /// Returns the logarithm by which a whole worker of `filling` raises the tail of `served`.
     pub fn pair(&self, served: &str, filling: &str) -> f64 {
         let number = self.filling.iter().position(|known| known == filling);
         let pair = number.and_then(|number| self.served.get(served)?.pairs.get(number)).copied();
