--- a/crates/fleet/src/action.rs
+++ b/crates/fleet/src/action.rs
@@ -94,6 +94,15 @@
         /// The cell that has it now.
         to: u32,
     },
+    /// Tasks of a job were passed on to another cell.
+    Split {
+        /// The job's ID.
+        job: job::Id,
+        /// The cell that has them now.
+        to: u32,
+        /// How many.
+        tasks: usize,
+    },
     /// A filling task is paced.
     Pace {
         /// The worker's id.
--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -84,6 +84,21 @@
         Some(cell)
     }
 
+    /// Returns a cell that is not among `cells` and has this much free on one worker, and counts a
+    /// task there.
+    pub fn room(&mut self, cells: &[u32], task_milli: u64) -> Option<u32> {
+        let (&cell, seen) = self
+            .cells
+            .iter_mut()
+            .filter(|(cell, seen)| {
+                let sent = seen.sent_milli;
+                !cells.contains(cell) && seen.head.largest_milli >= task_milli + sent
+            })
+            .max_by_key(|(_, seen)| seen.head.largest_milli)?;
+        seen.sent_milli += task_milli;
+        Some(cell)
+    }
+
     /// Returns the jobs without a started task in a queue.
     pub fn pending(&self, queue: &str) -> u64 {
         self.cells.values().filter_map(|seen| seen.head.pending.get(queue)).sum()
@@ -117,7 +132,7 @@
         let used = total.saturating_sub(self.head.free_milli) + self.sent_milli;
         let reserved = used + demand.reserved_milli;
         let usable = demand.filling.and_then(|image| self.head.usable_milli.get(image));
-        let speed = usable.copied().unwrap_or(total).max(total / SLOWEST);
+        let speed = usable.copied().unwrap_or(total).max(total / SLOWEST).max(1);
         let wait = (backlog + sent + demand.work) * 1_000 / speed
             + reserved.saturating_sub(total) * RESERVED_WAIT_MS / total;
         (wait / WAIT_STEP_MS, reserved * 1_000 / total)
--- a/crates/fleet/src/cell_record.rs
+++ b/crates/fleet/src/cell_record.rs
@@ -13,6 +13,8 @@
 const REBALANCE_MS: u64 = 200;
 /// A job is passed on after it has waited for this long, in milliseconds.
 const MOVE_AFTER_MS: u64 = 250;
+/// Lasting tasks are passed on after they have waited for this long, in milliseconds.
+const SPLIT_AFTER_MS: u64 = 800;
 /// How much sooner another cell must serve a job, in milliseconds.
 const MOVE_MARGIN_MS: u64 = 400;
 /// Jobs passed on at once.
@@ -85,6 +87,7 @@
                 break;
             }
         }
+        self.split_stuck(clock);
         for (id, cell) in moves {
             if let Some(job) = self.jobs.get_mut(&id) {
                 job.moving_to = Some(cell);
@@ -93,6 +96,44 @@
         }
     }
 
+    /// Passes lasting tasks that find no room here on to cells that have it.
+    fn split_stuck(&mut self, clock: Clock) {
+        let fenced = self.unfenced.is_empty();
+        let mut splits = Vec::new();
+        for (_, _, id) in &self.order {
+            let Some(job) = self.jobs.get_mut(id) else { continue };
+            if !job.begun || !job.is_lasting() || job.splitting.is_some() {
+                continue;
+            }
+            let waiting = job.waiting();
+            let Some(&(step, _)) = waiting.first().filter(|_| fenced || !job.recovered) else {
+                job.waiting_since = None;
+                continue;
+            };
+            let since = *job.waiting_since.get_or_insert(clock.now);
+            if clock.now < since + SPLIT_AFTER_MS {
+                continue;
+            }
+            let Some(step) = job.stage(0, step).map(|stage| stage.step.clone()) else { continue };
+            let mut cells = job.also.clone();
+            cells.extend(job.home);
+            cells.push(self.head.cell);
+            let milli = step.reserved().processors_milli;
+            if let Some(to) = self.board.room(&cells, milli) {
+                splits.push((*id, job::Split { to, tasks: waiting }));
+            }
+            if splits.len() >= MOVES {
+                break;
+            }
+        }
+        for (id, split) in splits {
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.splitting = Some(split);
+                self.touch(id);
+            }
+        }
+    }
+
     /// Sends the next commit when one is due.
     pub(crate) fn record(&mut self, clock: Clock) {
         if let Some(pending) = &mut self.commit {
@@ -129,7 +170,7 @@
             expected: Vec::new(),
             head: self.next_head(),
             head_revision: self.head_revision,
-            moved: Vec::new(),
+            records: Vec::new(),
             progress: Vec::new(),
             removed: Vec::new(),
             tickets: Vec::new(),
@@ -161,6 +202,7 @@
             cell: self.head.cell,
             free_milli: 0,
             generation: self.head.generation,
+            largest_milli: 0,
             owner: self.head.owner.clone(),
             pending: BTreeMap::new(),
             usable_milli: self.usable.clone(),
@@ -170,6 +212,9 @@
         for worker in self.workers.values().filter(|worker| worker.fenced && worker.missed == 0) {
             head.free_milli += worker.room().processors_milli;
             head.total_milli += worker.capacity().processors_milli;
+            if worker.is_usable(self.committed_at) {
+                head.largest_milli = head.largest_milli.max(worker.room().processors_milli);
+            }
         }
         for job in self.jobs.values().filter(|job| job.outcome.is_none()) {
             *head.backlog.entry(job.queue.priority).or_default() += job.work_left();
@@ -185,9 +230,10 @@
         match outcome {
             Outcome::Committed(revision) => self.apply(clock, &pending, revision),
             Outcome::Conflict(tickets) => {
-                for (id, _, _) in &pending.commit.moved {
+                for (id, _, _) in &pending.commit.records {
                     if let Some(job) = self.jobs.get_mut(id) {
                         job.moving_to = None;
+                        job.splitting = None;
                     }
                 }
                 self.dirty.extend(pending.commit.progress.iter().map(|(id, _)| *id));
@@ -211,12 +257,22 @@
         self.durable = self.durable.max(pending.covers);
         self.head = commit.head.clone();
         self.head_revision = revision;
+        let mut split_reports = Vec::new();
         for (id, ticket) in &commit.tickets {
             if let Some(job) = self.jobs.get_mut(id) {
                 job.ticket = ticket.state;
                 job.ticket_revision = revision;
+                job.also.clone_from(&ticket.also);
+                if let Some(split) = job.splitting.take() {
+                    job.leave_out(|task| split.tasks.contains(&task));
+                    let (job, to, tasks) = (*id, split.to, split.tasks.len());
+                    split_reports.push(Report::Split { job, to, tasks });
+                }
             }
         }
+        for report in split_reports {
+            self.report(report);
+        }
         for id in &commit.removed {
             let Some(job) = self.jobs.remove(id) else { continue };
             self.order.remove(&(job.queue.priority, job.accepted_at_ms, *id));
@@ -245,6 +301,8 @@
         job.ticket_revision = revision;
         if let Some(ticket) = ticket {
             job.ticket = ticket.state;
+            job.home = Some(ticket.cell);
+            job.also.clone_from(&ticket.also);
         }
         let cancelled = ticket.is_none_or(|ticket| ticket.state == State::Cancelled);
         if cancelled {
@@ -260,16 +318,21 @@
 fn add(commit: &mut Commit, id: job::Id, job: &Job, cell: u32) {
     if let Some(cell) = job.moving_to.filter(|_| job.outcome.is_none()) {
         commit.expected.push((id, job.ticket_revision));
-        let ticket = Ticket { cell, queue: job.queue.name.clone(), state: State::Queued };
+        let queue = job.queue.name.clone();
+        let ticket = Ticket { also: Vec::new(), cell, queue, state: State::Queued };
         commit.tickets.push((id, ticket));
-        commit.moved.push((id, cell, job.record.clone()));
+        commit.records.push((id, cell, job.record.clone()));
         commit.removed.push(id);
         return;
     }
+    if let Some(split) = job.splitting.as_ref().filter(|_| job.outcome.is_none()) {
+        divide(commit, id, job, cell, split);
+        return;
+    }
     let state = job.outcome.unwrap_or(if job.begun { State::Running } else { State::Queued });
     if state != job.ticket {
         commit.expected.push((id, job.ticket_revision));
-        commit.tickets.push((id, Ticket { cell, queue: job.queue.name.clone(), state }));
+        commit.tickets.push((id, job.ticket_as(cell, state)));
     }
     if job.outcome.is_some() {
         commit.removed.push(id);
@@ -280,3 +343,21 @@
         commit.progress.push((id, progress));
     }
 }
+
+/// Adds the passing on of tasks: their cell gets a record of them, and this one of the rest.
+fn divide(commit: &mut Commit, id: job::Id, job: &Job, cell: u32, split: &job::Split) {
+    let mut ticket = job.ticket_as(cell, State::Running);
+    ticket.also.push(split.to);
+    let record = |tasks: BTreeSet<(u16, u16)>| {
+        Arc::new(job::Record {
+            tasks: Some(tasks),
+            ticket: Some(ticket.clone()),
+            ..(*job.record).clone()
+        })
+    };
+    let rest = job.tasks().difference(&split.tasks).copied().collect();
+    commit.records.push((id, split.to, record(split.tasks.clone())));
+    commit.records.push((id, cell, record(rest)));
+    commit.expected.push((id, job.ticket_revision));
+    commit.tickets.push((id, ticket));
+}
--- a/crates/fleet/src/cell_schedule.rs
+++ b/crates/fleet/src/cell_schedule.rs
@@ -28,7 +28,8 @@
         let mut misses = 0;
         for id in ids {
             let Some(job) = self.jobs.get(&id) else { continue };
-            if job.moving_to.is_some() || (job.recovered && !fenced) {
+            let passing_on = job.moving_to.is_some() || job.splitting.is_some();
+            if passing_on || (job.recovered && !fenced) {
                 continue;
             }
             for (occurrence, step) in open_stages(job, clock.unix) {
--- a/crates/fleet/src/commit.rs
+++ b/crates/fleet/src/commit.rs
@@ -11,8 +11,8 @@
     pub head: Head,
     /// The revision that the head must still have.
     pub head_revision: u64,
-    /// Jobs to pass on, each with its new cell and its record.
-    pub moved: Vec<(job::Id, u32, Arc<job::Record>)>,
+    /// Records of jobs to write, each under its cell.
+    pub records: Vec<(job::Id, u32, Arc<job::Record>)>,
     /// Progress to write.
     pub progress: Vec<(job::Id, Progress)>,
     /// Jobs whose record, progress and cancellation mark go.
@@ -25,7 +25,7 @@
     /// Returns how many entries of a transaction this takes.
     pub fn entries(&self) -> usize {
         2 + self.expected.len()
-            + self.moved.len()
+            + self.records.len()
             + self.progress.len()
             + self.tickets.len()
             + REMOVED_ENTRIES * self.removed.len()
--- a/crates/fleet/src/head.rs
+++ b/crates/fleet/src/head.rs
@@ -21,6 +21,9 @@
     /// Processors that tasks of a filling image would find, in thousandths of a core.
     #[serde(default)]
     pub usable_milli: BTreeMap<String, u64>,
+    /// The most processors that one worker has free, in thousandths of a core.
+    #[serde(default)]
+    pub largest_milli: u64,
     /// The owner.
     pub owner: String,
     /// Jobs without a started task, by queue.
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -27,6 +27,12 @@
     pub queue: String,
     /// What its caller submitted.
     pub submission: Submission,
+    /// The tasks that this cell runs, as step and task; all when not given.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub tasks: Option<BTreeSet<(u16, u16)>>,
+    /// The ticket as it was when the job was split among cells.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub ticket: Option<Ticket>,
 }
 
 /// The tasks of one step of one occurrence.
@@ -51,6 +57,15 @@
     pub stages: Vec<Stage>,
 }
 
+/// Tasks that go to another cell.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Split {
+    /// The cell.
+    pub to: u32,
+    /// The tasks, as step and task.
+    pub tasks: BTreeSet<(u16, u16)>,
+}
+
 /// A job that is not over.
 #[derive(Debug)]
 pub struct Job {
@@ -64,8 +79,16 @@
     pub occurrences: Vec<Occurrence>,
     /// The queue, as configured when the job was taken over.
     pub queue: Arc<Queue>,
+    /// The cells of its ticket: the job's own, and others that run tasks of it.
+    pub home: Option<u32>,
+    /// Other cells that run tasks of the job.
+    pub also: Vec<u32>,
     /// The cell that it is being passed on to.
     pub moving_to: Option<u32>,
+    /// Since when tasks of a job that has begun have waited, in milliseconds.
+    pub waiting_since: Option<u64>,
+    /// Tasks that are being passed on to another cell.
+    pub splitting: Option<Split>,
     /// What the store holds of it.
     pub record: Arc<Record>,
     /// The job was accepted before this owner's time: its tasks may run on workers that have not
@@ -157,15 +180,23 @@
             cancelled: false,
             occurrences,
             queue,
+            home: record.ticket.as_ref().map(|ticket| ticket.cell),
+            also: record.ticket.as_ref().map(|ticket| ticket.also.clone()).unwrap_or_default(),
             moving_to: None,
+            splitting: None,
+            waiting_since: None,
             recovered: false,
             spec: submission.spec.as_str().into(),
-            record,
-            ticket: State::Queued,
+            ticket: record.ticket.as_ref().map_or(State::Queued, |ticket| ticket.state),
             ticket_revision: revision,
             outcome: None,
+            record,
         };
         job.restore(progress);
+        if let Some(tasks) = job.record.clone().tasks.as_ref() {
+            job.leave_out(|task| !tasks.contains(&task));
+            job.begun = true;
+        }
         job
     }
 
@@ -188,6 +219,56 @@
         self.begun = !progress.done.is_empty() || !progress.failed.is_empty();
     }
 
+    /// Leaves tasks to other cells.
+    pub fn leave_out(&mut self, gone: impl Fn((u16, u16)) -> bool) {
+        for occurrence in &mut self.occurrences {
+            for (step, stage) in (0..).zip(&mut occurrence.stages) {
+                for index in 0..stage.step.count {
+                    if gone((step, index)) {
+                        stage.leave_out(index);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Returns the tasks that wait, as step and task.
+    pub fn waiting(&self) -> BTreeSet<(u16, u16)> {
+        let Some(occurrence) = self.occurrences.first() else { return BTreeSet::new() };
+        (0..)
+            .zip(&occurrence.stages)
+            .flat_map(|(step, stage)| stage.waiting.iter().map(move |&index| (step, index)))
+            .collect()
+    }
+
+    /// Returns the tasks that this cell runs, as step and task.
+    pub fn tasks(&self) -> BTreeSet<(u16, u16)> {
+        let Some(occurrence) = self.occurrences.first() else { return BTreeSet::new() };
+        let here = |task: &task::Task| task.standing != task::Standing::Elsewhere;
+        (0..)
+            .zip(&occurrence.stages)
+            .flat_map(|(step, stage)| {
+                let tasks = (0..).zip(&stage.tasks).filter(move |(_, task)| here(task));
+                tasks.map(move |(index, _)| (step, index))
+            })
+            .collect()
+    }
+
+    /// Returns the job's ticket with a state, where `cell` is the job's own if none is known.
+    pub fn ticket_as(&self, cell: u32, state: State) -> Ticket {
+        Ticket {
+            also: self.also.clone(),
+            cell: self.home.unwrap_or(cell),
+            queue: self.queue.name.clone(),
+            state,
+        }
+    }
+
+    /// Returns whether its tasks run until it is cancelled.
+    pub fn is_lasting(&self) -> bool {
+        self.record.submission.steps.iter().any(|step| step.lasting)
+    }
+
     /// Returns the ends to record.
     pub fn progress(&self) -> Progress {
         let mut progress = Progress::default();
@@ -235,7 +316,8 @@
 
     /// Returns whether every task is done.
     pub fn is_done(&self) -> bool {
-        self.occurrences.iter().flat_map(|occurrence| &occurrence.stages).all(|s| s.left == 0)
+        let mut stages = self.occurrences.iter().flat_map(|occurrence| &occurrence.stages);
+        !self.is_lasting() && stages.all(|stage| stage.left == 0)
     }
 
     /// Returns the core-milliseconds of work that are not done, by the estimates.
@@ -271,6 +353,15 @@
 }
 
 impl Stage {
+    /// Leaves a task to another cell.
+    pub fn leave_out(&mut self, index: u16) {
+        let Some(task) = self.tasks.get_mut(usize::from(index)) else { return };
+        if task.standing == task::Standing::Waiting {
+            task.standing = task::Standing::Elsewhere;
+            self.waiting.remove(&index);
+        }
+    }
+
     /// Marks a task as done, once.
     pub fn finish(&mut self, index: u16) {
         let Some(task) = self.tasks.get_mut(usize::from(index)) else { return };
--- a/crates/fleet/src/task.rs
+++ b/crates/fleet/src/task.rs
@@ -36,6 +36,8 @@
     },
     /// Ended as done.
     Done,
+    /// Another cell runs it.
+    Elsewhere,
     /// Not running anywhere.
     #[default]
     Waiting,
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -63,6 +63,8 @@
                 accepted_at_ms: asked.unix,
                 queue: queue.name.clone(),
                 submission,
+                tasks: None,
+                ticket: None,
             };
             submit::submit(node, &queue, id, record).await
         }
--- a/crates/node/src/meter.rs
+++ b/crates/node/src/meter.rs
@@ -70,6 +70,7 @@
                 "job-over"
             }
             Report::Moved { .. } => "job-moved",
+            Report::Split { .. } => "job-split",
             Report::Pace { .. } => "pace",
             Report::Refused { .. } => "order-refused",
             Report::Released { .. } => "run-released",
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -38,7 +38,11 @@
             node.cells.borrow_mut().insert(cell, Rc::new(Notify::new()));
             let node = node.clone();
             spawn_local(async move {
-                tenure(&node, cell).await;
+                let tenant = node.clone();
+                let ended = spawn_local(async move { tenure(&tenant, cell).await }).await;
+                if let Err(error) = ended {
+                    log::error!(cell, error:% = error; "cell-task-failed");
+                }
                 node.cells.borrow_mut().remove(&cell);
                 node.changed.notify_waiters();
             });
@@ -411,7 +415,7 @@
         for (id, ticket) in &commit.tickets {
             txn.writes.push((keys::ticket(*id), json(ticket), 0));
         }
-        for (id, to, record) in &commit.moved {
+        for (id, to, record) in &commit.records {
             txn.writes.push((keys::job(*to, *id), json(&**record), 0));
         }
         for id in &commit.removed {
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -18,6 +18,8 @@
 
 /// The port of the metrics page, as in deploy/system.toml.
 const METRICS_PORT: u16 = 9_464;
+/// The exit status after a panic.
+const FAILED: i32 = 70;
 /// Left of the grace period for the process to end, in milliseconds.
 const GRACE_SLACK_MS: u64 = 1_500;
 
@@ -68,19 +70,32 @@
     let metrics = TcpListener::bind((boot.ip, metrics_port)).await.into_diagnostic()?;
     log::info!(vm = boot.vm, zone = boot.zone, front:% = boot.front; "started");
     let node = Rc::new(Node::new(boot)?);
-    spawn_local(serve::listen(node.clone(), front, Door::Front));
-    spawn_local(serve::listen(node.clone(), ready, Door::Ready));
-    spawn_local(serve::listen(node.clone(), metrics, Door::Metrics));
-    spawn_local(session::keep(node.clone()));
-    spawn_local(discovery::config(node.clone()));
-    spawn_local(discovery::workers(node.clone()));
-    spawn_local(discovery::heads(node.clone()));
-    spawn_local(map::follow(node.clone()));
-    spawn_local(map::steer(node.clone()));
-    spawn_local(owner::supervise(node.clone()));
+    essential("front", serve::listen(node.clone(), front, Door::Front));
+    essential("ready", serve::listen(node.clone(), ready, Door::Ready));
+    essential("metrics", serve::listen(node.clone(), metrics, Door::Metrics));
+    essential("session", session::keep(node.clone()));
+    essential("config", discovery::config(node.clone()));
+    essential("workers", discovery::workers(node.clone()));
+    essential("heads", discovery::heads(node.clone()));
+    essential("fleet", map::follow(node.clone()));
+    essential("map", map::steer(node.clone()));
+    essential("cells", owner::supervise(node.clone()));
     until_told(&node).await
 }
 
+/// Runs a task that the process cannot do without: a panic in it ends the process, which the
+/// platform starts again.
+fn essential(name: &'static str, task: impl Future<Output = ()> + 'static) {
+    let task = spawn_local(task);
+    spawn_local(async move {
+        if let Err(error) = task.await {
+            log::error!(task = name, error:% = error; "task-failed");
+            log::logger().flush();
+            std::process::exit(FAILED);
+        }
+    });
+}
+
 /// Waits for SIGTERM, hands everything over, and goes on answering for most of the grace period:
 /// callers keep their connections until the process is gone.
 async fn until_told(node: &Rc<Node>) -> miette::Result<()> {
--- a/crates/node/src/submit.rs
+++ b/crates/node/src/submit.rs
@@ -37,7 +37,8 @@
     let Some(cell) = node.board.borrow_mut().choose(demand) else {
         return Reply::NotRun(RETRY_AFTER_S);
     };
-    let ticket = Ticket { cell, queue: queue.name.clone(), state: State::Queued };
+    let ticket =
+        Ticket { also: Vec::new(), cell, queue: queue.name.clone(), state: State::Queued };
     let record = serde_json::to_vec(&body).unwrap_or_default();
     let mut revision = 0;
     loop {
@@ -164,14 +165,14 @@
     if old.state.is_final() {
         return Ok(Some(Reply::Cancelled));
     }
-    let cell = old.cell;
+    let cells: Vec<u32> = old.also.iter().copied().chain([old.cell]).collect();
     let new = Ticket { state: State::Cancelled, ..old };
     let txn = Txn {
         expected: vec![(keys::ticket(id), item.revision)],
-        writes: vec![
-            (keys::ticket(id), serde_json::to_vec(&new).unwrap_or_default(), 0),
-            (keys::cancelled(cell, id), Vec::new(), 0),
-        ],
+        writes: [(keys::ticket(id), serde_json::to_vec(&new).unwrap_or_default(), 0)]
+            .into_iter()
+            .chain(cells.into_iter().map(|cell| (keys::cancelled(cell, id), Vec::new(), 0)))
+            .collect(),
         ..Txn::default()
     };
     match node.store.txn(&txn).await {
