--- a/crates/fleet/src/action.rs
+++ b/crates/fleet/src/action.rs
@@ -179,6 +179,8 @@
 pub enum Proof {
     /// The worker's lease has run out.
     Lapsed,
+    /// The worker said that it leaves, and has.
+    Left,
     /// A look after the start does not list it.
     NotListed,
     /// The order was refused.
@@ -221,6 +223,8 @@
     Failing,
     /// Its lease has surely run out.
     Lapsed,
+    /// It said that it leaves, and has.
+    Left,
     /// It began a new life.
     Reborn,
     /// It does not answer.
--- a/crates/fleet/src/cell.rs
+++ b/crates/fleet/src/cell.rs
@@ -50,6 +50,8 @@
     pub(crate) pressure: pressure::Pressure,
     /// When jobs to pass on were last looked for, in milliseconds.
     pub(crate) rebalanced_at: u64,
+    /// When leaving workers were last looked at, in milliseconds.
+    pub(crate) evacuated_at: u64,
     /// When tasks to move were last looked for, in milliseconds.
     pub(crate) relocated_at: u64,
     /// Processors that tasks of a filling image would find, in thousandths of a core.
@@ -81,6 +83,7 @@
             gauged_at: 0,
             rebalanced_at: 0,
             relocated_at: 0,
+            evacuated_at: 0,
             usable: BTreeMap::new(),
             head: start.head,
             head_revision: start.head_revision,
@@ -141,6 +144,7 @@
         self.expire(clock);
         self.resend(clock);
         self.relocate(clock);
+        self.evacuate(clock);
         self.place(clock);
         self.gauge(clock);
         self.rebalance(clock);
--- a/crates/fleet/src/cell_ends.rs
+++ b/crates/fleet/src/cell_ends.rs
@@ -55,15 +55,10 @@
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.missed += 1;
         worker.look_at = clock.now + REPLACED_LOOK_MS;
-        let names: Vec<task::Name> = worker.runs.keys().copied().collect();
+        let runs = worker.runs.len();
         self.unfenced.remove(id);
-        if names.is_empty() {
-            return;
-        }
-        let (state, runs) = (WorkerState::Reborn, names.len());
-        self.report(Report::Worker { worker: id.clone(), state, runs });
-        for name in names {
-            self.release(clock, id, name, Proof::Replaced);
+        if runs > 0 {
+            self.release_all(clock, id, WorkerState::Reborn, Proof::Replaced);
         }
     }
 
--- a/crates/fleet/src/cell_orders.rs
+++ b/crates/fleet/src/cell_orders.rs
@@ -138,7 +138,7 @@
     pub(crate) fn resend(&mut self, clock: Clock) {
         let due = |at: Option<u64>| at.is_some_and(|at| at <= clock.now);
         let mut again: Vec<(Arc<str>, task::Name)> = Vec::new();
-        for (id, worker) in &self.workers {
+        for (id, worker) in self.workers.iter().filter(|(_, worker)| worker.missed == 0) {
             for (name, run) in &worker.runs {
                 match run.phase {
                     Phase::Starting { retry_at, .. } | Phase::Stopping { retry_at, .. }
@@ -208,7 +208,9 @@
                 continue;
             }
             worker.looking = true;
-            let lease_until = worker.grant(clock.now, lease_ms);
+            // A silent worker gets no longer lease: it would never be proven over.
+            let lease_until =
+                if worker.missed > 0 { None } else { worker.grant(clock.now, lease_ms) };
             let wait_ms = if worker.fenced { limits::LOOK_WAIT_MS } else { 0 };
             self.actions.push(Action::Look {
                 worker: id.clone(),
@@ -229,6 +231,15 @@
             self.unfenced.clear();
             self.unplaced = true;
         }
+        let left: Vec<Arc<str>> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| worker.has_left() && !worker.runs.is_empty())
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in left {
+            self.release_all(clock, &id, WorkerState::Left, Proof::Left);
+        }
         let lapsed: Vec<Arc<str>> = self
             .workers
             .iter()
@@ -240,15 +251,24 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in lapsed {
-            let names: Vec<task::Name> = match self.workers.get(&id) {
-                Some(worker) => worker.runs.keys().copied().collect(),
-                None => continue,
-            };
-            let runs = names.len();
-            self.report(Report::Worker { worker: id.clone(), state: WorkerState::Lapsed, runs });
-            for name in names {
-                self.release(clock, &id, name, Proof::Lapsed);
-            }
+            self.release_all(clock, &id, WorkerState::Lapsed, Proof::Lapsed);
+        }
+    }
+
+    /// Releases every run of a worker.
+    pub(crate) fn release_all(
+        &mut self,
+        clock: Clock,
+        id: &Arc<str>,
+        state: WorkerState,
+        proof: Proof,
+    ) {
+        let Some(worker) = self.workers.get(id) else { return };
+        let names: Vec<task::Name> = worker.runs.keys().copied().collect();
+        let runs = names.len();
+        self.report(Report::Worker { worker: id.clone(), state, runs });
+        for name in names {
+            self.release(clock, id, name, proof);
         }
     }
 
--- a/crates/fleet/src/cell_schedule.rs
+++ b/crates/fleet/src/cell_schedule.rs
@@ -161,10 +161,35 @@
         }
     }
 
-    /// Returns whether another worker would run the task at a good pace.
-    fn suits_better(&self, clock: Clock, here: &Arc<str>, run: &Run) -> bool {
-        let service = self.workers.get(here).and_then(|worker| worker.registration.as_ref());
-        let Some(service) = service.map(|entry| entry.service.as_str()) else { return false };
+    /// Moves lasting tasks off workers that leave, one of a step at a time.
+    pub(crate) fn evacuate(&mut self, clock: Clock) {
+        if self.leaving || clock.now < self.evacuated_at + RELOCATE_MS {
+            return;
+        }
+        self.evacuated_at = clock.now;
+        let mut stops: Vec<(Arc<str>, task::Name)> = Vec::new();
+        for (id, worker) in &self.workers {
+            let Some(entry) = worker.registration.as_ref().filter(|entry| entry.draining) else {
+                continue;
+            };
+            let mut steps = BTreeSet::new();
+            for (name, run) in &worker.runs {
+                if !matches!(run.phase, run::Phase::Confirmed { .. }) {
+                    continue;
+                }
+                let room = self.fits_elsewhere(clock, &entry.service, id, run);
+                let step = (name.job, name.occurrence, name.step);
+                if run.step.lasting && room && steps.insert(step) {
+                    stops.push((id.clone(), *name));
+                }
+            }
+        }
+        for (id, name) in stops {
+            self.stop(clock, &id, name, action::StopReason::Leaving);
+        }
+    }
+
+    fn fits_elsewhere(&self, clock: Clock, service: &str, here: &Arc<str>, run: &Run) -> bool {
         let demand = placement::Demand {
             now: clock.now,
             service,
@@ -176,6 +201,13 @@
         };
         placement::choose(&self.workers, &demand).is_some_and(|better| better != here)
     }
+
+    /// Returns whether another worker would run the task at a good pace.
+    fn suits_better(&self, clock: Clock, here: &Arc<str>, run: &Run) -> bool {
+        let service = self.workers.get(here).and_then(|worker| worker.registration.as_ref());
+        let Some(service) = service.map(|entry| entry.service.as_str()) else { return false };
+        self.fits_elsewhere(clock, service, here, run)
+    }
 }
 
 /// Between looks for tasks to move, in milliseconds.
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -68,7 +68,7 @@
         let spare = (unused_milli(worker) - wanted) * 100 / total;
         share * i64::from(pace) / 100 + spare
     } else if step.serves() {
-        room / ROOM_PER_COMPANY + company(worker, demand)
+        company(worker, demand) - room / ROOM_PER_COMPANY
     } else {
         room
     };
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -49,6 +49,10 @@
     pub missing_since: Option<u64>,
 }
 
+/// Looks in a row that a leaving worker without an entry leaves unanswered before it counts as
+/// gone.
+const MISSED_TO_LEAVE: u32 = 2;
+
 impl Worker {
     /// Returns a worker that has not been heard.
     pub fn new(registration: Option<Registration>) -> Self {
@@ -137,7 +141,13 @@
         Some(run)
     }
 
-    /// Returns the first label that names a rack.
+    /// Returns whether it said that it leaves, and neither its entry nor itself is there any more.
+    pub fn has_left(&self) -> bool {
+        let said = self.registration.as_ref().is_some_and(|entry| entry.draining);
+        said && self.missing_since.is_some() && self.missed >= MISSED_TO_LEAVE
+    }
+
+    /// Returns whether it carries a label.
     pub fn is_labelled(&self, label: &str) -> bool {
         self.registration.as_ref().is_some_and(|entry| entry.labels.iter().any(|l| l == label))
     }
