--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -125,7 +125,8 @@
     /// Returns how badly the cell suits: how long the job is likely to wait, in milliseconds, then
     /// the share of the processors that would be reserved, in thousandths.
     fn rank(&self, demand: Demand<'_>) -> (u64, u64) {
-        let ahead = |work: &BTreeMap<u32, u64>| work.range(..=demand.priority).map(|(_, w)| w).sum();
+        let ahead =
+            |work: &BTreeMap<u32, u64>| work.range(..=demand.priority).map(|(_, w)| w).sum();
         let backlog: u64 = ahead(&self.head.backlog);
         let sent: u64 = ahead(&self.sent_work);
         let total = self.head.total_milli.max(1);
--- a/crates/fleet/src/cell.rs
+++ b/crates/fleet/src/cell.rs
@@ -3,6 +3,9 @@
 
 use super::*;
 
+/// Removed jobs that are remembered: minutes of them, against seconds that a read is old.
+const GONE: usize = 4_096;
+
 /// What an owner starts from.
 #[derive(Debug)]
 pub struct Start {
@@ -36,6 +39,11 @@
     pub(crate) durable: u64,
     /// When `usable` was worked out, in milliseconds.
     pub(crate) gauged_at: u64,
+    /// Jobs that were removed of late and the revisions at which they were: a record read before
+    /// does not bring them back.
+    pub(crate) gone: HashMap<job::Id, u64>,
+    /// The same jobs, oldest first.
+    pub(crate) gone_order: VecDeque<job::Id>,
     pub(crate) head: Head,
     pub(crate) head_revision: u64,
     pub(crate) jobs: HashMap<job::Id, Job>,
@@ -85,6 +93,8 @@
             relocated_at: 0,
             evacuated_at: 0,
             usable: BTreeMap::new(),
+            gone: HashMap::new(),
+            gone_order: VecDeque::new(),
             head: start.head,
             head_revision: start.head_revision,
             jobs: HashMap::new(),
@@ -101,8 +111,7 @@
         for (id, record, progress, revision) in jobs {
             cell.add(id, record, &progress, revision, true);
         }
-        cell.workers =
-            members.into_iter().map(|(id, entry)| (id, Worker::new(entry))).collect();
+        cell.workers = members.into_iter().map(|(id, entry)| (id, Worker::new(entry))).collect();
         cell
     }
 
@@ -154,9 +163,7 @@
 
     /// Returns whether nothing is under way that a successor could not see.
     pub fn is_quiet(&self) -> bool {
-        let ordering = |run: &Run| {
-            matches!(run.phase, run::Phase::Starting { retry_at: None, .. })
-        };
+        let ordering = |run: &Run| matches!(run.phase, run::Phase::Starting { retry_at: None, .. });
         self.commit.is_none()
             && self.dirty.is_empty()
             && !self.workers.values().flat_map(|worker| worker.runs.values()).any(ordering)
@@ -190,7 +197,8 @@
         revision: u64,
         recovered: bool,
     ) {
-        if self.jobs.contains_key(&id) {
+        let stale = self.gone.get(&id).is_some_and(|&removed| revision <= removed);
+        if stale || self.jobs.contains_key(&id) {
             return;
         }
         let queue = self.config.named(&record.queue).cloned().unwrap_or_else(|| {
@@ -229,6 +237,18 @@
         self.stop_job(clock, id, action::StopReason::Cancelled);
     }
 
+    /// Remembers that a job was removed.
+    pub(crate) fn forget(&mut self, id: job::Id, revision: u64) {
+        if self.gone.insert(id, revision).is_none() {
+            self.gone_order.push_back(id);
+        }
+        if self.gone_order.len() > GONE
+            && let Some(oldest) = self.gone_order.pop_front()
+        {
+            self.gone.remove(&oldest);
+        }
+    }
+
     /// Sets the state that the job's record is to reach.
     pub(crate) fn finish(&mut self, id: job::Id, state: State) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
--- a/crates/fleet/src/cell_ends.rs
+++ b/crates/fleet/src/cell_ends.rs
@@ -310,7 +310,9 @@
 
     fn stopped_unknown(&mut self, clock: Clock, id: &Arc<str>, job: job::Id) {
         let names: Vec<(task::Name, u32)> = match self.workers.get(id) {
-            Some(worker) => worker.strangers.iter().copied().filter(|(n, _)| n.job == job).collect(),
+            Some(worker) => {
+                worker.strangers.iter().copied().filter(|(n, _)| n.job == job).collect()
+            }
             None => return,
         };
         for (name, number) in names {
@@ -354,7 +356,8 @@
 
     /// Stops the other members of a gang's run, so that all start again together.
     pub(crate) fn break_gang(&mut self, name: task::Name, number: u32) {
-        let Some(stage) = self.jobs.get(&name.job).and_then(|job| job.stage(name.occurrence, name.step))
+        let Some(stage) =
+            self.jobs.get(&name.job).and_then(|job| job.stage(name.occurrence, name.step))
         else {
             return;
         };
--- a/crates/fleet/src/cell_record.rs
+++ b/crates/fleet/src/cell_record.rs
@@ -276,6 +276,7 @@
         for id in &commit.removed {
             let Some(job) = self.jobs.remove(id) else { continue };
             self.order.remove(&(job.queue.priority, job.accepted_at_ms, *id));
+            self.forget(*id, revision);
             if let (Some(to), None) = (job.moving_to, job.outcome) {
                 self.report(Report::Moved { job: *id, to });
                 continue;
@@ -287,13 +288,7 @@
     }
 
     /// Takes in a ticket that is not as this owner left it: its caller cancelled the job.
-    fn conflicting(
-        &mut self,
-        clock: Clock,
-        id: job::Id,
-        revision: u64,
-        ticket: Option<&Ticket>,
-    ) {
+    fn conflicting(&mut self, clock: Clock, id: job::Id, revision: u64, ticket: Option<&Ticket>) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         if revision == job.ticket_revision {
             return;
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -3,9 +3,7 @@
 use super::*;
 
 /// The ID that a job's caller chose: 16 hexadecimal digits.
-#[derive(
-    Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
-)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(try_from = "String", into = "String")]
 pub struct Id([u8; ID_BYTES]);
 
@@ -348,7 +346,11 @@
 impl Occurrence {
     /// Returns whether the steps before `step` are done.
     pub fn is_open(&self, step: usize) -> bool {
-        self.stages[step].step.after.iter().all(|&before| self.stages[usize::from(before)].left == 0)
+        self.stages[step]
+            .step
+            .after
+            .iter()
+            .all(|&before| self.stages[usize::from(before)].left == 0)
     }
 }
 
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -49,8 +49,7 @@
         && entry.service == demand.service
         && step.reserved().fits(&worker.room())
         && step.label.as_ref().is_none_or(|label| worker.is_labelled(label))
-        && (step.per_worker == 0
-            || demand.placed.get(id).copied().unwrap_or(0) < step.per_worker)
+        && (step.per_worker == 0 || demand.placed.get(id).copied().unwrap_or(0) < step.per_worker)
 }
 
 fn score(id: &Arc<str>, worker: &Worker, demand: &Demand) -> Option<i64> {
--- a/crates/fleet/src/pressure.rs
+++ b/crates/fleet/src/pressure.rs
@@ -103,7 +103,9 @@
         if left == right {
             return 1.0;
         }
-        let (Some(a), Some(b)) = (self.served.get(left), self.served.get(right)) else { return 0.0 };
+        let (Some(a), Some(b)) = (self.served.get(left), self.served.get(right)) else {
+            return 0.0;
+        };
         let dot: f64 = a.pairs.iter().zip(&b.pairs).map(|(x, y)| x * y).sum();
         let length = |pairs: &[f64]| pairs.iter().map(|x| x * x).sum::<f64>().sqrt();
         let lengths = length(&a.pairs) * length(&b.pairs);
--- a/crates/fleet/src/submission.rs
+++ b/crates/fleet/src/submission.rs
@@ -81,7 +81,9 @@
             Self::After { step, after } => {
                 write!(f, "step {step} waits for step {after}; name only earlier steps")
             }
-            Self::Empty { step } => write!(f, "step {step} has no tasks; give a count of 1 or more"),
+            Self::Empty { step } => {
+                write!(f, "step {step} has no tasks; give a count of 1 or more")
+            }
             Self::NoSteps => write!(f, "the job has no steps; give at least one"),
             Self::TooMany { tasks } => {
                 write!(f, "the job has {tasks} tasks; split it into jobs of at most {MAX_TASKS}")
--- a/crates/fleet/src/task.rs
+++ b/crates/fleet/src/task.rs
@@ -3,9 +3,7 @@
 use super::*;
 
 /// The name of a task.
-#[derive(
-    Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
-)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(try_from = "String", into = "String")]
 pub struct Name {
     /// Its job.
--- /dev/null
+++ b/crates/fleet/tests/cells.rs
@@ -0,0 +1,178 @@
+//! Jobs and workers among cells.
+
+mod world;
+
+use {
+    oleanderstage_fleet::{
+        Assignment, Event, Head, Queue, Submission,
+        action::Report,
+        admission::{Board, Demand},
+        assignment::Vm,
+        job,
+    },
+    std::collections::BTreeMap,
+    world::{QUEUE, World, id, name, step},
+};
+
+fn vms(names: &[(&str, u64)]) -> BTreeMap<String, Vm> {
+    names
+        .iter()
+        .map(|(name, milli)| ((*name).to_owned(), Vm { processors_milli: *milli }))
+        .collect()
+}
+
+fn workers(count: usize) -> Vec<String> {
+    (0..count).map(|number| format!("w{number:03}")).collect()
+}
+
+fn weights(names: &[String]) -> BTreeMap<&str, u64> {
+    names.iter().map(|name| (name.as_str(), 16_000)).collect()
+}
+
+fn queue(priority: u32) -> Queue {
+    Queue {
+        advised: false,
+        host: String::new(),
+        max_attempts: 1,
+        name: "q".into(),
+        objective_ms: 0,
+        prefix: "/".into(),
+        priority,
+        service: "desk".into(),
+        stretch: 1.0,
+    }
+}
+
+fn submission(count: u16) -> Submission {
+    Submission { steps: vec![step(count, 1)], ..Submission::default() }
+}
+
+fn head(cell: u32, total: u64, free: u64) -> Head {
+    Head { cell, free_milli: free, total_milli: total, ..Head::default() }
+}
+
+#[test]
+fn cells_follow_the_strength_of_vms_and_workers_are_spread_evenly() {
+    let names = workers(48);
+    let map = Assignment::default()
+        .next(&vms(&[("a", 100), ("b", 100), ("c", 100), ("weak", 20)]), &weights(&names));
+    assert_eq!(map.owners.len(), 2);
+    assert!(map.owners.iter().all(|owner| owner != "weak"));
+    assert_eq!(map.members(0).count(), 24);
+    assert_eq!(map.members(1).count(), 24);
+}
+
+#[test]
+fn a_cell_of_a_lost_vm_goes_to_the_one_with_the_fewest() {
+    let names = workers(48);
+    let map = Assignment::default().next(&vms(&[("a", 100), ("b", 100)]), &weights(&names));
+    let lost = map.owners[0].clone();
+    let left: Vec<(&str, u64)> =
+        [("a", 100), ("b", 100), ("c", 100)].into_iter().filter(|(vm, _)| *vm != lost).collect();
+    let next = map.next(&vms(&left), &weights(&names));
+    assert_eq!(next.owners[0], "c");
+    assert_eq!(next.owners[1], map.owners[1]);
+    assert_eq!(next.workers, map.workers);
+}
+
+#[test]
+fn a_vm_with_two_cells_gives_one_to_a_vm_without() {
+    let names = workers(96);
+    let three = vms(&[("a", 100), ("b", 100), ("c", 100)]);
+    let map = Assignment::default().next(&three, &weights(&names));
+    let alone = map.next(&vms(&[("a", 100)]), &weights(&names));
+    assert!(alone.owners.iter().all(|owner| owner == "a"));
+    let next = alone.next(&three, &weights(&names));
+    assert_eq!(next.cells("a").len(), alone.owners.len() - 1, "one at a time");
+}
+
+#[test]
+fn new_workers_join_the_smallest_cell() {
+    let names = workers(48);
+    let two = vms(&[("a", 100), ("b", 100)]);
+    let mut map = Assignment::default().next(&two, &weights(&names));
+    map.workers.retain(|_, cell| *cell == 0);
+    let next = map.next(&two, &weights(&names));
+    assert_eq!(next.members(1).count(), 24);
+}
+
+/// The board of a front that has just started holds cells whose workers have not been heard.
+#[test]
+fn a_cell_without_processors_is_not_chosen_and_divides_nothing() {
+    let mut board = Board::default();
+    board.observe(head(0, 1, 0), 1);
+    let (job, queue) = (submission(4), queue(0));
+    let mut filling = submission(4);
+    filling.steps[0].fills = true;
+    filling.steps[0].image = "loud".into();
+    assert_eq!(board.choose(Demand::new(&filling, &queue)), Some(0));
+    board.observe(head(0, 0, 0), 2);
+    assert_eq!(board.choose(Demand::new(&job, &queue)), None);
+    assert_eq!(board.better(0, Demand::new(&job, &queue), 100), None);
+}
+
+#[test]
+fn a_burst_at_one_front_spreads_before_the_cells_tell_of_it() {
+    let mut board = Board::default();
+    for cell in 0..4 {
+        board.observe(head(cell, 64_000, 64_000), 1);
+    }
+    let (job, queue) = (submission(8), queue(0));
+    let mut counts = [0; 4];
+    for _ in 0..16 {
+        let cell = board.choose(Demand::new(&job, &queue)).expect("a cell");
+        counts[cell as usize] += 1;
+    }
+    assert_eq!(counts, [4, 4, 4, 4]);
+}
+
+#[test]
+fn a_filling_job_goes_where_its_image_finds_unused_processors() {
+    let mut board = Board::default();
+    let mut pressed = head(0, 64_000, 64_000);
+    pressed.usable_milli.insert("loud".into(), 1_000);
+    let mut free = head(1, 64_000, 32_000);
+    free.usable_milli.insert("loud".into(), 32_000);
+    board.observe(pressed, 1);
+    board.observe(free, 1);
+    let mut job = submission(8);
+    job.steps[0].fills = true;
+    job.steps[0].image = "loud".into();
+    assert_eq!(board.choose(Demand::new(&job, &queue(2))), Some(1));
+}
+
+#[test]
+fn a_job_that_has_not_begun_is_passed_on_to_a_cell_that_serves_it_sooner() {
+    let mut world = World::new(&["w1"]);
+    world.run_ms = 60_000;
+    world.submit("1", QUEUE, vec![step(16, 1)]);
+    world.submit("2", QUEUE, vec![step(4, 1)]);
+    let busy = Head { backlog: [(0, 900_000)].into(), ..head(0, 16_000, 0) };
+    world.handle(Event::Board(vec![(busy, 9), (head(1, 64_000, 64_000), 9)]));
+    world.pass(1_200);
+    assert!(world.reports.contains(&Report::Moved { job: id("2"), to: 1 }));
+    assert!(world.records.contains_key(&(1, id("2"))));
+    assert!(!world.records.contains_key(&(0, id("2"))));
+    assert_eq!(world.tickets[&id("2")].0.cell, 1);
+}
+
+#[test]
+fn lasting_tasks_without_room_go_to_a_cell_that_has_it() {
+    let mut world = World::new(&["w1"]);
+    world.run_ms = 600_000;
+    let mut lasting = step(3, 6);
+    lasting.lasting = true;
+    world.submit("1", QUEUE, vec![lasting]);
+    world.pass(300);
+    let other = Head { largest_milli: 16_000, ..head(1, 64_000, 32_000) };
+    world.handle(Event::Board(vec![(other, 9)]));
+    world.pass(2_500);
+    let record: &job::Record = &world.records[&(1, id("1"))];
+    assert_eq!(record.tasks, Some([(0, 2)].into()));
+    assert_eq!(world.records[&(0, id("1"))].tasks, Some([(0, 0), (0, 1)].into()));
+    assert_eq!(world.tickets[&id("1")].0.also, [1]);
+    assert_eq!(world.starts(name("1", 0, 0)).len(), 1);
+    world.take_over();
+    world.pass(1_000);
+    assert!(world.starts(name("1", 0, 2)).is_empty(), "another cell runs it");
+}
--- /dev/null
+++ b/crates/fleet/tests/world/mod.rs
@@ -0,0 +1,503 @@
+//! A cell with fake workers and a fake store, in virtual time.
+
+#![allow(dead_code, unreachable_pub)]
+
+use {
+    oleanderstage_core::resources::Resources,
+    oleanderstage_fleet::{
+        Action, Cell, Clock, Commit, Config, Event, Head, Limits, Listing, Progress, Queue,
+        Registration, Step, Submission, Ticket, action::Report, cell, event::Outcome,
+        event::Refusal, job, listing, listing::How, task,
+    },
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::Arc,
+    },
+};
+
+/// How a fake store answers commits.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Store {
+    #[default]
+    Up,
+    /// Nothing is done.
+    Down,
+    /// Commits are made and not answered.
+    Mute,
+}
+
+/// A run at a fake worker.
+#[derive(Clone, Debug)]
+pub struct Held {
+    pub run: u32,
+    pub left_ms: u64,
+    pub pace: u32,
+    pub checkpoint: String,
+}
+
+/// A fake worker, with what befalls it.
+#[derive(Debug, Default)]
+pub struct Worker {
+    pub acknowledged: u64,
+    pub born: u64,
+    pub dark: bool,
+    pub draining: bool,
+    pub fence: u64,
+    pub held: BTreeMap<task::Name, Held>,
+    pub ended: Vec<listing::End>,
+    pub ends: u64,
+    /// Every start it carried out: time, task, run.
+    pub starts: Vec<(u64, task::Name, u32)>,
+    pub figures: BTreeMap<task::Name, f64>,
+    pub lease_until: u64,
+    /// Starts are carried out and not answered.
+    pub mute: bool,
+    pub fails_all: bool,
+    pub past: BTreeMap<task::Name, u32>,
+    pub replaced: bool,
+    pub gone: bool,
+}
+
+pub struct World {
+    pub cell: Cell,
+    pub now: u64,
+    pub store: Store,
+    pub head: (Head, u64),
+    pub progress: BTreeMap<job::Id, Progress>,
+    pub tickets: BTreeMap<job::Id, (Ticket, u64)>,
+    pub records: BTreeMap<(u32, job::Id), job::Record>,
+    pub workers: BTreeMap<String, Worker>,
+    pub reports: Vec<Report>,
+    pub lost: bool,
+    pub commits: u64,
+    pub run_ms: u64,
+    pub revision: u64,
+    pub cores: u64,
+    looks: Vec<(u64, Arc<str>, u64)>,
+    sent: BTreeMap<task::Name, job::Id>,
+}
+
+pub const QUEUE: &str = "stitch";
+const UNIX: u64 = 1_700_000_000_000;
+
+pub fn id(text: &str) -> job::Id {
+    format!("{text:0>16}").parse().expect("an ID")
+}
+
+pub fn name(job: &str, step: u16, index: u16) -> task::Name {
+    task::Name { job: id(job), occurrence: 0, step, index }
+}
+
+pub fn step(count: u16, cores: u64) -> Step {
+    Step {
+        count,
+        estimate_ms: 500,
+        resources: Resources {
+            accelerators: 0,
+            memory_mib: 1_024,
+            processors_milli: cores * 1_000,
+        },
+        ..Step::default()
+    }
+}
+
+pub fn config() -> Arc<Config> {
+    let queue = |name: &str, priority| {
+        Arc::new(Queue {
+            advised: false,
+            host: "a.example".into(),
+            max_attempts: 2,
+            name: name.into(),
+            objective_ms: 250,
+            prefix: format!("/{name}/"),
+            priority,
+            service: "desk".into(),
+            stretch: 1.5,
+        })
+    };
+    let queues = vec![queue(QUEUE, 0), queue("render", 2)];
+    Arc::new(Config { body_limit_bytes: 1 << 18, queues, version: 1 })
+}
+
+pub fn limits() -> Limits {
+    Limits { lease_ms: 4_000, owner_silence_ms: 5_500, stop_ms: 400, gang_ms: 3_000 }
+}
+
+impl World {
+    /// Returns a cell that owns workers of 16 cores and has heard them.
+    pub fn new(workers: &[&str]) -> Self {
+        let mut world = Self::unheard(workers);
+        world.pass(100);
+        world
+    }
+
+    /// Returns a cell whose workers have not been heard.
+    pub fn unheard(workers: &[&str]) -> Self {
+        let fakes = workers.iter().map(|id| ((*id).to_owned(), Worker::default())).collect();
+        let mut world = Self {
+            cell: Cell::new(
+                cell::Start {
+                    acquired_at: 0,
+                    config: config(),
+                    head: Head::default(),
+                    head_revision: 0,
+                    limits: limits(),
+                },
+                Vec::new(),
+                BTreeMap::new(),
+            ),
+            now: 1_000,
+            store: Store::Up,
+            head: (Head::default(), 1),
+            progress: BTreeMap::new(),
+            tickets: BTreeMap::new(),
+            records: BTreeMap::new(),
+            workers: fakes,
+            reports: Vec::new(),
+            lost: false,
+            commits: 0,
+            run_ms: 500,
+            revision: 1,
+            cores: 16,
+            looks: Vec::new(),
+            sent: BTreeMap::new(),
+        };
+        world.take_over();
+        world
+    }
+
+    /// Replaces the owner by one that knows what the store holds.
+    pub fn take_over(&mut self) {
+        self.revision += 1;
+        let head = Head {
+            generation: self.head.0.generation + 1,
+            owner: format!("vm-{}", self.head.0.generation + 1),
+            sequence: 0,
+            ..self.head.0.clone()
+        };
+        self.head = (head.clone(), self.revision);
+        let jobs = self
+            .records
+            .iter()
+            .filter(|((cell, _), _)| *cell == 0)
+            .map(|((_, id), record)| {
+                let progress = self.progress.get(id).cloned().unwrap_or_default();
+                (*id, record.clone(), progress, self.tickets[id].1)
+            })
+            .collect();
+        let start = cell::Start {
+            acquired_at: self.now,
+            config: config(),
+            head,
+            head_revision: self.revision,
+            limits: limits(),
+        };
+        self.cell = Cell::new(start, jobs, self.members());
+        self.lost = false;
+        self.looks.clear();
+        let members = self.members();
+        self.handle(Event::Workers(members));
+    }
+
+    pub fn members(&self) -> BTreeMap<Arc<str>, Option<Registration>> {
+        self.workers
+            .iter()
+            .map(|(id, worker)| {
+                let entry = Registration {
+                    address: "10.0.0.1:1".into(),
+                    born: Some(worker.born),
+                    capacity: Resources {
+                        accelerators: 0,
+                        memory_mib: 65_536,
+                        processors_milli: self.cores * 1_000,
+                    },
+                    draining: worker.draining,
+                    labels: vec!["a".into(), "r1".into()],
+                    remaining_ms: None,
+                    service: "desk".into(),
+                    zone: "z".into(),
+                };
+                (Arc::from(id.as_str()), (!worker.gone).then_some(entry))
+            })
+            .collect()
+    }
+
+    /// Accepts a job into this cell.
+    pub fn submit(&mut self, job: &str, queue: &str, steps: Vec<Step>) {
+        let record = job::Record {
+            accepted_at_ms: UNIX + self.now,
+            queue: queue.into(),
+            submission: Submission { spec: "work".into(), steps, ..Submission::default() },
+            tasks: None,
+            ticket: None,
+        };
+        self.accept(id(job), record);
+    }
+
+    pub fn accept(&mut self, id: job::Id, record: job::Record) {
+        self.revision += 1;
+        let queue = record.queue.clone();
+        let state = oleanderstage_fleet::State::Queued;
+        let ticket = Ticket { also: Vec::new(), cell: 0, queue, state };
+        self.tickets.insert(id, (ticket, self.revision));
+        self.records.insert((0, id), record.clone());
+        self.handle(Event::Accepted { id, record, revision: self.revision });
+    }
+
+    /// Cancels a job, as any VM does.
+    pub fn cancel(&mut self, job: &str) {
+        self.revision += 1;
+        let revision = self.revision;
+        let id = id(job);
+        if let Some((ticket, at)) = self.tickets.get_mut(&id) {
+            ticket.state = oleanderstage_fleet::State::Cancelled;
+            *at = revision;
+        }
+        self.handle(Event::Cancelled { id, revision });
+    }
+
+    pub fn state(&self, job: &str) -> oleanderstage_fleet::State {
+        self.tickets[&id(job)].0.state
+    }
+
+    pub fn worker(&mut self, id: &str) -> &mut Worker {
+        self.workers.get_mut(id).expect("a worker")
+    }
+
+    /// Returns every start of a task, at any worker, as worker and run.
+    pub fn starts(&self, name: task::Name) -> Vec<(String, u32)> {
+        let mut starts: Vec<(u64, String, u32)> = Vec::new();
+        for (id, worker) in &self.workers {
+            let own = worker.starts.iter().filter(|(_, task, _)| *task == name);
+            starts.extend(own.map(|(at, _, run)| (*at, id.clone(), *run)));
+        }
+        starts.sort();
+        starts.into_iter().map(|(_, id, run)| (id, run)).collect()
+    }
+
+    /// Returns the workers at which a task runs now.
+    pub fn running(&self, name: task::Name) -> Vec<&str> {
+        let holds = |(id, worker): (&'_ String, &Worker)| {
+            worker.held.contains_key(&name).then_some(id.clone())
+        };
+        let ids: BTreeSet<String> = self.workers.iter().filter_map(holds).collect();
+        self.workers.keys().filter(|id| ids.contains(*id)).map(String::as_str).collect()
+    }
+
+    fn clock(&self) -> Clock {
+        Clock { now: self.now, unix: UNIX + self.now }
+    }
+
+    pub fn handle(&mut self, event: Event) {
+        let actions = self.cell.handle(self.clock(), event);
+        for action in actions {
+            self.perform(action);
+        }
+    }
+
+    /// Lets time pass, in steps of 10 ms.
+    pub fn pass(&mut self, ms: u64) {
+        for _ in 0..ms / 10 {
+            self.now += 10;
+            self.work();
+            self.answer_looks();
+            self.handle(Event::Tick);
+        }
+    }
+
+    fn work(&mut self) {
+        let now = self.now;
+        for worker in self.workers.values_mut() {
+            if worker.lease_until > 0 && worker.lease_until < now && !worker.held.is_empty() {
+                for (name, held) in std::mem::take(&mut worker.held) {
+                    worker.end(name, held.run, How::Lapsed, String::new());
+                }
+            }
+            let fails = worker.fails_all;
+            let mut done = Vec::new();
+            for (name, held) in &mut worker.held {
+                held.left_ms = held.left_ms.saturating_sub(10 * u64::from(held.pace) / 100);
+                if held.left_ms == 0 {
+                    done.push((*name, held.run));
+                }
+            }
+            for (name, run) in done {
+                worker.held.remove(&name);
+                worker.end(name, run, if fails { How::Failed } else { How::Done }, String::new());
+            }
+        }
+    }
+
+    fn answer_looks(&mut self) {
+        let now = self.now;
+        let looks = std::mem::take(&mut self.looks);
+        for (sent, id, due) in looks {
+            let worker = &self.workers[&*id];
+            let news = worker.ended.iter().any(|end| end.number > worker.acknowledged);
+            let answer = if worker.replaced {
+                Err(Refusal::Reborn)
+            } else if worker.dark {
+                if now < sent + 1_400 {
+                    self.looks.push((sent, id, due));
+                    continue;
+                }
+                Err(Refusal::Unknown)
+            } else if news || now >= due {
+                Ok(worker.listing(now))
+            } else {
+                self.looks.push((sent, id, due));
+                continue;
+            };
+            self.handle(Event::Look { worker: id, sent, answer });
+        }
+    }
+
+    fn perform(&mut self, action: Action) {
+        let fence = u64::from(self.head.0.generation);
+        match action {
+            Action::Look { worker, acknowledged, lease_until, wait_ms } => {
+                let fake = self.workers.get_mut(&*worker).expect("a worker");
+                if !fake.dark && !fake.replaced {
+                    fake.fence = fake.fence.max(fence);
+                    fake.acknowledged = fake.acknowledged.max(acknowledged);
+                    fake.ended.retain(|end| end.number > acknowledged);
+                    fake.lease_until = fake.lease_until.max(lease_until.unwrap_or(0));
+                }
+                self.looks.push((self.now, worker, self.now + wait_ms));
+            }
+            Action::Start { worker, task, run, lease_until, checkpoint, .. } => {
+                let (now, run_ms) = (self.now, self.run_ms);
+                let fake = self.workers.get_mut(&*worker).expect("a worker");
+                let answer = fake.start(now, task, run, lease_until, run_ms, checkpoint);
+                self.handle(Event::Start { worker, task, run, answer });
+            }
+            Action::Stop { worker, task, run } => {
+                let fake = self.workers.get_mut(&*worker).expect("a worker");
+                let answer = fake.stop(task, run);
+                self.handle(Event::Stop { worker, task, run, answer });
+            }
+            Action::Pace { worker, task, percent, .. } => {
+                let fake = self.workers.get_mut(&*worker).expect("a worker");
+                if let Some(held) = fake.held.get_mut(&task) {
+                    held.pace = percent;
+                }
+            }
+            Action::Commit(commit) => {
+                let outcome = self.commit(&commit);
+                self.handle(Event::Commit(outcome));
+            }
+            Action::Lookup(id) => {
+                let ticket = self.tickets.get(&id).map(|(ticket, _)| ticket.clone());
+                self.handle(Event::Looked { id, ticket });
+            }
+            Action::Lost => self.lost = true,
+            Action::Report(report) => self.reports.push(report),
+        }
+    }
+
+    fn commit(&mut self, commit: &Commit) -> Outcome {
+        assert!(commit.entries() <= 32, "a transaction takes 32 entries");
+        if self.store == Store::Down {
+            return Outcome::Refused;
+        }
+        if commit.head_revision != self.head.1 {
+            let own = self.head.0 == commit.head;
+            return if own { Outcome::Committed(self.head.1) } else { Outcome::Lost };
+        }
+        let changed = commit.expected.iter().any(|(id, at)| self.tickets[id].1 != *at);
+        if changed {
+            let tickets = commit.expected.iter().map(|(id, _)| {
+                let (ticket, at) = &self.tickets[id];
+                (*id, *at, Some(ticket.clone()))
+            });
+            return Outcome::Conflict(tickets.collect());
+        }
+        self.commits += 1;
+        self.revision += 1;
+        self.head = (commit.head.clone(), self.revision);
+        self.progress.extend(commit.progress.iter().cloned());
+        for (id, ticket) in &commit.tickets {
+            self.tickets.insert(*id, (ticket.clone(), self.revision));
+        }
+        for (id, cell, record) in &commit.records {
+            self.records.insert((*cell, *id), (**record).clone());
+        }
+        for id in &commit.removed {
+            self.records.remove(&(0, *id));
+            self.progress.remove(id);
+        }
+        if self.store == Store::Mute { Outcome::Unknown } else { Outcome::Committed(self.revision) }
+    }
+}
+
+impl Worker {
+    fn end(&mut self, task: task::Name, run: u32, how: How, checkpoint: String) {
+        self.ends += 1;
+        let past = self.past.entry(task).or_default();
+        *past = (*past).max(run);
+        self.ended.push(listing::End { checkpoint, how, number: self.ends, run, task });
+    }
+
+    fn start(
+        &mut self,
+        now: u64,
+        task: task::Name,
+        run: u32,
+        lease_until: u64,
+        run_ms: u64,
+        checkpoint: String,
+    ) -> Result<(), Refusal> {
+        if self.dark {
+            return Err(Refusal::Unknown);
+        }
+        if self.replaced {
+            return Err(Refusal::Reborn);
+        }
+        if self.past.get(&task).is_some_and(|past| *past >= run) {
+            return Err(Refusal::Old);
+        }
+        self.lease_until = self.lease_until.max(lease_until);
+        if self.held.get(&task).is_none_or(|held| held.run < run) {
+            let held = Held { run, left_ms: run_ms, pace: 100, checkpoint };
+            self.held.insert(task, held);
+            self.starts.push((now, task, run));
+        }
+        if self.mute { Err(Refusal::Unknown) } else { Ok(()) }
+    }
+
+    fn stop(&mut self, task: task::Name, run: u32) -> Result<(), Refusal> {
+        if self.dark {
+            return Err(Refusal::Unknown);
+        }
+        let past = self.past.entry(task).or_default();
+        *past = (*past).max(run);
+        if let Some(held) = self.held.remove(&task) {
+            self.end(task, held.run, How::Stopped, held.checkpoint);
+        }
+        Ok(())
+    }
+
+    fn listing(&self, now: u64) -> Listing {
+        let running = self
+            .held
+            .iter()
+            .map(|(task, held)| listing::Running {
+                checkpoint: held.checkpoint.clone(),
+                figure: self.figures.get(task).copied().unwrap_or(1_000.0),
+                progress: 50,
+                run: held.run,
+                task: *task,
+            })
+            .collect();
+        Listing { born: Some(self.born), clock_ms: now, ended: self.ended.clone(), running }
+    }
+
+    /// Begins a new life under the same id.
+    pub fn bear(&mut self) {
+        *self = Self {
+            born: self.born + 1,
+            starts: std::mem::take(&mut self.starts),
+            ..Self::default()
+        };
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -36,7 +36,10 @@
     },
 };
 
-use {follow::{Follow, Seen}, node::Node};
+use {
+    follow::{Follow, Seen},
+    node::Node,
+};
 
 pub use run::run;
 
--- a/crates/node/src/meter.rs
+++ b/crates/node/src/meter.rs
@@ -3,7 +3,9 @@
 use {
     super::*,
     action::Report,
-    prometheus::{Encoder, HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry, TextEncoder},
+    prometheus::{
+        Encoder, HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry, TextEncoder,
+    },
     submit::Reply,
 };
 
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -68,7 +68,8 @@
     for (id, revision) in cancelled {
         let _ = events.send(Event::Cancelled { id, revision });
     }
-    let follow = Follow::new(node.clone(), keys::cell(cell), Duration::from_millis(2)).from(revision);
+    let follow =
+        Follow::new(node.clone(), keys::cell(cell), Duration::from_millis(2)).from(revision);
     let watch = spawn_local(watch(hands.clone(), follow));
     let (head, revision) = drive(&hands, state, inbox).await;
     watch.abort();
@@ -377,7 +378,8 @@
         }
         Action::Pace { worker, task, run, percent } => {
             let Some(address) = hands.address(&worker) else { return };
-            if let Err(reason) = orders.pace(hands.peer(address, &worker), task, run, percent).await {
+            if let Err(reason) = orders.pace(hands.peer(address, &worker), task, run, percent).await
+            {
                 log::warn!(worker = &*worker, task:% = task, reason:? = reason; "pace-refused");
             }
         }
--- a/crates/node/src/submit.rs
+++ b/crates/node/src/submit.rs
@@ -29,7 +29,12 @@
 const FINALS: usize = 8_192;
 
 /// Accepts a job, once for its ID.
-pub(crate) async fn submit(node: &Rc<Node>, queue: &Queue, id: job::Id, body: job::Record) -> Reply {
+pub(crate) async fn submit(
+    node: &Rc<Node>,
+    queue: &Queue,
+    id: job::Id,
+    body: job::Record,
+) -> Reply {
     if !node.in_contact() {
         return Reply::NotRun(RETRY_AFTER_S);
     }
@@ -37,8 +42,7 @@
     let Some(cell) = node.board.borrow_mut().choose(demand) else {
         return Reply::NotRun(RETRY_AFTER_S);
     };
-    let ticket =
-        Ticket { also: Vec::new(), cell, queue: queue.name.clone(), state: State::Queued };
+    let ticket = Ticket { also: Vec::new(), cell, queue: queue.name.clone(), state: State::Queued };
     let record = serde_json::to_vec(&body).unwrap_or_default();
     let mut revision = 0;
     loop {
