--- a/crates/fleet/src/cell.rs
+++ b/crates/fleet/src/cell.rs
@@ -19,6 +19,8 @@
     pub head_revision: u64,
     /// Times and sizes.
     pub limits: Limits,
+    /// What earlier owners learned of images that press each other.
+    pub pressure: pressure::Pressure,
 }
 
 /// A cell under this owner.
@@ -60,6 +62,8 @@
     pub(crate) rebalanced_at: u64,
     /// When leaving workers were last looked at, in milliseconds.
     pub(crate) evacuated_at: u64,
+    /// When what is known of images was last recorded, in milliseconds.
+    pub(crate) told_at: u64,
     /// When tasks to move were last looked for, in milliseconds.
     pub(crate) relocated_at: u64,
     /// Processors that tasks of a filling image would find, in thousandths of a core.
@@ -91,6 +95,7 @@
             gauged_at: 0,
             rebalanced_at: 0,
             relocated_at: 0,
+            told_at: 0,
             evacuated_at: 0,
             usable: BTreeMap::new(),
             gone: HashMap::new(),
@@ -103,7 +108,7 @@
             lookups: BTreeSet::new(),
             lost: false,
             order: BTreeSet::new(),
-            pressure: pressure::Pressure::default(),
+            pressure: start.pressure,
             unplaced: true,
             unfenced: members.keys().cloned().collect(),
             workers: BTreeMap::new(),
--- a/crates/fleet/src/cell_record.rs
+++ b/crates/fleet/src/cell_record.rs
@@ -19,6 +19,8 @@
 const MOVE_MARGIN_MS: u64 = 400;
 /// Jobs passed on at once.
 const MOVES: usize = 4;
+/// Between records of what is known of images, in milliseconds: a new owner starts from them.
+const KNOWLEDGE_MS: u64 = 1_500;
 /// Before a commit that the store refused or did not answer is sent again, in milliseconds.
 const AGAIN_MS: u64 = 150;
 
@@ -147,7 +149,7 @@
         if age < GROUP_MS || (self.dirty.is_empty() && (age < LOAD_MS || self.leaving)) {
             return;
         }
-        let (commit, whole) = self.build();
+        let (commit, whole) = self.build(clock.now);
         let same_load = self.dirty.is_empty() && Self::same_load(&commit.head, &self.head);
         if commit.entries() == 2 && same_load {
             self.committed_at = clock.now;
@@ -165,16 +167,21 @@
     }
 
     /// Builds a commit of as many changed jobs as fit; returns whether all did.
-    fn build(&mut self) -> (Commit, bool) {
+    fn build(&mut self, now: u64) -> (Commit, bool) {
         let mut commit = Commit {
             expected: Vec::new(),
             head: self.next_head(),
             head_revision: self.head_revision,
+            pressure: None,
             records: Vec::new(),
             progress: Vec::new(),
             removed: Vec::new(),
             tickets: Vec::new(),
         };
+        if now >= self.told_at + KNOWLEDGE_MS && !self.pressure.is_empty() {
+            self.told_at = now;
+            commit.pressure = Some(self.pressure.rounded());
+        }
         let ids: Vec<job::Id> = self.dirty.iter().copied().collect();
         for id in ids {
             let Some(job) = self.jobs.get(&id) else {
--- a/crates/fleet/src/cell_schedule.rs
+++ b/crates/fleet/src/cell_schedule.rs
@@ -146,7 +146,8 @@
             let slow = worker.runs.iter().find(|(_, run)| {
                 let old = clock.now >= run.started + SETTLED_MS;
                 let running = matches!(run.phase, run::Phase::Confirmed { .. });
-                let cheap = run.step.checkpoints || run.progress < LITTLE_DONE;
+                let pace = run.pace.unwrap_or(100);
+                let cheap = run.step.checkpoints || again_sooner(run.progress, pace);
                 let crowded = run.pace.is_some_and(|pace| pace < CROWDED_PACE);
                 run.step.fills && old && running && cheap && crowded
             });
@@ -214,8 +215,8 @@
 const RELOCATE_MS: u64 = 250;
 /// A run is left alone for this long, in milliseconds: its pace settles.
 const SETTLED_MS: u64 = 700;
-/// A task with less done may be moved without a checkpoint, in percent.
-const LITTLE_DONE: u32 = 25;
+/// How much sooner a task without a checkpoint must be done elsewhere from its start, in percent.
+const AGAIN_PERCENT: u32 = 150;
 /// A filling task below this pace is moved where it can be, in percent.
 const CROWDED_PACE: u32 = 35;
 /// The pace that another worker must offer, in percent.
@@ -223,6 +224,12 @@
 /// Tasks moved at once.
 const RELOCATIONS: usize = 4;
 
+/// Returns whether a task is done sooner elsewhere from its start than here at this pace, both in
+/// percent.
+fn again_sooner(progress: u32, pace: u32) -> bool {
+    (100 - progress.min(100)) * 100 > pace * AGAIN_PERCENT
+}
+
 /// Returns the steps of a job with tasks that may start now.
 fn open_stages(job: &Job, unix: u64) -> Vec<(u32, u16)> {
     let mut open = Vec::new();
--- a/crates/fleet/src/commit.rs
+++ b/crates/fleet/src/commit.rs
@@ -1,6 +1,6 @@
 //! A change of a cell's records that is made whole or not at all.
 
-use super::*;
+use {super::*, pressure::Pressure};
 
 /// A change of the store, under the condition that the cell's head is still at `head_revision`.
 #[derive(Clone, Debug, PartialEq)]
@@ -11,6 +11,8 @@
     pub head: Head,
     /// The revision that the head must still have.
     pub head_revision: u64,
+    /// What is known of images that press each other, when it is to be written.
+    pub pressure: Option<Pressure>,
     /// Records of jobs to write, each under its cell.
     pub records: Vec<(job::Id, u32, Arc<job::Record>)>,
     /// Progress to write.
@@ -24,7 +26,8 @@
 impl Commit {
     /// Returns how many entries of a transaction this takes.
     pub fn entries(&self) -> usize {
-        2 + self.expected.len()
+        2 + usize::from(self.pressure.is_some())
+            + self.expected.len()
             + self.records.len()
             + self.progress.len()
             + self.tickets.len()
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -69,7 +69,8 @@
     } else if step.serves() {
         company(worker, demand) - room / ROOM_PER_COMPANY
     } else {
-        room
+        // Tight: large rooms are kept for large tasks.
+        -room
     };
     let away = step.rack.as_ref().is_some_and(|rack| !worker.is_labelled(rack));
     let failed_here = demand.avoid == Some(id.as_ref());
--- a/crates/fleet/src/pressure.rs
+++ b/crates/fleet/src/pressure.rs
@@ -7,7 +7,7 @@
 /// Slowdowns learned from rough figures, as logarithms of the tail for a whole worker's
 /// processors in use: for each serving image a regression on the share of the processors that each
 /// filling image uses, never below zero.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Pressure {
     /// Filling images, in the order in which they were first seen.
     filling: Vec<String>,
@@ -24,7 +24,7 @@
 }
 
 /// Sums of a regression and its solution, by number of the filling image.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 struct Moments {
     products: Vec<Vec<f64>>,
     responses: Vec<f64>,
@@ -44,6 +44,8 @@
 const SATURATED: f64 = 3.0;
 /// What is left of evidence after a second: pairs change.
 const KEPT_PER_S: f64 = 0.96;
+/// Sums are stored to a thousandth: evidence of one look weighs about ten.
+const ROUNDING: f64 = 1_000.0;
 /// Rounds of the solution; each refines every pair once.
 const ROUNDS: usize = 12;
 /// A logarithm below this for a whole worker is a serving task's own load, not pressure.
@@ -93,6 +95,23 @@
         if pair < HARMLESS { 0.0 } else { pair }
     }
 
+    /// Returns the same knowledge with rounded sums, for the store.
+    pub fn rounded(&self) -> Self {
+        let round = |value: &mut f64| *value = (*value * ROUNDING).round() / ROUNDING;
+        let mut rounded = self.clone();
+        for moments in rounded.served.values_mut() {
+            moments.products.iter_mut().flatten().for_each(round);
+            moments.responses.iter_mut().for_each(round);
+            moments.pairs.iter_mut().for_each(round);
+        }
+        rounded
+    }
+
+    /// Returns whether nothing is known.
+    pub fn is_empty(&self) -> bool {
+        self.served.is_empty()
+    }
+
     /// Returns the logarithm by which tails may rise.
     pub fn budget() -> f64 {
         (AIM / ALONE).ln()
--- a/crates/fleet/tests/sharing.rs
+++ b/crates/fleet/tests/sharing.rs
@@ -133,3 +133,21 @@
     assert!(world.worker("w1").held.is_empty());
     assert_eq!(world.worker("w2").held.len(), 2);
 }
+
+/// Each new owner in a rolling restart learned every harmful pair anew.
+#[test]
+fn a_new_owner_knows_what_earlier_ones_learned() {
+    let mut world = World::new(&["w1"]);
+    world.run_ms = 60_000;
+    world.submit("1", QUEUE, vec![serving(1, "feed")]);
+    world.submit("2", "render", vec![filling(2, "loud")]);
+    world.pass(300);
+    world.worker("w1").figures.insert(name("1", 0, 0), 90.0);
+    world.pass(4_000);
+    let learned = world.learned.pair("feed", "loud");
+    assert!(learned > 2.0, "{learned}");
+    world.worker("w1").figures.clear();
+    world.take_over();
+    world.pass(600);
+    assert!(world.worker("w1").held[&name("2", 0, 0)].pace < 60);
+}
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -73,6 +73,7 @@
     pub run_ms: u64,
     pub revision: u64,
     pub cores: u64,
+    pub learned: oleanderstage_fleet::pressure::Pressure,
     looks: Vec<(u64, Arc<str>, u64)>,
     sent: BTreeMap<task::Name, job::Id>,
 }
@@ -142,6 +143,7 @@
                     head: Head::default(),
                     head_revision: 0,
                     limits: limits(),
+                    pressure: Default::default(),
                 },
                 Vec::new(),
                 BTreeMap::new(),
@@ -159,6 +161,7 @@
             run_ms: 500,
             revision: 1,
             cores: 16,
+            learned: Default::default(),
             looks: Vec::new(),
             sent: BTreeMap::new(),
         };
@@ -191,6 +194,7 @@
             head,
             head_revision: self.revision,
             limits: limits(),
+            pressure: self.learned.clone(),
         };
         self.cell = Cell::new(start, jobs, self.members());
         self.lost = false;
@@ -419,6 +423,9 @@
         for (id, ticket) in &commit.tickets {
             self.tickets.insert(*id, (ticket.clone(), self.revision));
         }
+        if let Some(pressure) = &commit.pressure {
+            self.learned = pressure.clone();
+        }
         for (id, cell, record) in &commit.records {
             self.records.insert((*cell, *id), (**record).clone());
         }
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -27,7 +27,7 @@
 
 async fn route(node: &Rc<Node>, request: Request<Incoming>) -> Response<Full<Bytes>> {
     let Some(config) = node.config.borrow().clone() else {
-        return not_run(submit::RETRY_AFTER_S);
+        return respond(submit::not_run(node));
     };
     let path = request.uri().path().to_owned();
     let host = request
@@ -95,7 +95,7 @@
 
 fn pending(node: &Rc<Node>, queue: &Queue) -> Response<Full<Bytes>> {
     if time::now() > node.board_at.get() + node::LOST_AFTER_MS {
-        return not_run(submit::RETRY_AFTER_S);
+        return respond(submit::not_run(node));
     }
     reply(StatusCode::OK, caller::pending(node.board.borrow().pending(&queue.name)))
 }
--- a/crates/node/src/keys.rs
+++ b/crates/node/src/keys.rs
@@ -26,6 +26,11 @@
     format!("{HEADS}{cell}")
 }
 
+/// Returns the key of what a cell's owners learned of images.
+pub(crate) fn pressure(cell: u32) -> String {
+    format!("k/{cell}")
+}
+
 /// Returns the prefix of a cell's owner, jobs and cancellation marks. They share one, so that a
 /// watch tells of a new owner before any job that is accepted in its time.
 pub(crate) fn cell(cell: u32) -> String {
--- a/crates/node/src/map.rs
+++ b/crates/node/src/map.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 
-/// A map is written this long after the start at the earliest, in milliseconds, so that the VMs
+/// The first map is written this long after the start at the earliest, in milliseconds, so that the VMs
 /// that start together all count.
 const SETTLE_MS: u64 = 1_500;
 /// The first map waits until no worker has been new for this long, in milliseconds.
@@ -70,7 +70,9 @@
         if node.leaving.get() {
             return;
         }
-        if !first || now < started + SETTLE_MS || !node.in_contact() {
+        let first_map = node.map.borrow().1 == 0;
+        let settling = first_map && now < started + SETTLE_MS;
+        if !first || settling || !node.in_contact() {
             missing.clear();
             continue;
         }
@@ -78,7 +80,6 @@
         if workers != gathered.0 {
             gathered = (workers, now);
         }
-        let first_map = node.map.borrow().1 == 0;
         if workers == 0 || (first_map && now < gathered.1 + GATHER_MS) {
             continue;
         }
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -158,16 +158,17 @@
     cell: u32,
     taken: &Taken,
 ) -> Option<(Cell, u64, Vec<(job::Id, u64)>)> {
-    let (items, progress) = loop {
+    let (items, progress, learned) = loop {
         let members = node.members(cell).is_some();
         if !members {
             return None;
         }
         let items = node.store.all(&keys::cell(cell)).await;
         let progress = node.store.all(&keys::progress_prefix(cell)).await;
-        match (items, progress) {
-            (Ok(items), Ok(progress)) => break (items, progress),
-            (Err(error), _) | (_, Err(error)) => {
+        let learned = node.store.get(&keys::pressure(cell)).await;
+        match (items, progress, learned) {
+            (Ok(items), Ok(progress), Ok(learned)) => break (items, progress, learned),
+            (Err(error), ..) | (_, Err(error), _) | (_, _, Err(error)) => {
                 node.store_failed("load", &error);
                 sleep(TAKE_AGAIN).await;
             }
@@ -198,6 +199,7 @@
         head: taken.head.clone(),
         head_revision: taken.head_revision,
         limits: node.limits(),
+        pressure: learned.as_ref().and_then(decode).unwrap_or_default(),
     };
     let members = node.members(cell)?;
     Some((Cell::new(start, jobs, members), items.revision, cancelled))
@@ -417,6 +419,9 @@
         for (id, ticket) in &commit.tickets {
             txn.writes.push((keys::ticket(*id), json(ticket), 0));
         }
+        if let Some(pressure) = &commit.pressure {
+            txn.writes.push((keys::pressure(cell), json(pressure), 0));
+        }
         for (id, to, record) in &commit.records {
             txn.writes.push((keys::job(*to, *id), json(&**record), 0));
         }
--- a/crates/node/src/submit.rs
+++ b/crates/node/src/submit.rs
@@ -23,11 +23,20 @@
 const SETTLE_MS: u64 = 2_200;
 /// Before a failed call is repeated.
 const AGAIN: Duration = Duration::from_millis(120);
-/// When a refused caller should come back while the store is away, in seconds.
-pub(crate) const RETRY_AFTER_S: u64 = 1;
+/// When a refused caller should come back at the earliest, in seconds.
+const RETRY_AFTER_S: u64 = 1;
+/// When a refused caller should come back at the latest, in seconds: about an outage of the store.
+const RETRY_AFTER_MOST_S: u64 = 4;
 /// Final states that are remembered.
 const FINALS: usize = 8_192;
 
+/// Refuses a caller, who is to come back when the store is likely to be back: an outage that has
+/// lasted for some time is likely to last as long again.
+pub(crate) fn not_run(node: &Node) -> Reply {
+    let silent_s = time::now().saturating_sub(node.heard_at.get()) / 1_000;
+    Reply::NotRun(silent_s.clamp(RETRY_AFTER_S, RETRY_AFTER_MOST_S))
+}
+
 /// Accepts a job, once for its ID.
 pub(crate) async fn submit(
     node: &Rc<Node>,
@@ -36,11 +45,11 @@
     body: job::Record,
 ) -> Reply {
     if !node.in_contact() {
-        return Reply::NotRun(RETRY_AFTER_S);
+        return not_run(node);
     }
     let demand = admission::Demand::new(&body.submission, queue);
     let Some(cell) = node.board.borrow_mut().choose(demand) else {
-        return Reply::NotRun(RETRY_AFTER_S);
+        return not_run(node);
     };
     let ticket = Ticket { also: Vec::new(), cell, queue: queue.name.clone(), state: State::Queued };
     let record = serde_json::to_vec(&body).unwrap_or_default();
@@ -67,7 +76,7 @@
             Err(store::Error::Unknown) => return settle(node, id, revision, &ticket).await,
             Err(error) => {
                 node.store_failed("submit", &error);
-                return Reply::NotRun(RETRY_AFTER_S);
+                return not_run(node);
             }
         }
     }
@@ -94,10 +103,10 @@
     };
     while time::now() < until {
         match node.store.txn(&txn).await {
-            Ok(_) => return Reply::NotRun(RETRY_AFTER_S),
+            Ok(_) => return not_run(node),
             Err(store::Error::Conflict(items)) => {
                 let refused = items.first().is_none_or(is_refused);
-                return if refused { Reply::NotRun(RETRY_AFTER_S) } else { Reply::Accepted };
+                return if refused { not_run(node) } else { Reply::Accepted };
             }
             Err(error) => node.store_failed("settle", &error),
         }
@@ -128,7 +137,7 @@
             Err(error) => node.store_failed("state", &error),
         }
         if !node.in_contact() || time::now() > until {
-            return Reply::NotRun(RETRY_AFTER_S);
+            return not_run(node);
         }
         sleep(AGAIN).await;
     }
@@ -155,7 +164,7 @@
             }
         }
     }
-    Reply::NotRun(RETRY_AFTER_S)
+    not_run(node)
 }
 
 async fn try_cancel(node: &Rc<Node>, id: job::Id) -> Result<Option<Reply>, store::Error> {
