--- /dev/null
+++ b/crates/soak/src/main.rs
@@ -0,0 +1,5 @@
+//! Starts the program.
+
+fn main() -> miette::Result<()> {
+    oleanderstage_soak::main()
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -41,7 +41,7 @@
 
 pub use {
     behaviour::Behaviour, error::Error, ledger::Ledger, platform::Platform, run::run, store::Store,
-    vms::Vms, worker::Worker,
+    users_store::UsersStore, users_worker::{UsersBook, UsersWorker}, vms::Vms, worker::Worker,
 };
 
 mod acceptor;
@@ -63,6 +63,8 @@
 mod stream_guard;
 pub mod summary;
 mod usage;
+pub mod users_store;
+pub mod users_worker;
 pub mod vms;
 pub mod worker;
 
