A look proves a run over only when it was sent in a later millisecond than the confirmation

Ruled out: two owners, a new life of the worker. Log events use underscores, as those of the other programs do.

--- a/crates/fleet/src/cell_ends.rs
+++ b/crates/fleet/src/cell_ends.rs
@@ -342,8 +342,8 @@
             .iter()
             .filter(|(name, run)| listed.get(name) != Some(&run.number))
             .filter_map(|(name, run)| match run.phase {
-                Phase::Confirmed { since } if sent >= since => Some((*name, Proof::NotListed)),
-                Phase::Stopping { confirmed: Some(at), .. } if sent >= at => {
+                Phase::Confirmed { since } if sent > since => Some((*name, Proof::NotListed)),
+                Phase::Stopping { confirmed: Some(at), .. } if sent > at => {
                     Some((*name, Proof::Stopped))
                 }
                 _ => None,
--- a/crates/fleet/tests/runs.rs
+++ b/crates/fleet/tests/runs.rs
@@ -211,3 +211,22 @@
     world.handle(event);
     assert!(world.lost);
 }
+
+/// Soak seeds 114 and 128: a look sent in the millisecond in which a start was confirmed, before
+/// it, was taken for proof that the run was over.
+#[test]
+fn a_look_of_the_same_millisecond_proves_nothing_of_a_start() {
+    let mut world = World::new(&["w1"]);
+    world.submit("1", QUEUE, vec![step(1, 1)]);
+    let event = oleanderstage_fleet::Event::Look {
+        worker: "w1".into(),
+        sent: world.now,
+        answer: Ok(oleanderstage_fleet::Listing {
+            born: Some(0),
+            clock_ms: world.now,
+            ..Default::default()
+        }),
+    };
+    world.handle(event);
+    assert_eq!(world.starts(name("1", 0, 0)).len(), 1);
+}
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -41,8 +41,8 @@
             registry.insert(Arc::from(id), entry);
         }
         Err(error) => {
-            node.meter.event("worker-entry-unreadable");
-            log::warn!(worker = id, error:% = error; "worker-entry-unreadable");
+            node.meter.event("worker_entry_unreadable");
+            log::warn!(worker = id, error:% = error; "worker_entry_unreadable");
         }
     }
 }
@@ -60,12 +60,12 @@
         changed = true;
         let (draining, born) = (entry.draining, entry.born);
         if before.get(id).is_none_or(|old| old.draining != draining || old.born != born) {
-            log::info!(worker = &**id, draining, born; "worker-seen");
+            log::info!(worker = &**id, draining, born; "worker_seen");
         }
     }
     for id in before.keys().filter(|id| !after.contains_key(*id)) {
         changed = true;
-        log::info!(worker = &**id; "worker-gone");
+        log::info!(worker = &**id; "worker_gone");
     }
     changed
 }
@@ -81,7 +81,7 @@
         let Some(value) = newest.and_then(|item| item.value) else { continue };
         match configuration::decode(&value) {
             Ok(config) => adopt(&node, config),
-            Err(error) => log::error!(error:% = error; "configuration-unreadable"),
+            Err(error) => log::error!(error:% = error; "configuration_unreadable"),
         }
     }
 }
@@ -91,7 +91,7 @@
     if old.is_some_and(|old| old >= config.version) {
         return;
     }
-    log::info!(version = config.version, old, queues = config.queues.len(); "configuration-applied");
+    log::info!(version = config.version, old, queues = config.queues.len(); "configuration_applied");
     *node.config.borrow_mut() = Some(Arc::new(config));
     node.wake();
 }
@@ -112,7 +112,7 @@
                             heads.push((head.clone(), item.revision));
                             board.observe(head, item.revision);
                         }
-                        Some(Err(error)) => log::error!(error:% = error; "head-unreadable"),
+                        Some(Err(error)) => log::error!(error:% = error; "head_unreadable"),
                         None => {}
                     }
                 }
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -60,7 +60,7 @@
                     }
                 }
                 Err(store::Error::Compacted) => {
-                    log::info!(prefix = self.prefix, revision; "history-gone");
+                    log::info!(prefix = self.prefix, revision; "history_gone");
                     self.revision = None;
                 }
                 Err(error) => self.failed(&error).await,
--- a/crates/node/src/map.rs
+++ b/crates/node/src/map.rs
@@ -37,7 +37,7 @@
             Some(Ok(map)) if item.revision > node.map.borrow().1 => {
                 *node.map.borrow_mut() = (map, item.revision);
             }
-            Some(Err(error)) => log::error!(error:% = error; "map-unreadable"),
+            Some(Err(error)) => log::error!(error:% = error; "map_unreadable"),
             _ => {}
         }
         return;
@@ -46,12 +46,12 @@
     let vm = item.value.as_deref().map(serde_json::from_slice::<assignment::Vm>);
     match vm {
         Some(Ok(vm)) => {
-            log::info!(vm = name; "vm-seen");
+            log::info!(vm = name; "vm_seen");
             node.vms.borrow_mut().insert(name.into(), vm);
         }
-        Some(Err(error)) => log::error!(vm = name, error:% = error; "vm-unreadable"),
+        Some(Err(error)) => log::error!(vm = name, error:% = error; "vm_unreadable"),
         None => {
-            log::info!(vm = name; "vm-gone");
+            log::info!(vm = name; "vm_gone");
             node.vms.borrow_mut().remove(name);
         }
     }
@@ -106,7 +106,7 @@
 
 async fn write(node: Rc<Node>, txn: Txn) {
     match node.store.txn(&txn).await {
-        Ok(revision) => log::info!(revision; "map-written"),
+        Ok(revision) => log::info!(revision; "map_written"),
         Err(error) => node.store_failed("map", &error),
     }
 }
--- a/crates/node/src/meter.rs
+++ b/crates/node/src/meter.rs
@@ -65,23 +65,23 @@
         let name = match report {
             Report::End { after_ms, .. } => {
                 self.latency.with_label_values(&["run"]).observe(*after_ms as f64);
-                "run-ended"
+                "run_ended"
             }
             Report::JobOver { after_ms, .. } => {
                 self.latency.with_label_values(&["job"]).observe(*after_ms as f64);
-                "job-over"
+                "job_over"
             }
-            Report::Moved { .. } => "job-moved",
-            Report::Split { .. } => "job-split",
+            Report::Moved { .. } => "job_moved",
+            Report::Split { .. } => "job_split",
             Report::Pace { .. } => "pace",
-            Report::Refused { .. } => "order-refused",
-            Report::Released { .. } => "run-released",
+            Report::Refused { .. } => "order_refused",
+            Report::Released { .. } => "run_released",
             Report::Start { after_ms, .. } => {
                 self.latency.with_label_values(&["start"]).observe(*after_ms as f64);
-                "run-started"
+                "run_started"
             }
-            Report::Stop { .. } => "run-stopped",
-            Report::Worker { .. } => "worker-believed",
+            Report::Stop { .. } => "run_stopped",
+            Report::Worker { .. } => "worker_believed",
         };
         self.event(name);
         log::info!(cell, detail:serde = report; "{name}");
@@ -91,7 +91,7 @@
     pub(crate) fn text(&self) -> Vec<u8> {
         let mut text = Vec::new();
         if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
-            log::error!(error:% = error; "metrics-unreadable");
+            log::error!(error:% = error; "metrics_unreadable");
         }
         text
     }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -90,17 +90,17 @@
     pub(crate) fn heard(&self) {
         self.heard_at.set(time::now());
         if !self.reachable.replace(true) {
-            log::info!(dependency = "store"; "dependency-regained");
+            log::info!(dependency = "store"; "dependency_regained");
         }
     }
 
     /// Notes that a call of the store failed.
     pub(crate) fn store_failed(&self, what: &str, error: &store::Error) {
-        self.meter.event("store-call-failed");
-        log::warn!(what, error:% = error; "store-call-failed");
+        self.meter.event("store_call_failed");
+        log::warn!(what, error:% = error; "store_call_failed");
         if !self.in_contact() && self.reachable.replace(false) {
             let silent_ms = time::now().saturating_sub(self.heard_at.get());
-            log::warn!(dependency = "store", silent_ms; "dependency-lost");
+            log::warn!(dependency = "store", silent_ms; "dependency_lost");
         }
     }
 
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -41,7 +41,7 @@
                 let tenant = node.clone();
                 let ended = spawn_local(async move { tenure(&tenant, cell).await }).await;
                 if let Err(error) = ended {
-                    log::error!(cell, error:% = error; "cell-task-failed");
+                    log::error!(cell, error:% = error; "cell_task_failed");
                 }
                 node.cells.borrow_mut().remove(&cell);
                 node.changed.notify_waiters();
@@ -54,8 +54,8 @@
 /// One tenure of a cell.
 async fn tenure(node: &Rc<Node>, cell: u32) {
     let Some(taken) = take(node, cell).await else { return };
-    log::info!(cell, generation = taken.head.generation, fence = taken.fence; "cell-taken");
-    node.meter.event("cell-taken");
+    log::info!(cell, generation = taken.head.generation, fence = taken.fence; "cell_taken");
+    node.meter.event("cell_taken");
     let Some((state, revision, cancelled)) = load(node, cell, &taken).await else { return };
     let (events, inbox) = mpsc::unbounded_channel();
     let hands = Rc::new(Hands {
@@ -77,7 +77,7 @@
     if owned {
         give_up(node, cell, &taken, &head, revision).await;
     }
-    log::info!(cell, fence = taken.fence; "cell-left");
+    log::info!(cell, fence = taken.fence; "cell_left");
 }
 
 /// Takes the cell when its last owner is gone.
@@ -148,7 +148,7 @@
 fn decode<T: serde::de::DeserializeOwned>(item: &Item) -> Option<T> {
     let value = item.value.as_deref()?;
     serde_json::from_slice(value)
-        .inspect_err(|error| log::error!(key = item.key, error:% = error; "record-unreadable"))
+        .inspect_err(|error| log::error!(key = item.key, error:% = error; "record_unreadable"))
         .ok()
 }
 
@@ -192,7 +192,7 @@
         }
     }
     let config = node.config.borrow().clone().unwrap_or_default();
-    log::info!(cell, jobs = jobs.len(), revision = items.revision; "cell-loaded");
+    log::info!(cell, jobs = jobs.len(), revision = items.revision; "cell_loaded");
     let start = cell::Start {
         acquired_at: taken.at,
         config,
@@ -281,7 +281,7 @@
         }
         let silent = clock.now > node.confirmed_at.get() + node::OWNER_SILENCE_MS;
         if lost || silent {
-            log::warn!(cell = hands.cell, fence = hands.fence, silent; "cell-lost");
+            log::warn!(cell = hands.cell, fence = hands.fence, silent; "cell_lost");
             node.cells.borrow_mut().remove(&hands.cell);
             break;
         }
@@ -296,7 +296,7 @@
 
 /// Removes the owner's entry, so that the next owner need not wait for the lease.
 async fn give_up(node: &Rc<Node>, cell: u32, taken: &Taken, head: &Head, revision: u64) {
-    log::info!(cell, sequence = head.sequence; "cell-handed-over");
+    log::info!(cell, sequence = head.sequence; "cell_handed_over");
     let txn = Txn {
         expected: vec![(keys::owner(cell), taken.fence), (keys::head(cell), revision)],
         removed: vec![keys::owner(cell)],
@@ -382,7 +382,7 @@
             let Some(address) = hands.address(&worker) else { return };
             if let Err(reason) = orders.pace(hands.peer(address, &worker), task, run, percent).await
             {
-                log::warn!(worker = &*worker, task:% = task, reason:? = reason; "pace-refused");
+                log::warn!(worker = &*worker, task:% = task, reason:? = reason; "pace_refused");
             }
         }
         Action::Commit(commit) => {
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -89,7 +89,7 @@
     let task = spawn_local(task);
     spawn_local(async move {
         if let Err(error) = task.await {
-            log::error!(task = name, error:% = error; "task-failed");
+            log::error!(task = name, error:% = error; "task_failed");
             log::logger().flush();
             std::process::exit(FAILED);
         }
@@ -103,7 +103,7 @@
     let mut terminate = signal(SignalKind::terminate()).into_diagnostic()?;
     loop {
         tokio::select! {
-            _ = hangup.recv() => log::info!(vm = node.boot.vm; "reload-asked"),
+            _ = hangup.recv() => log::info!(vm = node.boot.vm; "reload_asked"),
             _ = terminate.recv() => break,
         }
     }
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -16,13 +16,13 @@
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(error) => {
-                log::warn!(error:% = error; "accept-failed");
+                log::warn!(error:% = error; "accept_failed");
                 sleep(Duration::from_millis(20)).await;
                 continue;
             }
         };
         if let Err(error) = stream.set_nodelay(true) {
-            log::warn!(error:% = error; "nodelay-failed");
+            log::warn!(error:% = error; "nodelay_failed");
         }
         spawn_local(connection(node.clone(), stream, door));
     }
@@ -44,6 +44,6 @@
         .serve_connection(TokioIo::new(stream), service)
         .await;
     if let Err(error) = served {
-        log::debug!(error:% = error; "connection-ended");
+        log::debug!(error:% = error; "connection_ended");
     }
 }
--- a/crates/node/src/session.rs
+++ b/crates/node/src/session.rs
@@ -14,12 +14,12 @@
             Ok(lease) => {
                 node.lease.set(Some(lease));
                 node.confirmed_at.set(time::now());
-                log::info!(lease; "session-opened");
+                log::info!(lease; "session_opened");
                 node.wake();
                 renew(&node, lease).await;
                 node.lease.set(None);
                 if !node.leaving.get() {
-                    log::warn!(lease; "session-lost");
+                    log::warn!(lease; "session_lost");
                 }
                 node.wake();
             }
--- a/crates/node/src/submit.rs
+++ b/crates/node/src/submit.rs
@@ -84,7 +84,7 @@
 
 fn ticket(item: &Item) -> Option<Ticket> {
     serde_json::from_slice(item.value.as_deref()?)
-        .inspect_err(|error| log::error!(key = item.key, error:% = error; "ticket-unreadable"))
+        .inspect_err(|error| log::error!(key = item.key, error:% = error; "ticket_unreadable"))
         .ok()
 }
 
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -96,9 +96,10 @@
     /// Asks for a job's state; one that was accepted must be known.
     pub(crate) async fn look(&self, id: &str) {
         let vm = self.any_vm();
+        // An answer may tell of a moment as early as the question.
+        let accepted = self.callers.borrow()[id].accepted;
         let answer = self.ask(&vm, Method::GET, &format!("/q/{id}"), Vec::new()).await;
         let Ok(answer) = answer else { return };
-        let accepted = self.callers.borrow()[id].accepted;
         if answer.status.as_u16() == 410 && accepted {
             self.book.fault(format!("{id} was accepted and is not known"));
         }
--- a/crates/telemetry/src/logs.rs
+++ b/crates/telemetry/src/logs.rs
@@ -88,7 +88,7 @@
         let (admitted, left_out) = self.admit(&event, now.now().timestamp());
         if left_out > 0 {
             let time = now.now_utc_owned().to_rfc3339();
-            let line = json!({"event": "lines-left-out", "count": left_out, "time": time});
+            let line = json!({"event": "lines_left_out", "count": left_out, "time": time});
             self.send(line.to_string().into_bytes());
         }
         if admitted {
