--- a/crates/cli/tests/docs.rs
+++ b/crates/cli/tests/docs.rs
@@ -14,11 +14,31 @@
 
 /// Returns the events that the sources of `library` log.
 fn events(library: &str) -> Vec<String> {
-    let folder = root().join("crates").join(library).join("src");
-    let files = fs::read_dir(folder).unwrap().map(|entry| entry.unwrap().path());
-    let texts = files.map(|path| fs::read_to_string(path).unwrap());
-    texts
-        .flat_map(|text| text.split("log::").skip(1).filter_map(event).collect::<Vec<_>>())
+    texts(&format!("crates/{library}/src")).iter().flat_map(|text| logged_in(text)).collect()
+}
+
+/// Returns the sources in a folder.
+fn texts(folder: &str) -> Vec<String> {
+    let files = fs::read_dir(root().join(folder)).unwrap().map(|entry| entry.unwrap().path());
+    files.map(|path| fs::read_to_string(path).unwrap()).collect()
+}
+
+/// Returns the events that a source logs.
+fn logged_in(text: &str) -> Vec<String> {
+    let text: String = text.lines().map(str::trim).collect();
+    text.split("log::").skip(1).filter_map(event).collect()
+}
+
+/// Returns the events of a cell's decisions.
+fn decisions() -> Vec<String> {
+    let text = fs::read_to_string(root().join("crates/node/src/meter.rs")).unwrap();
+    let (_, body) = text.split_once("let name = match report").unwrap();
+    let (body, _) = body.split_once("};").unwrap();
+    body.split('"')
+        .skip(1)
+        .step_by(2)
+        .filter(|word| word.contains('_') || *word == "pace")
+        .map(str::to_owned)
         .collect()
 }
 
@@ -32,8 +52,11 @@
 
 #[test]
 fn every_log_event_is_on_the_page_and_the_page_has_no_other() {
-    let logged: BTreeSet<String> =
-        ["entry", "follow", "scheduler"].into_iter().flat_map(events).collect();
+    let mut logged: BTreeSet<String> =
+        ["entry", "follow", "node", "scheduler"].into_iter().flat_map(events).collect();
+    logged.extend(texts("platform/src").iter().flat_map(|text| logged_in(text)));
+    logged.remove("{name}");
+    logged.extend(decisions());
     let page = fs::read_to_string(root().join("docs/operators/log-events.md")).unwrap();
     let first = |line: &str| line.split('|').nth(1).unwrap_or_default().to_owned();
     let cells: Vec<String> =
--- a/crates/fleet/src/cell.rs
+++ b/crates/fleet/src/cell.rs
@@ -138,6 +138,7 @@
             Event::Commit(outcome) => self.committed(clock, outcome),
             Event::Configured(config) => self.config = config,
             Event::Leaving => self.leaving = true,
+            Event::Lost => self.lose(),
             Event::Look { worker, sent, answer } => self.looked(clock, &worker, sent, answer),
             Event::Looked { id, ticket } => self.looked_up(clock, id, ticket.as_ref()),
             Event::Start { worker, task, run, answer } => {
--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -29,6 +29,8 @@
     Configured(Arc<Config>),
     /// This owner leaves: nothing more starts.
     Leaving,
+    /// The store shows another owner, or none.
+    Lost,
     /// A ticket was read, for runs of a job that this cell does not know.
     Looked {
         /// The job's ID.
--- a/crates/fleet/tests/takeover.rs
+++ b/crates/fleet/tests/takeover.rs
@@ -116,6 +116,18 @@
     assert!(world.lost);
 }
 
+/// Soak seed 223: the owner's entry was gone, no commit was under way, and the owner went on: it
+/// started a job that its successor started too.
+#[test]
+fn an_owner_whose_entry_is_gone_is_lost_at_once() {
+    let mut world = World::new(&["w1"]);
+    world.pass(600);
+    world.handle(Event::Lost);
+    assert!(world.lost);
+    world.submit("1", QUEUE, vec![step(1, 1)]);
+    assert!(world.worker("w1").starts.is_empty());
+}
+
 #[test]
 fn a_leaving_owner_starts_nothing_more_and_gets_quiet() {
     let mut world = World::new(&["w1"]);
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -230,7 +230,7 @@
             }
         }
         if !owned {
-            hands.send(Event::Commit(Outcome::Lost));
+            hands.send(Event::Lost);
         }
     }
 }
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -116,7 +116,8 @@
         if ended.contains(&caller.state.as_str()) && caller.state != state {
             self.book.fault(format!("{id} was {} and is {state}", caller.state));
         }
-        if state == "completed" && self.tasks(&caller).any(|task| self.book.entry(&task).done == 0) {
+        if state == "completed" && self.tasks(&caller).any(|task| self.book.entry(&task).done == 0)
+        {
             self.book.fault(format!("{id} is completed before its tasks"));
         }
         let spent = |task: String| self.book.entry(&task).failures >= soak::ATTEMPTS;
@@ -143,7 +144,8 @@
     fn draw(&self, number: u64) -> (String, Vec<u32>, Vec<u8>, bool) {
         let mut random = self.random.borrow_mut();
         let id = format!("{:08x}{number:08x}", self.plan.seed);
-        let steps: Vec<u32> = (0..random.random_range(1..=2)).map(|_| random.random_range(1..=4)).collect();
+        let steps: Vec<u32> =
+            (0..random.random_range(1..=2)).map(|_| random.random_range(1..=4)).collect();
         let (ms, milli) = (random.random_range(50..900), random.random_range(500..4_000));
         let bodies: Vec<Value> = (0..)
             .zip(&steps)
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -1,6 +1,5 @@
 //! Faults, injected from outside the processes.
 
-
 /// A kind of fault.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Fault {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -18,10 +18,11 @@
         cell::{Cell, RefCell},
         collections::BTreeMap,
         fs,
-        net::{SocketAddr, TcpListener},
+        net::{Ipv4Addr, SocketAddr},
         path::PathBuf,
         process::{Child, Command, Stdio},
         rc::Rc,
+        sync::atomic::{AtomicU32, Ordering},
         time::Duration,
     },
     tokio::{
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -45,9 +45,10 @@
             worker.register(&store, relay.address, false);
             workers.push((worker, relay));
         }
+        let block = vm::block();
         let mut vms = Vec::new();
         for number in 0..plan.vms {
-            vms.push(Rc::new(Vm::start(&plan, number, address).await?));
+            vms.push(Rc::new(Vm::start(&plan, block, number, address).await?));
         }
         let soak = Rc::new(Self {
             book,
@@ -87,10 +88,11 @@
 
     async fn until_ready(&self) -> miette::Result<()> {
         let end = Instant::now() + READY;
-        let body = json!({"spec": "50 500", "steps": [{"count": 1, "cpu": 500, "estimate_ms": 50}]});
-        for vm in &self.vms {
+        let body =
+            json!({"spec": "50 500", "steps": [{"count": 1, "cpu": 500, "estimate_ms": 50}]});
+        for (vm_number, vm) in (0..).zip(&self.vms) {
             loop {
-                let path = format!("/q/{:016x}", u64::MAX - u64::from(vm.front.port()));
+                let path = format!("/q/{:016x}", u64::MAX - vm_number);
                 let body = body.to_string().into_bytes();
                 let answer = self.ask(vm, Method::POST, &path, body).await;
                 if answer.is_ok_and(|answer| answer.status.is_success()) {
--- a/crates/soak/src/vm.rs
+++ b/crates/soak/src/vm.rs
@@ -8,7 +8,6 @@
     command: (PathBuf, PathBuf, PathBuf),
     /// Where callers connect.
     pub front: SocketAddr,
-    metrics_port: u16,
     /// Since when something other than a graceful stop befell it; a request that fails then proves
     /// nothing.
     pub disturbed: Cell<Option<Instant>>,
@@ -19,22 +18,37 @@
     pub stopping: Cell<Option<Instant>>,
 }
 
+/// Ports of a VM, each at its own address.
+const FRONT_PORT: u16 = 8_161;
+const READY_PORT: u16 = 8_167;
 /// The grace period of a VM, in seconds.
 const GRACE_S: u64 = 6;
 
-fn free_port() -> miette::Result<u16> {
-    let listener = TcpListener::bind(("127.0.0.1", 0)).into_diagnostic()?;
-    Ok(listener.local_addr().into_diagnostic()?.port())
+/// Runs of this process, for loopback addresses that no two runs share.
+static RUNS: AtomicU32 = AtomicU32::new(0);
+/// Values of an octet that are used.
+const OCTET: u32 = 250;
+
+/// Returns a block of loopback addresses that other runs do not use, as its middle octets.
+pub(crate) fn block() -> (u8, u8) {
+    let number = std::process::id() * 7 + RUNS.fetch_add(1, Ordering::Relaxed);
+    ((1 + number / OCTET % OCTET) as u8, (number % OCTET) as u8)
 }
 
 impl Vm {
     /// Writes the settings of a VM and starts its process.
-    pub async fn start(plan: &Plan, number: usize, store: SocketAddr) -> miette::Result<Self> {
+    pub async fn start(
+        plan: &Plan,
+        block: (u8, u8),
+        number: usize,
+        store: SocketAddr,
+    ) -> miette::Result<Self> {
         let relay = TcpRelay::start(([127, 0, 0, 1], 0).into(), store).await.into_diagnostic()?;
-        let (front, ready, metrics_port) = (free_port()?, free_port()?, free_port()?);
+        let (high, low) = block;
+        let ip = Ipv4Addr::new(127, high, low, number as u8 + 1);
         let settings = format!(
-            "node_name=vm-{number}\nzone=a\nip=127.0.0.1\nlisten.front=127.0.0.1:{front}\n\
-             listen.ready=127.0.0.1:{ready}\nplatform.address={}\nplatform.ttl_min_ms=1000\n\
+            "node_name=vm-{number}\nzone=a\nip={ip}\nlisten.front={ip}:{FRONT_PORT}\n\
+             listen.ready={ip}:{READY_PORT}\nplatform.address={}\nplatform.ttl_min_ms=1000\n\
              limits.cpu_share=0.5\nlimits.cores=1\nbounds.hold_max_ms=6000\n\
              bounds.stop_timeout_ms=400\nbounds.gang_timeout_ms=3000\nbounds.grace_s={GRACE_S}\n\
              heartbeat_ms=1500\n",
@@ -45,8 +59,7 @@
         let vm = Self {
             child: RefCell::new(None),
             command: (plan.program.clone(), path, plan.directory.join(format!("vm-{number}.log"))),
-            front: ([127, 0, 0, 1], front).into(),
-            metrics_port,
+            front: (ip, FRONT_PORT).into(),
             disturbed: Cell::new(None),
             paused: Cell::new(false),
             relay,
@@ -67,8 +80,6 @@
         let child = Command::new(program)
             .arg("--settings")
             .arg(settings)
-            .arg("--metrics-port")
-            .arg(self.metrics_port.to_string())
             .stdin(Stdio::null())
             .stdout(log)
             .stderr(errors)
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -40,8 +40,16 @@
 };
 
 pub use {
-    behaviour::Behaviour, error::Error, ledger::Ledger, platform::Platform, run::run, store::Store,
-    users_store::UsersStore, users_worker::{UsersBook, UsersWorker}, vms::Vms, worker::Worker,
+    behaviour::Behaviour,
+    error::Error,
+    ledger::Ledger,
+    platform::Platform,
+    run::run,
+    store::Store,
+    users_store::UsersStore,
+    users_worker::{UsersBook, UsersWorker},
+    vms::Vms,
+    worker::Worker,
 };
 
 mod acceptor;
--- a/crates/standin/src/users_worker.rs
+++ b/crates/standin/src/users_worker.rs
@@ -281,7 +281,8 @@
         state.lease_until = state.lease_until.max(until.min(clock + LEASE_MOST_MS));
         let before = self.book.entry(&task);
         if !before.running.is_empty() {
-            self.book.fault(format!("{task} starts at {} and runs at {:?}", self.id, before.running));
+            self.book
+                .fault(format!("{task} starts at {} and runs at {:?}", self.id, before.running));
         }
         if before.acknowledged {
             self.book.fault(format!("{task} starts at {} after an acknowledged end", self.id));
