--- a/crates/fleet/src/assignment.rs
+++ b/crates/fleet/src/assignment.rs
@@ -25,6 +25,9 @@
 /// The share of an owner's processors that its cell may take on a calm day, in percent: a burst
 /// doubles the starts, and the VM answers callers too. Larger cells waste less room.
 const OWNER_PERCENT: u64 = 45;
+/// The most workers of a cell: each placement looks at all of them, so the cost of a burst grows
+/// with the square of a cell's size.
+const MOST_WORKERS: usize = 72;
 /// VMs with less than this share of the strongest one's processors own no cells, in percent.
 const STRONG_PERCENT: u64 = 50;
 
@@ -109,7 +112,8 @@
 fn cells_for(vms: &BTreeMap<String, Vm>, strong: &[&String], workers: usize) -> usize {
     let least = strong.iter().filter_map(|name| vms.get(*name)).map(|vm| vm.processors_milli).min();
     let room = least.unwrap_or(0) * OWNER_PERCENT / 100 / MILLI_PER_WORKER;
-    workers.div_ceil(room.max(1) as usize).clamp(1, strong.len())
+    let most = (room.max(1) as usize).min(MOST_WORKERS);
+    workers.div_ceil(most).clamp(1, strong.len())
 }
 
 fn strong(vms: &BTreeMap<String, Vm>) -> Vec<&String> {
--- a/crates/fleet/tests/cells.rs
+++ b/crates/fleet/tests/cells.rs
@@ -62,6 +62,16 @@
     assert_eq!(map.members(1).count(), 24);
 }
 
+#[test]
+fn a_large_fleet_gets_more_cells_than_its_processors_ask_for() {
+    let names = workers(490);
+    let strong: Vec<String> = (0..10).map(|number| format!("vm-{number}")).collect();
+    let strong: Vec<(&str, u64)> = strong.iter().map(|name| (name.as_str(), 500)).collect();
+    let map = Assignment::default().next(&vms(&strong), &weights(&names));
+    assert_eq!(map.owners.len(), 7);
+    assert!((0..7).all(|cell| map.members(cell).count() == 70));
+}
+
 #[test]
 fn a_cell_of_a_lost_vm_goes_to_the_one_with_the_fewest() {
     let names = workers(48);
