Read what follows of a body over its limit before refusing it

The node's front does the same. Names: poll, unknown runs, affinity, availability for earlier ones of our own.

--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -5,6 +5,10 @@
 
 /// A body up to this length is held, so that it can be sent again.
 pub(crate) const HELD_BYTES: usize = 64 << 10;
+/// The most that is read of a refused body.
+const DISCARDED_BYTES: usize = 256 << 10;
+/// The longest time that a refused body is read for.
+const DISCARD_LIMIT: Duration = Duration::from_millis(500);
 /// The longest pause between two parts of a body.
 pub(crate) const STALL_LIMIT: Duration = Duration::from_secs(10);
 
@@ -45,6 +49,7 @@
                 Some(part) => held.extend_from_slice(&part),
             }
             if held.len() as u64 > limit {
+                discard(&mut body).await;
                 return Err(above(limit));
             }
         }
@@ -80,6 +85,20 @@
     Refusal::never(StatusCode::REQUEST_TIMEOUT, Reason::BodyStalled, text)
 }
 
+/// Reads what follows of a body that is refused: closing a connection with unread bytes resets it,
+/// and the reset can overtake the answer.
+async fn discard(body: &mut ReqBody) {
+    let reading = async {
+        let mut left = DISCARDED_BYTES;
+        while left > 0 {
+            let Ok(Some(part)) = next(body).await else { return };
+            left = left.saturating_sub(part.len());
+        }
+    };
+    // A caller that is slower gets its answer all the same, or the reset.
+    let _ = tokio::time::timeout(DISCARD_LIMIT, reading).await;
+}
+
 fn above(limit: u64) -> Refusal {
     let text = format!("the body is above the service's limit of {limit} bytes: send less");
     Refusal::never(StatusCode::PAYLOAD_TOO_LARGE, Reason::BodyLimit, text)
--- a/crates/fleet/src/action.rs
+++ b/crates/fleet/src/action.rs
@@ -7,8 +7,8 @@
 pub enum Action {
     /// Change the records.
     Commit(Box<Commit>),
-    /// Look at a worker.
-    Look {
+    /// Poll a worker.
+    Poll {
         /// The worker's id.
         worker: Arc<str>,
         /// Ends up to this number are recorded.
@@ -181,7 +181,7 @@
     Lapsed,
     /// The worker said that it leaves, and has.
     Left,
-    /// A look after the start does not list it.
+    /// A poll after the start does not list it.
     NotListed,
     /// The order was refused.
     Refused,
--- a/crates/fleet/src/cell.rs
+++ b/crates/fleet/src/cell.rs
@@ -139,8 +139,8 @@
             Event::Configured(config) => self.config = config,
             Event::Leaving => self.leaving = true,
             Event::Lost => self.lose(),
-            Event::Look { worker, sent, answer } => self.looked(clock, &worker, sent, answer),
-            Event::Looked { id, ticket } => self.looked_up(clock, id, ticket.as_ref()),
+            Event::Poll { worker, sent, answer } => self.polled(clock, &worker, sent, answer),
+            Event::TicketRead { id, ticket } => self.looked_up(clock, id, ticket.as_ref()),
             Event::Start { worker, task, run, answer } => {
                 self.start_answered(clock, &worker, task, run, answer);
             }
@@ -164,7 +164,7 @@
         self.gauge(clock);
         self.rebalance(clock);
         self.record(clock);
-        self.look(clock);
+        self.poll(clock);
     }
 
     /// Returns whether nothing is under way that a successor could not see.
--- a/crates/fleet/src/cell_ends.rs
+++ b/crates/fleet/src/cell_ends.rs
@@ -1,4 +1,4 @@
-//! What a look at a worker changes.
+//! What a poll of a worker changes.
 
 use {
     super::*,
@@ -13,8 +13,8 @@
 const FAILURES_TO_PAUSE: u32 = 3;
 /// How long a worker that fails what it starts gets nothing new, in milliseconds.
 const FAILING_PAUSE_MS: u64 = 4_000;
-/// Between looks at a worker that another one has replaced, in milliseconds.
-const REPLACED_LOOK_MS: u64 = 1_000;
+/// Between polls of a worker that another one has replaced, in milliseconds.
+const REPLACED_POLL_MS: u64 = 1_000;
 /// Paces that differ by less are left as they are, in percentage points.
 const PACE_STEP: u32 = 8;
 /// The most that one order raises a pace by, in percentage points.
@@ -25,7 +25,7 @@
 const WARM_UP_MS: u64 = 800;
 
 impl Cell {
-    pub(crate) fn looked(
+    pub(crate) fn polled(
         &mut self,
         clock: Clock,
         id: &Arc<str>,
@@ -33,8 +33,8 @@
         answer: Result<Listing, Refusal>,
     ) {
         let Some(worker) = self.workers.get_mut(id) else { return };
-        worker.looking = false;
-        worker.look_at = clock.now + limits::LOOK_PAUSE_MS;
+        worker.polling = false;
+        worker.poll_at = clock.now + limits::POLL_PAUSE_MS;
         match answer {
             Ok(listing) => self.listed(clock, id, sent, listing),
             Err(Refusal::Fenced) => self.lose(),
@@ -54,7 +54,7 @@
     fn replaced(&mut self, clock: Clock, id: &Arc<str>) {
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.missed += 1;
-        worker.look_at = clock.now + REPLACED_LOOK_MS;
+        worker.poll_at = clock.now + REPLACED_POLL_MS;
         let runs = worker.runs.len();
         self.unfenced.remove(id);
         if runs > 0 {
@@ -311,7 +311,7 @@
     fn stopped_unknown(&mut self, clock: Clock, id: &Arc<str>, job: job::Id) {
         let names: Vec<(task::Name, u32)> = match self.workers.get(id) {
             Some(worker) => {
-                worker.strangers.iter().copied().filter(|(n, _)| n.job == job).collect()
+                worker.unknown_runs.iter().copied().filter(|(n, _)| n.job == job).collect()
             }
             None => return,
         };
@@ -325,12 +325,12 @@
         }
     }
 
-    /// Releases runs that a look sent after their confirmation does not list.
+    /// Releases runs that a poll sent after their confirmation does not list.
     fn unlisted(&mut self, clock: Clock, id: &Arc<str>, sent: u64, listing: &Listing) {
         let listed: BTreeMap<task::Name, u32> =
             listing.running.iter().map(|row| (row.task, row.run)).collect();
         let Some(worker) = self.workers.get_mut(id) else { return };
-        worker.strangers = listing
+        worker.unknown_runs = listing
             .running
             .iter()
             .filter(|row| !self.jobs.contains_key(&row.task.job))
@@ -378,7 +378,7 @@
     /// Paces the filling tasks of a worker by the tails of its serving ones.
     fn pace(&mut self, clock: Clock, id: &Arc<str>) {
         let Some(worker) = self.workers.get_mut(id) else { return };
-        let worst = worker.feel(clock.now, &mut self.pressure);
+        let worst = worker.observe_tails(clock.now, &mut self.pressure);
         let paces: BTreeMap<String, u32> = worker
             .paces(clock.now, &self.pressure)
             .into_iter()
--- a/crates/fleet/src/cell_orders.rs
+++ b/crates/fleet/src/cell_orders.rs
@@ -1,4 +1,4 @@
-//! Orders to workers: starts, stops, looks, and what their answers prove.
+//! Orders to workers: starts, stops, polls, and what their answers prove.
 
 use {
     super::*,
@@ -91,7 +91,7 @@
             _ => {}
         }
         match reason {
-            // The run, or a later one, has been there: the next look tells its end.
+            // The run, or a later one, has been there: the next poll tells its end.
             Refusal::Old => run.phase = Phase::Confirmed { since: clock.now },
             Refusal::Unknown => {
                 let retry_at = Some(clock.now + limits::RETRY_MS);
@@ -188,31 +188,31 @@
         }
     }
 
-    /// Looks at each worker that no look is under way at.
-    pub(crate) fn look(&mut self, clock: Clock) {
+    /// Polls each worker of which no poll is under way at.
+    pub(crate) fn poll(&mut self, clock: Clock) {
         let lease_ms = self.limits.lease_ms;
         let durable = self.durable;
         for (id, worker) in &mut self.workers {
-            if worker.looking || worker.registration.is_none() {
+            if worker.polling || worker.registration.is_none() {
                 continue;
             }
             while worker.unrecorded.front().is_some_and(|&(_, change)| change <= durable) {
                 let Some((number, _)) = worker.unrecorded.pop_front() else { break };
                 worker.acknowledged = number;
             }
-            // A look would return at once with the ends that wait for their record.
-            if !worker.unrecorded.is_empty() && clock.now < worker.look_at {
+            // A poll would return at once with the ends that wait for their record.
+            if !worker.unrecorded.is_empty() && clock.now < worker.poll_at {
                 continue;
             }
-            if worker.missed > 0 && clock.now < worker.look_at {
+            if worker.missed > 0 && clock.now < worker.poll_at {
                 continue;
             }
-            worker.looking = true;
+            worker.polling = true;
             // A silent worker gets no longer lease: it would never be proven over.
             let lease_until =
                 if worker.missed > 0 { None } else { worker.grant(clock.now, lease_ms) };
-            let wait_ms = if worker.fenced { limits::LOOK_WAIT_MS } else { 0 };
-            self.actions.push(Action::Look {
+            let wait_ms = if worker.fenced { limits::POLL_WAIT_MS } else { 0 };
+            self.actions.push(Action::Poll {
                 worker: id.clone(),
                 acknowledged: worker.acknowledged,
                 lease_until,
--- a/crates/fleet/src/cell_record.rs
+++ b/crates/fleet/src/cell_record.rs
@@ -9,7 +9,7 @@
 const GROUP_MS: u64 = 15;
 /// Between heads that only tell the load, in milliseconds.
 const LOAD_MS: u64 = 500;
-/// Between looks for jobs to pass on, in milliseconds.
+/// Between searches for jobs to pass on, in milliseconds.
 const REBALANCE_MS: u64 = 200;
 /// A job is passed on after it has waited for this long, in milliseconds.
 const MOVE_AFTER_MS: u64 = 250;
--- a/crates/fleet/src/cell_schedule.rs
+++ b/crates/fleet/src/cell_schedule.rs
@@ -211,7 +211,7 @@
     }
 }
 
-/// Between looks for tasks to move, in milliseconds.
+/// Between searches for tasks to move, in milliseconds.
 const RELOCATE_MS: u64 = 250;
 /// A run is left alone for this long, in milliseconds: its pace settles.
 const SETTLED_MS: u64 = 700;
--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -32,17 +32,17 @@
     /// The store shows another owner, or none.
     Lost,
     /// A ticket was read, for runs of a job that this cell does not know.
-    Looked {
+    TicketRead {
         /// The job's ID.
         id: job::Id,
         /// Its ticket, if there is one.
         ticket: Option<Ticket>,
     },
-    /// A worker answered a look, or did not.
-    Look {
+    /// A worker answered a poll, or did not.
+    Poll {
         /// The worker's id.
         worker: Arc<str>,
-        /// When the look was sent, in milliseconds.
+        /// When the poll was sent, in milliseconds.
         sent: u64,
         /// The answer.
         answer: Result<Listing, Refusal>,
--- a/crates/fleet/src/limits.rs
+++ b/crates/fleet/src/limits.rs
@@ -3,7 +3,7 @@
 /// Times and sizes, from the settings and from constants of this crate.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
-    /// Lease of a worker that an order or look asks for, in milliseconds.
+    /// Lease of a worker that an order or poll asks for, in milliseconds.
     pub lease_ms: u64,
     /// How long an owner goes on without a word from the store, in milliseconds.
     pub owner_silence_ms: u64,
@@ -17,10 +17,10 @@
 pub const CLOCK_SLOW_PERCENT: u64 = 2;
 /// Added to the computed end of a lease for the worker's own timers, in milliseconds.
 pub const LEASE_SLACK_MS: u64 = 150;
-/// How long a look waits for an end, in milliseconds; well under a lease, so that it renews it.
-pub const LOOK_WAIT_MS: u64 = 1_000;
-/// Between looks while ends wait for their record, in milliseconds.
-pub const LOOK_PAUSE_MS: u64 = 200;
+/// How long a poll waits for an end, in milliseconds; well under a lease, so that it renews it.
+pub const POLL_WAIT_MS: u64 = 1_000;
+/// Between polls while ends wait for their record, in milliseconds.
+pub const POLL_PAUSE_MS: u64 = 200;
 /// Before an unanswered order is sent again, in milliseconds.
 pub const RETRY_MS: u64 = 100;
 /// How long a worker that refused for want of room gets nothing, in milliseconds.
--- a/crates/fleet/src/listing.rs
+++ b/crates/fleet/src/listing.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 
-/// A worker's answer to a look.
+/// A worker's answer to a poll.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Listing {
     /// When the worker's present life began, in milliseconds since 1970.
--- a/crates/fleet/src/pace.rs
+++ b/crates/fleet/src/pace.rs
@@ -24,7 +24,7 @@
 const GUARD_CUT: f64 = 0.5;
 /// The least share of the budget that is used.
 const GUARD_LEAST: f64 = 0.05;
-/// What a calm look gives the guard back.
+/// What a calm poll gives the guard back.
 const GUARD_RISE: f64 = 0.15;
 /// Every tail below this share of its target counts as calm.
 const CALM: f64 = 0.75;
@@ -43,7 +43,7 @@
 impl Worker {
     /// Learns from the worker's newest figures and returns the worst tail, as a share of its
     /// target.
-    pub(crate) fn feel(&mut self, now: u64, pressure: &mut Pressure) -> f64 {
+    pub(crate) fn observe_tails(&mut self, now: u64, pressure: &mut Pressure) -> f64 {
         let uses = self.uses(now);
         let learns = now >= self.pace.learned_at + LEARN_MS;
         let mut worst: f64 = 0.0;
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -67,7 +67,7 @@
         let spare = (unused_milli(worker) - wanted) * 100 / total;
         share * i64::from(pace) / 100 + spare
     } else if step.serves() {
-        company(worker, demand) - room / ROOM_PER_COMPANY
+        affinity(worker, demand) - room / ROOM_PER_AFFINITY
     } else {
         // Tight: large rooms are kept for large tasks.
         -room
@@ -83,11 +83,11 @@
 }
 
 /// How much more the company of like images counts than room does.
-const ROOM_PER_COMPANY: i64 = 4;
+const ROOM_PER_AFFINITY: i64 = 4;
 
 /// Returns how well a serving task suits those at a worker: images that are pressed alike belong
 /// together, so that other workers are free for what would press them.
-fn company(worker: &Worker, demand: &Demand) -> i64 {
+fn affinity(worker: &Worker, demand: &Demand) -> i64 {
     let mut score = 0.0;
     for run in worker.runs.values() {
         if run.step.serves() {
--- a/crates/fleet/src/pressure.rs
+++ b/crates/fleet/src/pressure.rs
@@ -38,13 +38,13 @@
 const AIM: f64 = 0.85;
 /// Assumed of a pair that has not been seen, for a whole worker: slightly harmful.
 const UNKNOWN: f64 = 1.0;
-/// Evidence that the assumption counts as: looks at a tenth of a worker in use, about half a dozen.
+/// Evidence that the assumption counts as: polls with a tenth of a worker in use, about half a dozen.
 const UNKNOWN_WEIGHT: f64 = 0.06;
 /// Tails saturate: nothing is learned beyond this logarithm.
 const SATURATED: f64 = 3.0;
 /// What is left of evidence after a second: pairs change.
 const KEPT_PER_S: f64 = 0.96;
-/// Sums are stored to a thousandth: evidence of one look weighs about ten.
+/// Sums are stored to a thousandth: evidence of one poll weighs about ten.
 const ROUNDING: f64 = 1_000.0;
 /// Rounds of the solution; each refines every pair once.
 const ROUNDS: usize = 12;
--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -12,7 +12,7 @@
         /// An earlier order may still arrive.
         uncertain: bool,
     },
-    /// The worker confirmed the start, or refused it as old; a look sent at `since` or later that
+    /// The worker confirmed the start, or refused it as old; a poll sent at `since` or later that
     /// does not list it proves it over.
     Confirmed {
         /// When the answer came, in milliseconds.
@@ -30,7 +30,7 @@
 /// A run at a worker.
 #[derive(Clone, Debug)]
 pub struct Run {
-    /// Processors in use at the last look, in thousandths of a core, or the tail latency in
+    /// Processors in use at the last poll, in thousandths of a core, or the tail latency in
     /// milliseconds for a serving task.
     pub figure: Option<f64>,
     /// Since when a task that should use processors has used none, in milliseconds.
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -5,23 +5,23 @@
 /// A worker of a cell.
 #[derive(Debug)]
 pub struct Worker {
-    /// Ends up to this number are recorded; the next look says so.
+    /// Ends up to this number are recorded; the next poll says so.
     pub acknowledged: u64,
     /// When the listed life began, in milliseconds since 1970.
     pub born: Option<u64>,
     /// The worker's clock at a moment of ours: its milliseconds, our milliseconds.
     pub clock: Option<(u64, u64)>,
-    /// It has answered a look under this owner's fencing token.
+    /// It has answered a poll under this owner's fencing token.
     pub fenced: bool,
     /// It gets no new run before this time, in milliseconds.
     pub paused_until: u64,
     /// The latest end of a lease that an order asked for, on the worker's clock.
     pub granted_until: u64,
-    /// A look is under way.
-    pub looking: bool,
-    /// When the next look is due, in milliseconds.
-    pub look_at: u64,
-    /// Looks without an answer in a row.
+    /// A poll is under way.
+    pub polling: bool,
+    /// When the next poll is due, in milliseconds.
+    pub poll_at: u64,
+    /// Polls without an answer in a row.
     pub missed: u32,
     /// The highest end that was taken in.
     pub processed: u64,
@@ -30,7 +30,7 @@
     /// Its entry, when it has one.
     pub registration: Option<Registration>,
     /// Runs that it listed last of jobs that this cell does not know.
-    pub strangers: Vec<(task::Name, u32)>,
+    pub unknown_runs: Vec<(task::Name, u32)>,
     /// Runs that it holds or may hold.
     pub runs: BTreeMap<task::Name, Run>,
     /// What its runs reserve.
@@ -49,7 +49,7 @@
     pub missing_since: Option<u64>,
 }
 
-/// Looks in a row that a leaving worker without an entry leaves unanswered before it counts as
+/// Polls in a row that a leaving worker without an entry leaves unanswered before it counts as
 /// gone.
 const MISSED_TO_LEAVE: u32 = 2;
 
@@ -63,13 +63,13 @@
             fenced: false,
             paused_until: 0,
             granted_until: 0,
-            looking: false,
-            look_at: 0,
+            polling: false,
+            poll_at: 0,
             missed: 0,
             processed: 0,
             unrecorded: VecDeque::new(),
             registration,
-            strangers: Vec::new(),
+            unknown_runs: Vec::new(),
             runs: BTreeMap::new(),
             reserved: Resources::default(),
             filling_milli: 0,
--- a/crates/fleet/tests/runs.rs
+++ b/crates/fleet/tests/runs.rs
@@ -203,7 +203,7 @@
 #[test]
 fn an_order_under_a_lower_token_ends_the_tenure() {
     let mut world = World::new(&["w1"]);
-    let event = oleanderstage_fleet::Event::Look {
+    let event = oleanderstage_fleet::Event::Poll {
         worker: "w1".into(),
         sent: world.now,
         answer: Err(Refusal::Fenced),
@@ -212,13 +212,13 @@
     assert!(world.lost);
 }
 
-/// Soak seeds 114 and 128: a look sent in the millisecond in which a start was confirmed, before
+/// Soak seeds 114 and 128: a poll sent in the millisecond in which a start was confirmed, before
 /// it, was taken for proof that the run was over.
 #[test]
 fn a_look_of_the_same_millisecond_proves_nothing_of_a_start() {
     let mut world = World::new(&["w1"]);
     world.submit("1", QUEUE, vec![step(1, 1)]);
-    let event = oleanderstage_fleet::Event::Look {
+    let event = oleanderstage_fleet::Event::Poll {
         worker: "w1".into(),
         sent: world.now,
         answer: Ok(oleanderstage_fleet::Listing {
--- a/crates/fleet/tests/sharing.rs
+++ b/crates/fleet/tests/sharing.rs
@@ -21,7 +21,7 @@
     Step { checkpoints: true, fills: true, image: image.into(), ..step(count, 2) }
 }
 
-/// Feeds looks at workers with a mix of filling images, of which only `loud` raises the tail.
+/// Feeds polls of workers with a mix of filling images, of which only `loud` raises the tail.
 fn learn(pressure: &mut Pressure, looks: usize) {
     let images = ["loud", "quiet", "calm"];
     for look in 0..looks {
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -74,7 +74,7 @@
     pub revision: u64,
     pub cores: u64,
     pub learned: oleanderstage_fleet::pressure::Pressure,
-    looks: Vec<(u64, Arc<str>, u64)>,
+    polls: Vec<(u64, Arc<str>, u64)>,
     sent: BTreeMap<task::Name, job::Id>,
 }
 
@@ -162,7 +162,7 @@
             revision: 1,
             cores: 16,
             learned: Default::default(),
-            looks: Vec::new(),
+            polls: Vec::new(),
             sent: BTreeMap::new(),
         };
         world.take_over();
@@ -198,7 +198,7 @@
         };
         self.cell = Cell::new(start, jobs, self.members());
         self.lost = false;
-        self.looks.clear();
+        self.polls.clear();
         let members = self.members();
         self.handle(Event::Workers(members));
     }
@@ -304,7 +304,7 @@
         for _ in 0..ms / 10 {
             self.now += 10;
             self.work();
-            self.answer_looks();
+            self.answer_polls();
             self.handle(Event::Tick);
         }
     }
@@ -332,34 +332,34 @@
         }
     }
 
-    fn answer_looks(&mut self) {
+    fn answer_polls(&mut self) {
         let now = self.now;
-        let looks = std::mem::take(&mut self.looks);
-        for (sent, id, due) in looks {
+        let polls = std::mem::take(&mut self.polls);
+        for (sent, id, due) in polls {
             let worker = &self.workers[&*id];
             let news = worker.ended.iter().any(|end| end.number > worker.acknowledged);
             let answer = if worker.replaced {
                 Err(Refusal::Reborn)
             } else if worker.dark {
                 if now < sent + 1_400 {
-                    self.looks.push((sent, id, due));
+                    self.polls.push((sent, id, due));
                     continue;
                 }
                 Err(Refusal::Unknown)
             } else if news || now >= due {
                 Ok(worker.listing(now))
             } else {
-                self.looks.push((sent, id, due));
+                self.polls.push((sent, id, due));
                 continue;
             };
-            self.handle(Event::Look { worker: id, sent, answer });
+            self.handle(Event::Poll { worker: id, sent, answer });
         }
     }
 
     fn perform(&mut self, action: Action) {
         let fence = u64::from(self.head.0.generation);
         match action {
-            Action::Look { worker, acknowledged, lease_until, wait_ms } => {
+            Action::Poll { worker, acknowledged, lease_until, wait_ms } => {
                 let fake = self.workers.get_mut(&*worker).expect("a worker");
                 if !fake.dark && !fake.replaced {
                     fake.fence = fake.fence.max(fence);
@@ -367,7 +367,7 @@
                     fake.ended.retain(|end| end.number > acknowledged);
                     fake.lease_until = fake.lease_until.max(lease_until.unwrap_or(0));
                 }
-                self.looks.push((self.now, worker, self.now + wait_ms));
+                self.polls.push((self.now, worker, self.now + wait_ms));
             }
             Action::Start { worker, task, run, lease_until, checkpoint, .. } => {
                 let (now, run_ms) = (self.now, self.run_ms);
@@ -392,7 +392,7 @@
             }
             Action::Lookup(id) => {
                 let ticket = self.tickets.get(&id).map(|(ticket, _)| ticket.clone());
-                self.handle(Event::Looked { id, ticket });
+                self.handle(Event::TicketRead { id, ticket });
             }
             Action::Lost => self.lost = true,
             Action::Report(report) => self.reports.push(report),
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -2,6 +2,9 @@
 
 use {super::*, submit::Reply};
 
+/// The most that is read of a body beyond its limit.
+const DISCARDED_BYTES: usize = 256 << 10;
+
 /// Answers one request.
 pub(crate) async fn answer(
     node: Rc<Node>,
@@ -50,12 +53,11 @@
     let asked = time::clock();
     let outcome = match method {
         Method::POST => {
-            let body = Limited::new(request.into_body(), config.body_limit_bytes).collect().await;
-            let Ok(body) = body else {
+            let Some(body) = whole(request.into_body(), config.body_limit_bytes).await else {
                 let text = format!("the body is over {} bytes", config.body_limit_bytes);
                 return fault(StatusCode::PAYLOAD_TOO_LARGE, &text);
             };
-            let submission = match caller::submission(&body.to_bytes()) {
+            let submission = match caller::submission(&body) {
                 Ok(submission) => submission,
                 Err(error) => return fault(StatusCode::BAD_REQUEST, &error.to_string()),
             };
@@ -83,6 +85,23 @@
     respond(outcome)
 }
 
+/// Reads a body, or `None` when it is over `limit` bytes or breaks off. What follows is read up to
+/// a bound all the same: closing a connection with unread bytes could overtake the answer.
+async fn whole(mut body: Incoming, limit: usize) -> Option<Vec<u8>> {
+    let mut read = Vec::new();
+    let mut total = 0;
+    while let Some(frame) = body.frame().await {
+        let Ok(part) = frame.ok()?.into_data() else { continue };
+        total += part.len();
+        if total <= limit {
+            read.extend_from_slice(&part);
+        } else if total > limit + DISCARDED_BYTES {
+            return None;
+        }
+    }
+    (total <= limit).then_some(read)
+}
+
 fn respond(outcome: Reply) -> Response<Full<Bytes>> {
     match outcome {
         Reply::Accepted | Reply::Cancelled => reply(StatusCode::OK, "{}".into()),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,7 +3,7 @@
 use {
     argh::FromArgs,
     bytes::Bytes,
-    http_body_util::{BodyExt, Full, Limited},
+    http_body_util::{BodyExt, Full},
     hyper::{Method, Request, Response, StatusCode, body::Incoming, service::service_fn},
     hyper_util::rt::TokioIo,
     miette::IntoDiagnostic,
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -18,7 +18,7 @@
 }
 
 /// The orders and store calls of one tenure.
-struct Hands {
+struct Tenure {
     node: Rc<Node>,
     cell: u32,
     fence: u64,
@@ -58,7 +58,7 @@
     node.meter.event("cell_taken");
     let Some((state, revision, cancelled)) = load(node, cell, &taken).await else { return };
     let (events, inbox) = mpsc::unbounded_channel();
-    let hands = Rc::new(Hands {
+    let tenure = Rc::new(Tenure {
         node: node.clone(),
         cell,
         fence: taken.fence,
@@ -70,8 +70,8 @@
     }
     let follow =
         Follow::new(node.clone(), keys::cell(cell), Duration::from_millis(2)).from(revision);
-    let watch = spawn_local(watch(hands.clone(), follow));
-    let kept = drive(&hands, state, inbox).await;
+    let watch = spawn_local(watch(tenure.clone(), follow));
+    let kept = drive(&tenure, state, inbox).await;
     watch.abort();
     if let Some((head, revision)) = kept {
         give_up(node, cell, &taken, &head, revision).await;
@@ -211,7 +211,7 @@
 }
 
 /// Feeds changes of the cell's keys.
-async fn watch(hands: Rc<Hands>, mut follow: Follow) {
+async fn watch(tenure: Rc<Tenure>, mut follow: Follow) {
     loop {
         let (items, all) = match follow.next().await {
             Seen::All(items) => (items, true),
@@ -219,14 +219,14 @@
         };
         let mut owned = !all;
         for item in items {
-            match keys::entry(hands.cell, &item.key) {
-                Some(keys::Entry::Owner) => owned = item.revision == hands.fence,
+            match keys::entry(tenure.cell, &item.key) {
+                Some(keys::Entry::Owner) => owned = item.revision == tenure.fence,
                 Some(keys::Entry::Job(id)) => {
                     let Some(record) = decode(&item) else { continue };
-                    hands.send(Event::Accepted { id, record, revision: item.revision });
+                    tenure.send(Event::Accepted { id, record, revision: item.revision });
                 }
                 Some(keys::Entry::Cancelled(id)) if item.value.is_some() => {
-                    hands.send(Event::Cancelled { id, revision: item.revision });
+                    tenure.send(Event::Cancelled { id, revision: item.revision });
                 }
                 _ => {}
             }
@@ -235,19 +235,19 @@
             }
         }
         if !owned {
-            hands.send(Event::Lost);
+            tenure.send(Event::Lost);
         }
     }
 }
 
 /// Runs the cell until it is lost or left; returns its head unless it is lost.
 async fn drive(
-    hands: &Rc<Hands>,
+    tenure: &Rc<Tenure>,
     mut cell: Cell,
     mut inbox: mpsc::UnboundedReceiver<Event>,
 ) -> Option<(Head, u64)> {
-    let node = &hands.node;
-    let wake = node.cells.borrow().get(&hands.cell).cloned().unwrap_or_default();
+    let node = &tenure.node;
+    let wake = node.cells.borrow().get(&tenure.cell).cloned().unwrap_or_default();
     let mut members = None;
     let mut version = 0;
     let mut seen_at = 0;
@@ -259,34 +259,34 @@
             () = sleep(TICK) => Event::Tick,
         };
         let clock = time::clock();
-        let mut lost = hands.carry(cell.handle(clock, event));
+        let mut lost = tenure.carry(cell.handle(clock, event));
         let config = node.config.borrow().clone();
         if let Some(config) = config.filter(|config| config.version != version) {
             version = config.version;
-            lost |= hands.carry(cell.handle(clock, Event::Configured(config)));
+            lost |= tenure.carry(cell.handle(clock, Event::Configured(config)));
         }
         let board_at = node.board_at.get();
         if board_at != seen_at {
             seen_at = board_at;
             let heads = node.heads.borrow().clone();
-            lost |= hands.carry(cell.handle(clock, Event::Board(heads)));
+            lost |= tenure.carry(cell.handle(clock, Event::Board(heads)));
         }
-        match node.members(hands.cell) {
+        match node.members(tenure.cell) {
             Some(now) if members.as_ref() != Some(&now) => {
-                hands.learn(&now);
+                tenure.learn(&now);
                 members = Some(now.clone());
-                lost |= hands.carry(cell.handle(clock, Event::Workers(now)));
+                lost |= tenure.carry(cell.handle(clock, Event::Workers(now)));
             }
             Some(_) => {}
             None if leaving.is_none() => {
                 leaving = Some(clock.now);
-                lost |= hands.carry(cell.handle(clock, Event::Leaving));
+                lost |= tenure.carry(cell.handle(clock, Event::Leaving));
             }
             None => {}
         }
         let silent = clock.now > node.confirmed_at.get() + node::OWNER_SILENCE_MS;
         if lost || silent {
-            log::warn!(cell = hands.cell, fence = hands.fence, silent; "cell_lost");
+            log::warn!(cell = tenure.cell, fence = tenure.fence, silent; "cell_lost");
             return None;
         }
         let quiet = cell.is_quiet();
@@ -311,7 +311,7 @@
     }
 }
 
-impl Hands {
+impl Tenure {
     fn send(&self, event: Event) {
         let _ = self.events.send(event);
     }
@@ -352,62 +352,63 @@
 }
 
 /// Carries one action out.
-async fn perform(hands: Rc<Hands>, action: Action) {
-    let orders = &hands.node.orders;
+async fn perform(tenure: Rc<Tenure>, action: Action) {
+    let orders = &tenure.node.orders;
     match action {
         Action::Start { worker, task, run, spec, lease_until, checkpoint } => {
             let start =
                 orders::Start { task, run, spec: &spec, lease_until, checkpoint: &checkpoint };
-            let answer = match hands.address(&worker) {
-                Some(address) => orders.start(hands.peer(address, &worker), start).await,
+            let answer = match tenure.address(&worker) {
+                Some(address) => orders.start(tenure.peer(address, &worker), start).await,
                 None => Err(Refusal::Unreachable),
             };
-            hands.send(Event::Start { worker, task, run, answer });
+            tenure.send(Event::Start { worker, task, run, answer });
         }
         Action::Stop { worker, task, run } => {
-            let answer = match hands.address(&worker) {
-                Some(address) => orders.stop(hands.peer(address, &worker), task, run).await,
+            let answer = match tenure.address(&worker) {
+                Some(address) => orders.stop(tenure.peer(address, &worker), task, run).await,
                 None => Err(Refusal::Unreachable),
             };
-            hands.send(Event::Stop { worker, task, run, answer });
+            tenure.send(Event::Stop { worker, task, run, answer });
         }
-        Action::Look { worker, acknowledged, lease_until, wait_ms } => {
+        Action::Poll { worker, acknowledged, lease_until, wait_ms } => {
             let sent = time::now();
-            let answer = match hands.address(&worker) {
+            let answer = match tenure.address(&worker) {
                 Some(address) => {
-                    let peer = hands.peer(address, &worker);
-                    orders.look(peer, acknowledged, lease_until, wait_ms).await
+                    let peer = tenure.peer(address, &worker);
+                    orders.poll(peer, acknowledged, lease_until, wait_ms).await
                 }
                 None => Err(Refusal::Unreachable),
             };
-            hands.send(Event::Look { worker, sent, answer });
+            tenure.send(Event::Poll { worker, sent, answer });
         }
         Action::Pace { worker, task, run, percent } => {
-            let Some(address) = hands.address(&worker) else { return };
-            if let Err(reason) = orders.pace(hands.peer(address, &worker), task, run, percent).await
+            let Some(address) = tenure.address(&worker) else { return };
+            if let Err(reason) =
+                orders.pace(tenure.peer(address, &worker), task, run, percent).await
             {
                 log::warn!(worker = &*worker, task:% = task, reason:? = reason; "pace_refused");
             }
         }
         Action::Commit(commit) => {
-            let outcome = hands.commit(&commit).await;
-            hands.send(Event::Commit(outcome));
+            let outcome = tenure.commit(&commit).await;
+            tenure.send(Event::Commit(outcome));
         }
         Action::Lookup(id) => {
             let ticket = loop {
-                match hands.node.store.get(&keys::ticket(id)).await {
+                match tenure.node.store.get(&keys::ticket(id)).await {
                     Ok(item) => break item.as_ref().and_then(decode),
-                    Err(error) => hands.node.store_failed("lookup", &error),
+                    Err(error) => tenure.node.store_failed("lookup", &error),
                 }
                 sleep(TAKE_AGAIN).await;
             };
-            hands.send(Event::Looked { id, ticket });
+            tenure.send(Event::TicketRead { id, ticket });
         }
         Action::Lost | Action::Report(_) => {}
     }
 }
 
-impl Hands {
+impl Tenure {
     /// Makes a commit, and settles whether it was made when its condition fails.
     async fn commit(&self, commit: &Commit) -> Outcome {
         let cell = self.cell;
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -1,6 +1,6 @@
 //! The program's command line, start and stop.
 
-use {super::*, serve::Door};
+use {super::*, serve::Purpose};
 
 /// Answers callers and owns cells of workers on a VM of the users' platform.
 #[derive(Debug, FromArgs)]
@@ -70,9 +70,9 @@
     let metrics = TcpListener::bind((boot.ip, metrics_port)).await.into_diagnostic()?;
     log::info!(vm = boot.vm, zone = boot.zone, front:% = boot.front; "started");
     let node = Rc::new(Node::new(boot)?);
-    essential("front", serve::listen(node.clone(), front, Door::Front));
-    essential("ready", serve::listen(node.clone(), ready, Door::Ready));
-    essential("metrics", serve::listen(node.clone(), metrics, Door::Metrics));
+    essential("front", serve::listen(node.clone(), front, Purpose::Front));
+    essential("ready", serve::listen(node.clone(), ready, Purpose::Ready));
+    essential("metrics", serve::listen(node.clone(), metrics, Purpose::Metrics));
     essential("session", session::keep(node.clone()));
     essential("config", discovery::config(node.clone()));
     essential("workers", discovery::workers(node.clone()));
@@ -96,7 +96,7 @@
     });
 }
 
-/// Waits for SIGTERM, hands everything over, and goes on answering for most of the grace period:
+/// Waits for SIGTERM, tenure everything over, and goes on answering for most of the grace period:
 /// callers keep their connections until the process is gone.
 async fn until_told(node: &Rc<Node>) -> miette::Result<()> {
     let mut hangup = signal(SignalKind::hangup()).into_diagnostic()?;
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -4,14 +4,14 @@
 
 /// What a listener serves.
 #[derive(Clone, Copy, Debug)]
-pub(crate) enum Door {
+pub(crate) enum Purpose {
     Front,
     Metrics,
     Ready,
 }
 
 /// Accepts connections for good.
-pub(crate) async fn listen(node: Rc<Node>, listener: TcpListener, door: Door) {
+pub(crate) async fn listen(node: Rc<Node>, listener: TcpListener, purpose: Purpose) {
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -24,18 +24,18 @@
         if let Err(error) = stream.set_nodelay(true) {
             log::warn!(error:% = error; "nodelay_failed");
         }
-        spawn_local(connection(node.clone(), stream, door));
+        spawn_local(connection(node.clone(), stream, purpose));
     }
 }
 
-async fn connection(node: Rc<Node>, stream: tokio::net::TcpStream, door: Door) {
+async fn connection(node: Rc<Node>, stream: tokio::net::TcpStream, purpose: Purpose) {
     let service = service_fn(move |request| {
         let node = node.clone();
         async move {
-            match door {
-                Door::Front => front::answer(node, request).await,
-                Door::Metrics => Ok(Response::new(Full::new(Bytes::from(node.meter.text())))),
-                Door::Ready => front::ready(node, request).await,
+            match purpose {
+                Purpose::Front => front::answer(node, request).await,
+                Purpose::Metrics => Ok(Response::new(Full::new(Bytes::from(node.meter.text())))),
+                Purpose::Ready => front::ready(node, request).await,
             }
         }
     });
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -8,7 +8,8 @@
     oleanderstage_adapter::{Http, http},
     oleanderstage_proof::tcp_relay::TcpRelay,
     oleanderstage_standin::{
-        UsersBook, UsersStore, UsersWorker, users_store::Mood, users_worker::CAPACITY_MILLI,
+        UsersLedger, UsersStore, UsersWorker, users_store::Availability,
+        users_worker::CAPACITY_MILLI,
     },
     rand::{Rng, SeedableRng},
     rand_pcg::Pcg64Mcg,
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -4,7 +4,7 @@
 
 /// A run under way.
 pub struct Soak {
-    pub(crate) book: UsersBook,
+    pub(crate) ledger: UsersLedger,
     pub(crate) callers: RefCell<BTreeMap<String, Caller>>,
     /// When the store was last disturbed.
     pub(crate) disturbed: Cell<Option<Instant>>,
@@ -35,10 +35,10 @@
         fs::create_dir_all(&plan.directory).into_diagnostic()?;
         let (store, address) = UsersStore::start().await.into_diagnostic()?;
         store.put("op/config", &config(1));
-        let book = UsersBook::default();
+        let ledger = UsersLedger::default();
         let mut workers = Vec::new();
         for number in 0..plan.workers {
-            let started = UsersWorker::start(&format!("i-{number:04}"), book.clone()).await;
+            let started = UsersWorker::start(&format!("i-{number:04}"), ledger.clone()).await;
             let (worker, target) = started.into_diagnostic()?;
             let relay = TcpRelay::start(([127, 0, 0, 1], 0).into(), target).await;
             let relay = relay.into_diagnostic()?;
@@ -51,7 +51,7 @@
             vms.push(Rc::new(Vm::start(&plan, block, number, address).await?));
         }
         let soak = Rc::new(Self {
-            book,
+            ledger,
             callers: RefCell::default(),
             disturbed: Cell::new(None),
             faults: RefCell::default(),
@@ -199,27 +199,27 @@
                 self.disturbed.set(Some(Instant::now()));
                 self.store.revoke_all();
             }
-            Fault::StoreBusy => self.store_mood(Mood::Busy, lasts).await,
-            Fault::Mute => self.store_mood(Mood::Mute, lasts / 2).await,
+            Fault::StoreBusy => self.store_availability(Availability::Busy, lasts).await,
+            Fault::Mute => self.store_availability(Availability::Mute, lasts / 2).await,
         }
         for vm in &self.vms {
             if vm.spawn().is_err() {
-                self.book.fault("a VM could not be started again".into());
+                self.ledger.fault("a VM could not be started again".into());
             }
         }
     }
 
-    async fn store_mood(&self, mood: Mood, lasts: Duration) {
+    async fn store_availability(&self, availability: Availability, lasts: Duration) {
         self.disturbed.set(Some(Instant::now()));
-        self.store.set_mood(mood);
+        self.store.set_availability(availability);
         sleep(lasts).await;
-        self.store.set_mood(Mood::Up);
+        self.store.set_availability(Availability::Up);
         self.disturbed.set(Some(Instant::now()));
     }
 
     /// Ends every fault.
     fn heal(&self) -> miette::Result<()> {
-        self.store.set_mood(Mood::Up);
+        self.store.set_availability(Availability::Up);
         for (worker, relay) in &self.workers {
             worker.fail(false);
             relay.heal();
@@ -238,7 +238,7 @@
         loop {
             for vm in &self.vms {
                 if vm.spawn().is_err() {
-                    self.book.fault("a VM could not be started again".into());
+                    self.ledger.fault("a VM could not be started again".into());
                 }
             }
             let open: Vec<String> = self
@@ -253,7 +253,7 @@
             }
             if Instant::now() > end {
                 for id in &open {
-                    self.book.fault(format!("{id} was accepted and is not over"));
+                    self.ledger.fault(format!("{id} was accepted and is not over"));
                 }
                 break;
             }
@@ -269,26 +269,26 @@
     fn report(&self) -> Report {
         let callers = self.callers.borrow();
         for caller in callers.values() {
-            let entries = || self.tasks(caller).map(|task| self.book.entry(&task));
+            let entries = || self.tasks(caller).map(|task| self.ledger.entry(&task));
             if caller.refused && entries().any(|entry| entry.starts > 0) {
-                self.book.fault(format!("{} was refused and ran", caller.id));
+                self.ledger.fault(format!("{} was refused and ran", caller.id));
             }
             if caller.cancelled.is_some() && entries().any(|entry| !entry.running.is_empty()) {
-                self.book.fault(format!("{} was cancelled and runs", caller.id));
+                self.ledger.fault(format!("{} was cancelled and runs", caller.id));
             }
             if entries().any(|entry| entry.failed.len() > ATTEMPTS as usize) {
-                self.book.fault(format!("{} failed more often than it may", caller.id));
+                self.ledger.fault(format!("{} failed more often than it may", caller.id));
             }
         }
         let over = |state: &str| callers.values().filter(|caller| caller.state == state).count();
         Report {
             accepted: callers.values().filter(|caller| caller.accepted).count(),
-            broken: self.book.faults(),
+            broken: self.ledger.faults(),
             completed: over("completed"),
             faults: self.faults.borrow().clone(),
             refused: callers.values().filter(|caller| caller.refused).count(),
             seed: self.plan.seed,
-            starts: self.book.tasks().iter().map(|(_, entry)| entry.starts).sum(),
+            starts: self.ledger.tasks().iter().map(|(_, entry)| entry.starts).sum(),
         }
     }
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -47,7 +47,7 @@
     run::run,
     store::Store,
     users_store::UsersStore,
-    users_worker::{UsersBook, UsersWorker},
+    users_worker::{UsersLedger, UsersWorker},
     vms::Vms,
     worker::Worker,
 };
--- a/crates/standin/src/users_store.rs
+++ b/crates/standin/src/users_store.rs
@@ -21,7 +21,7 @@
 
 /// How the store treats calls.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub enum Mood {
+pub enum Availability {
     /// It answers.
     #[default]
     Up,
@@ -53,7 +53,7 @@
     compacted: u64,
     items: BTreeMap<String, Item>,
     leases: BTreeMap<u64, (Instant, Duration)>,
-    mood: Mood,
+    availability: Availability,
     next_lease: u64,
     revision: u64,
     writes: u64,
@@ -139,8 +139,8 @@
     }
 
     /// Changes how calls are treated.
-    pub fn set_mood(&self, mood: Mood) {
-        lock(&self.state).mood = mood;
+    pub fn set_availability(&self, availability: Availability) {
+        lock(&self.state).availability = availability;
     }
 
     /// Forgets all history, so that watches have to read anew.
@@ -212,8 +212,8 @@
         let (parts, body) = request.into_parts();
         let body = body.collect().await.map(|body| body.to_bytes()).unwrap_or_default();
         let body: Value = serde_json::from_slice(&body).unwrap_or_default();
-        let mood = lock(&self.state).mood;
-        if mood == Mood::Busy {
+        let availability = lock(&self.state).availability;
+        if availability == Availability::Busy {
             return Ok(respond(503, &json!({})));
         }
         let query = query(parts.uri.query().unwrap_or_default());
@@ -228,7 +228,7 @@
             (&Method::DELETE, path) if path.starts_with("/-/kv-lease-end/") => self.lease_end(path),
             _ => (404, json!({})),
         };
-        if mood == Mood::Mute && path == "/-/kv-txn" {
+        if availability == Availability::Mute && path == "/-/kv-txn" {
             std::future::pending::<()>().await;
         }
         Ok(respond(status, &answer))
--- a/crates/standin/src/users_worker.rs
+++ b/crates/standin/src/users_worker.rs
@@ -16,14 +16,14 @@
 pub struct UsersWorker {
     /// Its id.
     pub id: String,
-    book: UsersBook,
+    ledger: UsersLedger,
     changed: Arc<tokio::sync::Notify>,
     state: Arc<Mutex<State>>,
 }
 
 /// What all workers of one platform have seen. Clones share it.
 #[derive(Clone, Debug, Default)]
-pub struct UsersBook {
+pub struct UsersLedger {
     entries: Arc<Mutex<BTreeMap<String, Entry>>>,
     faults: Arc<Mutex<Vec<String>>>,
 }
@@ -73,7 +73,7 @@
 /// Between looks for runs that are over.
 const STEP: Duration = Duration::from_millis(10);
 
-impl UsersBook {
+impl UsersLedger {
     /// Returns what is known of a task.
     pub fn entry(&self, task: &str) -> Entry {
         lock(&self.entries).get(task).cloned().unwrap_or_default()
@@ -101,7 +101,7 @@
 
 impl UsersWorker {
     /// Starts a worker on a free port of this machine, and returns its address.
-    pub async fn start(id: &str, book: UsersBook) -> io::Result<(Self, SocketAddr)> {
+    pub async fn start(id: &str, ledger: UsersLedger) -> io::Result<(Self, SocketAddr)> {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
         let address = listener.local_addr()?;
         let state = State {
@@ -118,7 +118,7 @@
         };
         let worker = Self {
             id: id.into(),
-            book,
+            ledger,
             changed: Arc::default(),
             state: Arc::new(Mutex::new(state)),
         };
@@ -159,7 +159,7 @@
     pub fn crash(&self) {
         let mut state = lock(&self.state);
         for task in state.running.keys() {
-            self.book.change(task, |entry| {
+            self.ledger.change(task, |entry| {
                 entry.running.remove(&self.id);
             });
         }
@@ -204,7 +204,7 @@
         state.ended.push_back((number, task.into(), run.run, how));
         let past = state.past.entry(task.into()).or_default();
         *past = (*past).max(run.run);
-        self.book.change(task, |entry| {
+        self.ledger.change(task, |entry| {
             entry.running.remove(&self.id);
             entry.done += u32::from(how == "done");
             entry.failures += u32::from(how == "failed");
@@ -279,15 +279,15 @@
             return self.refuse(&state, "room");
         }
         state.lease_until = state.lease_until.max(until.min(clock + LEASE_MOST_MS));
-        let before = self.book.entry(&task);
+        let before = self.ledger.entry(&task);
         if !before.running.is_empty() {
-            self.book
+            self.ledger
                 .fault(format!("{task} starts at {} and runs at {:?}", self.id, before.running));
         }
         if before.acknowledged {
-            self.book.fault(format!("{task} starts at {} after an acknowledged end", self.id));
+            self.ledger.fault(format!("{task} starts at {} after an acknowledged end", self.id));
         }
-        self.book.change(&task, |entry| {
+        self.ledger.change(&task, |entry| {
             entry.running.insert(self.id.clone());
             entry.starts += 1;
         });
@@ -320,7 +320,7 @@
                 state.ended.front().filter(|(number, ..)| *number <= seen).cloned()
             {
                 state.ended.pop_front();
-                self.book.change(&task, |entry| match how {
+                self.ledger.change(&task, |entry| match how {
                     "done" => entry.acknowledged = true,
                     "failed" => {
                         entry.failed.insert(run);
