--- a/crates/fleet/src/cell_orders.rs
+++ b/crates/fleet/src/cell_orders.rs
@@ -308,19 +308,3 @@
         self.actions.push(Action::Lost);
     }
 }
-
-impl Run {
-    pub(crate) fn new(now: u64, number: u32, step: Arc<Step>) -> Self {
-        Self {
-            figure: None,
-            idle_since: None,
-            number,
-            pace: Some(100),
-            phase: Phase::Starting { retry_at: None, uncertain: false },
-            progress: 0,
-            started: now,
-            step,
-            over_since: None,
-        }
-    }
-}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -45,7 +45,9 @@
 pub mod ticket;
 pub mod worker;
 
+mod cell_balance;
 mod cell_ends;
 mod cell_orders;
 mod cell_record;
+mod cell_relocate;
 mod cell_schedule;
--- a/crates/fleet/src/limits.rs
+++ b/crates/fleet/src/limits.rs
@@ -7,10 +7,6 @@
     pub lease_ms: u64,
     /// How long an owner goes on without a word from the store, in milliseconds.
     pub owner_silence_ms: u64,
-    /// A worker's time limit for a stop, in milliseconds.
-    pub stop_ms: u64,
-    /// Milliseconds that a gang's members wait for one another.
-    pub gang_ms: u64,
 }
 
 /// How much slower than true time a worker's clock may run, in percent.
--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -51,3 +51,20 @@
     /// Since when the task's tail has been over its target, in milliseconds.
     pub over_since: Option<u64>,
 }
+
+impl Run {
+    /// Returns a run whose start is under way.
+    pub(crate) fn new(now: u64, number: u32, step: Arc<Step>) -> Self {
+        Self {
+            figure: None,
+            idle_since: None,
+            number,
+            pace: Some(100),
+            phase: Phase::Starting { retry_at: None, uncertain: false },
+            progress: 0,
+            started: now,
+            step,
+            over_since: None,
+        }
+    }
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -84,8 +84,6 @@
         Limits {
             lease_ms: WORKER_LEASE_MS.min(self.boot.worker_lease_ms),
             owner_silence_ms: OWNER_SILENCE_MS,
-            stop_ms: self.boot.stop_ms,
-            gang_ms: self.boot.gang_ms,
         }
     }
 
--- a/crates/node/src/session.rs
+++ b/crates/node/src/session.rs
@@ -32,7 +32,7 @@
 }
 
 async fn open(node: &Rc<Node>) -> Result<u64, store::Error> {
-    let lease = node.store.lease(Duration::from_millis(VM_LEASE)).await?;
+    let lease = node.store.lease(Duration::from_millis(node::VM_LEASE_MS)).await?;
     let vm = assignment::Vm { processors_milli: node.boot.processors_milli };
     let value = serde_json::to_vec(&vm).unwrap_or_default();
     let txn = Txn { writes: vec![(keys::vm(&node.boot.vm), value, lease)], ..Txn::default() };
@@ -41,8 +41,6 @@
     Ok(lease)
 }
 
-const VM_LEASE: u64 = node::VM_LEASE_MS;
-
 /// Renews the lease until it is gone.
 async fn renew(node: &Rc<Node>, lease: u64) {
     loop {
