--- a/crates/fleet/tests/cells.rs
+++ b/crates/fleet/tests/cells.rs
@@ -116,7 +116,10 @@
     filling.steps[0].fills = true;
     filling.steps[0].image = "loud".into();
     assert_eq!(board.choose(Demand::new(&filling, &queue)), Some(0));
-    board.observe(head(0, 0, 0), 2);
+    let mut unheard = head(0, 0, 0);
+    unheard.usable_milli.insert("loud".into(), 0);
+    board.observe(unheard, 2);
+    assert_eq!(board.better(0, Demand::new(&filling, &queue), 100), None);
     assert_eq!(board.choose(Demand::new(&job, &queue)), None);
     assert_eq!(board.better(0, Demand::new(&job, &queue), 100), None);
 }
--- a/crates/fleet/tests/runs.rs
+++ b/crates/fleet/tests/runs.rs
@@ -74,7 +74,7 @@
 }
 
 #[test]
-fn a_silent_worker_is_proven_gone_within_its_lease_although_it_is_looked_at() {
+fn a_silent_worker_is_proven_gone_within_its_lease_although_it_is_polled() {
     let mut world = World::new(&["w1", "w2"]);
     let mut lasting = step(1, 10);
     lasting.lasting = true;
--- a/crates/fleet/tests/takeover.rs
+++ b/crates/fleet/tests/takeover.rs
@@ -88,7 +88,8 @@
 #[test]
 fn a_job_with_an_end_is_not_passed_on_as_new() {
     let mut world = World::new(&["w1"]);
-    let mut second = step(1, 16);
+    let mut second = step(1, 17);
+    // Its other step finds no room here.
     second.after = vec![0];
     world.submit("1", QUEUE, vec![step(1, 1), second]);
     world.store = Store::Down;
@@ -103,7 +104,7 @@
     world.pass(2_000);
     assert!(!world.reports.iter().any(|report| matches!(report, Report::Moved { .. })));
     assert_eq!(world.starts(name("1", 0, 0)).len(), 1);
-    assert_eq!(world.state("1"), State::Completed);
+    assert!(world.cell.job(&id("1")).is_some());
 }
 
 #[test]
