--- a/crates/node/src/submit.rs
+++ b/crates/node/src/submit.rs
@@ -19,8 +19,9 @@
     Unknown,
 }
 
-/// How long a call tries to learn an unknown outcome, in milliseconds: less than callers wait.
-const SETTLE_MS: u64 = 2_200;
+/// After this long a request begins no further call of the store, in milliseconds: with the time
+/// limit of the last one it is answered before its caller's patience of 3 s ends.
+const SETTLE_MS: u64 = 1_800;
 /// Before a failed call is repeated.
 const AGAIN: Duration = Duration::from_millis(120);
 /// When a refused caller should come back at the earliest, in seconds.
@@ -47,6 +48,7 @@
     if !node.in_contact() {
         return not_run(node);
     }
+    let until = time::now() + SETTLE_MS;
     let demand = admission::Demand::new(&body.submission, queue);
     let Some(cell) = node.board.borrow_mut().choose(demand) else {
         return not_run(node);
@@ -73,7 +75,7 @@
                 Some(_) => return Reply::Accepted,
                 None => revision = 0,
             },
-            Err(store::Error::Unknown) => return settle(node, id, revision, &ticket).await,
+            Err(store::Error::Unknown) => return settle(node, id, revision, &ticket, until).await,
             Err(error) => {
                 node.store_failed("submit", &error);
                 return not_run(node);
@@ -93,8 +95,13 @@
 }
 
 /// Learns whether a submission without an answer was accepted, or makes sure that it never is.
-async fn settle(node: &Rc<Node>, id: job::Id, replaces: u64, accepted: &Ticket) -> Reply {
-    let until = time::now() + SETTLE_MS;
+async fn settle(
+    node: &Rc<Node>,
+    id: job::Id,
+    replaces: u64,
+    accepted: &Ticket,
+    until: u64,
+) -> Reply {
     let refused = Ticket { state: State::Refused, ..accepted.clone() };
     let txn = Txn {
         expected: vec![(keys::ticket(id), replaces)],
