--- a/crates/fleet/src/cell.rs
+++ b/crates/fleet/src/cell.rs
@@ -49,6 +49,8 @@
     pub(crate) head: Head,
     pub(crate) head_revision: u64,
     pub(crate) jobs: HashMap<job::Id, Job>,
+    /// What owners of other cells learned of images that press each other.
+    pub(crate) learned_elsewhere: pressure::Pressure,
     pub(crate) leaving: bool,
     pub(crate) limits: Limits,
     /// Unknown jobs whose tickets are being read.
@@ -103,6 +105,7 @@
             head: start.head,
             head_revision: start.head_revision,
             jobs: HashMap::new(),
+            learned_elsewhere: pressure::Pressure::default(),
             leaving: false,
             limits: start.limits,
             lookups: BTreeSet::new(),
@@ -137,6 +140,7 @@
             Event::Cancelled { id, revision } => self.cancel(clock, id, revision),
             Event::Commit(outcome) => self.committed(clock, outcome),
             Event::Configured(config) => self.config = config,
+            Event::Learned(others) => self.learned_elsewhere = others,
             Event::Leaving => self.leaving = true,
             Event::Lost => self.lose(),
             Event::Poll { worker, sent, answer } => self.polled(clock, &worker, sent, answer),
--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -27,6 +27,8 @@
     Commit(Outcome),
     /// The configuration changed.
     Configured(Arc<Config>),
+    /// What owners of other cells learned of images that press each other.
+    Learned(pressure::Pressure),
     /// This owner leaves: nothing more starts.
     Leaving,
     /// The store shows another owner, or none.
--- a/crates/fleet/src/pressure.rs
+++ b/crates/fleet/src/pressure.rs
@@ -81,10 +81,41 @@
         self.filling.len() - 1
     }
 
-    /// Solves for the pairs, and lets `seconds` worth of evidence fade.
-    pub fn settle(&mut self, seconds: f64) {
+    /// Solves for the pairs, with what `others` have seen too, and lets `seconds` worth of evidence
+    /// fade.
+    pub fn settle(&mut self, seconds: f64, others: &Self) {
+        let mut whole = self.clone();
+        whole.add(others);
+        whole.served.values_mut().for_each(Moments::solve);
         let kept = KEPT_PER_S.powf(seconds);
-        self.served.values_mut().for_each(|moments| moments.settle(kept));
+        self.served.values_mut().for_each(|moments| moments.fade(kept));
+        for image in &whole.filling {
+            self.number(image);
+        }
+        for (image, solved) in whole.served {
+            let moments = self.served.entry(image).or_default();
+            moments.grow(whole.filling.len());
+            moments.pairs = solved.pairs;
+        }
+    }
+
+    /// Adds what another owner has seen.
+    pub fn add(&mut self, other: &Self) {
+        let numbers: Vec<usize> = other.filling.iter().map(|image| self.number(image)).collect();
+        let count = self.filling.len();
+        self.served.values_mut().for_each(|moments| moments.grow(count));
+        for (image, seen) in &other.served {
+            let moments = self.served.entry(image.clone()).or_default();
+            moments.grow(count);
+            for (&i, response) in numbers.iter().zip(&seen.responses) {
+                moments.responses[i] += response;
+            }
+            for (&i, row) in numbers.iter().zip(&seen.products) {
+                for (&j, product) in numbers.iter().zip(row) {
+                    moments.products[i][j] += product;
+                }
+            }
+        }
     }
 
     /// Returns the logarithm by which a whole worker of `filling` raises the tail of `served`.
@@ -140,7 +171,7 @@
         self.pairs.resize(count, UNKNOWN);
     }
 
-    fn settle(&mut self, kept: f64) {
+    fn solve(&mut self) {
         for _ in 0..ROUNDS {
             for i in 0..self.pairs.len() {
                 let others: f64 = (0..self.pairs.len())
@@ -151,6 +182,9 @@
                 self.pairs[i] = (response / (self.products[i][i] + UNKNOWN_WEIGHT)).max(0.0);
             }
         }
+    }
+
+    fn fade(&mut self, kept: f64) {
         self.responses.iter_mut().for_each(|sum| *sum *= kept);
         self.products.iter_mut().flatten().for_each(|sum| *sum *= kept);
     }
--- a/crates/fleet/tests/sharing.rs
+++ b/crates/fleet/tests/sharing.rs
@@ -36,10 +36,10 @@
         let tail = 8.0 * pressed.exp();
         pressure.observe(Served { image: "feed", target_ms: TARGET_MS }, tail, &uses);
         if look % 10 == 9 {
-            pressure.settle(0.5);
+            pressure.settle(0.5, &Pressure::default());
         }
     }
-    pressure.settle(0.5);
+    pressure.settle(0.5, &Pressure::default());
 }
 
 #[test]
@@ -51,6 +51,21 @@
     assert!(pressure.pair("feed", "calm") < 0.1, "{}", pressure.pair("feed", "calm"));
 }
 
+/// Cells of 70 workers learned more slowly than those of 117, each from its own polls alone.
+#[test]
+fn what_another_cell_learned_counts() {
+    let mut other = Pressure::default();
+    learn(&mut other, 60);
+    let mut own = Pressure::default();
+    let served = Served { image: "feed", target_ms: TARGET_MS };
+    own.observe(served, 8.0, &[("late", 0.1), ("quiet", 0.1)]);
+    own.settle(0.5, &other);
+    assert!(own.pair("feed", "loud") > 5.0, "{}", own.pair("feed", "loud"));
+    assert!(own.pair("feed", "quiet") < 0.1);
+    own.settle(0.5, &Pressure::default());
+    assert!(own.pair("feed", "loud") < 1.6, "only its own evidence is kept");
+}
+
 #[test]
 fn serving_images_that_are_pressed_alike_are_alike() {
     let mut pressure = Pressure::default();
--- a/crates/node/src/keys.rs
+++ b/crates/node/src/keys.rs
@@ -6,6 +6,8 @@
 pub(crate) const HEADS: &str = "h/";
 /// The prefix of what all VMs follow: the map of cells and the VMs.
 pub(crate) const FLEET: &str = "m/";
+/// The prefix of what cells' owners learned of images.
+pub(crate) const PRESSURES: &str = "k/";
 /// The map of cells.
 pub(crate) const MAP: &str = "m/map";
 /// The prefix of the VMs' entries, each under its VM's lease.
@@ -28,7 +30,7 @@
 
 /// Returns the key of what a cell's owners learned of images.
 pub(crate) fn pressure(cell: u32) -> String {
-    format!("k/{cell}")
+    format!("{PRESSURES}{cell}")
 }
 
 /// Returns the prefix of a cell's owner, jobs and cancellation marks. They share one, so that a
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -16,6 +16,7 @@
         Registration, State, Ticket, action, admission, assignment, cell,
         event::{Outcome, Refusal},
         job,
+        pressure::Pressure,
     },
     std::{
         cell::{Cell as Slot, RefCell},
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -6,6 +6,8 @@
 const TAKE_AGAIN: Duration = Duration::from_millis(40);
 /// How long a leaving owner waits for orders and commits under way, in milliseconds.
 const LEAVE_MS: u64 = 1_200;
+/// Between reads of what owners of other cells learned: about as often as they write it.
+const LEARN: Duration = Duration::from_millis(1_500);
 /// Between ticks of a cell.
 const TICK: Duration = Duration::from_millis(oleanderstage_fleet::limits::TICK_MS);
 
@@ -71,8 +73,10 @@
     let follow =
         Follow::new(node.clone(), keys::cell(cell), Duration::from_millis(2)).from(revision);
     let watch = spawn_local(watch(tenure.clone(), follow));
+    let learning = spawn_local(learn(tenure.clone()));
     let kept = drive(&tenure, state, inbox).await;
     watch.abort();
+    learning.abort();
     if let Some((head, revision)) = kept {
         give_up(node, cell, &taken, &head, revision).await;
     }
@@ -240,6 +244,28 @@
     }
 }
 
+/// Feeds what owners of other cells learned.
+async fn learn(tenure: Rc<Tenure>) {
+    let own = keys::pressure(tenure.cell);
+    loop {
+        sleep(LEARN).await;
+        let page = match tenure.node.store.all(keys::PRESSURES).await {
+            Ok(page) => page,
+            Err(error) => {
+                tenure.node.store_failed("learn", &error);
+                continue;
+            }
+        };
+        let mut others = Pressure::default();
+        for item in page.items.iter().filter(|item| item.key != own) {
+            if let Some(learned) = decode(item) {
+                others.add(&learned);
+            }
+        }
+        tenure.send(Event::Learned(others));
+    }
+}
+
 /// Runs the cell until it is lost or left; returns its head unless it is lost.
 async fn drive(
     tenure: &Rc<Tenure>,
