An owner that takes back a partition it gave up inherits it from itself

Cause of the known red a_rolling_replacement_leaves_no_publish_unknown, from the logs of a failed run: an owner gives partitions up to a member that has just begun to leave; no other member is their heir, so the owner takes them back at the next epoch. It had forgotten its own word as former owner, asked the others, who had never owned them, and collected after 2.5 s with the start of the youngest process as horizon: keys minted within 10 s of it were unvouched.

Ruled out: answers lost on the way, a lease that lapsed, the end of the farewell; the former owner answered until its end.

--- a/crates/core/src/key_tenures.rs
+++ b/crates/core/src/key_tenures.rs
@@ -87,8 +87,11 @@
             let mine = part.owner.as_ref() == Some(me);
             let held = self.held.get(&partition).map(|tenure| tenure.epoch);
             if mine && held != Some(part.epoch) {
-                self.former.remove(&partition);
-                self.held.insert(partition, Tenure::new(now, me, map, part));
+                let mut tenure = Tenure::new(now, me, map, part);
+                if let Some(former) = self.former.remove(&partition) {
+                    tenure.inherit(&former);
+                }
+                self.held.insert(partition, tenure);
             }
             if !mine && held.is_some() {
                 self.lose(partition, part);
--- a/crates/core/tests/key_owner.rs
+++ b/crates/core/tests/key_owner.rs
@@ -47,13 +47,27 @@
         self
     }
 
-    fn read(mut self, present: &[&str]) -> Self {
+    fn read(self, present: &[&str]) -> Self {
+        self.read_at(9, present)
+    }
+
+    /// Reads the map at a revision.
+    fn read_at(mut self, modified: i64, present: &[&str]) -> Self {
         let present = present.iter().map(|name| member(name)).collect();
-        let reading = Reading { map: Some(self.map.clone()), modified: 9, present };
+        let reading = Reading { map: Some(self.map.clone()), modified, present };
         self.owner.take(self.now(), Event::Read(Some(reading)));
         self
     }
 
+    /// Gives the partition of the opaque key to `a`, as its owner number `epoch`.
+    fn taken(mut self, version: u64, epoch: u64) -> Self {
+        let part = &mut self.map.parts[usize::from(opaque().partition())];
+        part.owner = Some(member("a"));
+        part.epoch = epoch;
+        self.map.version = version;
+        self
+    }
+
     fn entered(mut self) -> Self {
         let sent = self.now().at;
         let event = Event::Committed { enter: true, sent, succeeded: Some(true) };
@@ -308,3 +322,32 @@
     let session = session.read(&["a", "b"]);
     assert!(session.owner.has_left());
 }
+
+/// Starts `a` as the owner of everything, and has it give the opaque key's partition up.
+fn yielded() -> Session {
+    let partition = usize::from(opaque().partition());
+    let mut session = Session::new(1).entered();
+    session.owner.tick(session.now());
+    let mut session = session.read(&["a", "b", "c"]);
+    let actions = session.owner.tick(session.now());
+    let change = actions.iter().find_map(|action| match action {
+        Action::Commit(change) => change.map.clone(),
+        _ => None,
+    });
+    assert_eq!(change.unwrap().parts[partition].owner, None);
+    session.map.version = 6;
+    session.map.parts[partition].owner = None;
+    session.read_at(10, &["a", "b", "c"]).permits()
+}
+
+#[test]
+fn an_owner_that_takes_back_what_it_gave_up_permits_at_once() {
+    let session = yielded().taken(7, 2).read_at(11, &["a"]).permits().asked(run(opaque()));
+    insta::assert_snapshot!(session.text);
+}
+
+#[test]
+fn an_owner_that_was_succeeded_collects_when_it_takes_a_partition_back() {
+    let session = yielded().taken(8, 3).read_at(12, &["a"]).permits();
+    insta::assert_snapshot!(session.text);
+}
