--- a/crates/fleet/src/cell.rs
+++ b/crates/fleet/src/cell.rs
@@ -58,7 +58,9 @@
     pub(crate) lost: bool,
     /// Jobs in the order in which their tasks are placed.
     pub(crate) order: BTreeSet<(u32, u64, job::Id)>,
-    /// What filling tasks do to serving ones.
+    /// What this owner, and earlier ones of the cell, learned of images that press each other.
+    pub(crate) learned: pressure::Pressure,
+    /// The same with what owners of other cells learned.
     pub(crate) pressure: pressure::Pressure,
     /// When jobs to pass on were last looked for, in milliseconds.
     pub(crate) rebalanced_at: u64,
@@ -111,6 +113,7 @@
             lookups: BTreeSet::new(),
             lost: false,
             order: BTreeSet::new(),
+            learned: start.pressure.clone(),
             pressure: start.pressure,
             unplaced: true,
             unfenced: members.keys().cloned().collect(),
--- a/crates/fleet/src/cell_balance.rs
+++ b/crates/fleet/src/cell_balance.rs
@@ -20,7 +20,11 @@
             return;
         }
         self.gauged_at = clock.now;
-        self.pressure.settle(LOAD_MS as f64 / 1_000.0, &self.learned_elsewhere);
+        // Room beside serving tasks comes and goes with their load.
+        self.unplaced = true;
+        self.learned.fade(LOAD_MS as f64 / 1_000.0);
+        self.pressure = self.learned.clone();
+        self.pressure.add(&self.learned_elsewhere);
         let mut images: BTreeMap<&str, &Arc<Step>> = BTreeMap::new();
         for job in self.jobs.values() {
             for stage in job.occurrences.iter().flat_map(|occurrence| &occurrence.stages) {
--- a/crates/fleet/src/cell_ends.rs
+++ b/crates/fleet/src/cell_ends.rs
@@ -378,7 +378,13 @@
     /// Paces the filling tasks of a worker by the tails of its serving ones.
     fn pace(&mut self, clock: Clock, id: &Arc<str>) {
         let Some(worker) = self.workers.get_mut(id) else { return };
-        let worst = worker.observe_tails(clock.now, &mut self.pressure);
+        let worst = worker.observe_tails(clock.now, &self.pressure, &mut self.learned);
+        self.order_paces(clock, id, worst);
+    }
+
+    /// Orders the paces that the worker's filling tasks may have, where they differ from the last.
+    pub(crate) fn order_paces(&mut self, clock: Clock, id: &Arc<str>, worst: f64) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
         let paces: BTreeMap<String, u32> = worker
             .paces(clock.now, &self.pressure)
             .into_iter()
--- a/crates/fleet/src/cell_orders.rs
+++ b/crates/fleet/src/cell_orders.rs
@@ -81,6 +81,9 @@
         let Phase::Starting { uncertain, .. } = run.phase else { return };
         let Err(reason) = answer else {
             run.phase = Phase::Confirmed { since: clock.now };
+            if run.step.fills {
+                self.order_paces(clock, id, 0.0);
+            }
             return;
         };
         match reason {
@@ -211,7 +214,11 @@
             // A silent worker gets no longer lease: it would never be proven over.
             let lease_until =
                 if worker.missed > 0 { None } else { worker.grant(clock.now, lease_ms) };
-            let wait_ms = if worker.fenced { limits::POLL_WAIT_MS } else { 0 };
+            let wait_ms = match worker.fenced {
+                true if worker.is_shared() => limits::SHARED_POLL_WAIT_MS,
+                true => limits::POLL_WAIT_MS,
+                false => 0,
+            };
             self.actions.push(Action::Poll {
                 worker: id.clone(),
                 acknowledged: worker.acknowledged,
--- a/crates/fleet/src/cell_record.rs
+++ b/crates/fleet/src/cell_record.rs
@@ -67,9 +67,9 @@
             removed: Vec::new(),
             tickets: Vec::new(),
         };
-        if now >= self.told_at + KNOWLEDGE_MS && !self.pressure.is_empty() {
+        if now >= self.told_at + KNOWLEDGE_MS && !self.learned.is_empty() {
             self.told_at = now;
-            commit.pressure = Some(self.pressure.rounded());
+            commit.pressure = Some(self.learned.rounded());
         }
         let ids: Vec<job::Id> = self.dirty.iter().copied().collect();
         for id in ids {
--- a/crates/fleet/src/cell_schedule.rs
+++ b/crates/fleet/src/cell_schedule.rs
@@ -9,13 +9,16 @@
 /// earlier owner did not record.
 const RUNS_PER_GENERATION: u32 = 64;
 
-/// The least pace at which a filling task is placed while its job is young, in percent: slower ones
-/// do better to wait for another worker.
-const LEAST_PACE: u32 = 45;
-/// The least pace at which a filling task is placed at all, in percent.
-const LAST_PACE: u32 = 15;
-/// After this long a job takes nearly any worker, in milliseconds.
-const PATIENCE_MS: u64 = 2_500;
+/// The least pace at which a filling task is placed, in percent: it works at full pace until its
+/// first order, so what does not fit does harm at once.
+const LEAST_PACE: u32 = 95;
+/// The least pace once a job has waited for `PATIENCE_MS` while the cell has room to spare, in percent.
+const LAST_PACE: u32 = 5;
+/// After this long a job takes nearly any worker of a cell with room to spare, in milliseconds.
+const PATIENCE_MS: u64 = 2_000;
+/// A cell has room to spare while less than this is reserved, in percent: the platform takes a job that
+/// waits for seconds beside half a fleet for lost.
+const SPARE_PERCENT: u64 = 60;
 
 impl Cell {
     pub(crate) fn place(&mut self, clock: Clock) {
@@ -51,7 +54,8 @@
         let service = job.queue.service.clone();
         let recovered = job.recovered;
         let waited = clock.unix.saturating_sub(job.accepted_at_ms);
-        let least_pace = if waited < PATIENCE_MS { LEAST_PACE } else { LAST_PACE };
+        let patient = waited < PATIENCE_MS || !self.has_room_to_spare();
+        let least_pace = if patient { LEAST_PACE } else { LAST_PACE };
         let mut placed = placed(stage);
         let waiting: Vec<u16> = stage.waiting.iter().copied().collect();
         if shape.gang {
@@ -79,6 +83,13 @@
         true
     }
 
+    fn has_room_to_spare(&self) -> bool {
+        let milli = |resources: Resources| resources.processors_milli;
+        let total: u64 = self.workers.values().map(|worker| milli(worker.capacity())).sum();
+        let reserved: u64 = self.workers.values().map(|worker| milli(worker.reserved)).sum();
+        reserved * 100 < total * SPARE_PERCENT
+    }
+
     /// Places all members of a gang at once, or none.
     fn place_gang(&mut self, clock: Clock, id: job::Id, occurrence: u32, step: u16) -> bool {
         let Some(job) = self.jobs.get(&id) else { return true };
--- a/crates/fleet/src/limits.rs
+++ b/crates/fleet/src/limits.rs
@@ -15,6 +15,8 @@
 pub const LEASE_SLACK_MS: u64 = 150;
 /// How long a poll waits for an end, in milliseconds; well under a lease, so that it renews it.
 pub const POLL_WAIT_MS: u64 = 1_000;
+/// The same beside serving tasks, whose load moves within seconds, in milliseconds.
+pub const SHARED_POLL_WAIT_MS: u64 = 400;
 /// Between polls while ends wait for their record, in milliseconds.
 pub const POLL_PAUSE_MS: u64 = 200;
 /// Before an unanswered order is sent again, in milliseconds.
--- a/crates/fleet/src/pace.rs
+++ b/crates/fleet/src/pace.rs
@@ -8,43 +8,39 @@
 };
 
 /// How a worker's filling tasks are paced.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Pace {
-    /// The share of the model's budget that is used: falls when tails show the model wrong.
-    guard: f64,
     /// When the model last learned from this worker, in milliseconds.
     learned_at: u64,
 }
 
+/// The contention that a serving task may see: tails are then at three quarters of their target, and
+/// the rest is for noise and for load that rises until the next poll.
+const AIM: f64 = 0.72;
+/// The most that a serving task's own load makes.
+const LOAD_MOST: f64 = 0.75;
+/// What a serving task's load rises to within seconds: placement looks ahead.
+const LOAD_PEAK: f64 = 0.63;
+/// How much of a newer figure is believed.
+const LOAD_BELIEVED: f64 = 0.7;
 /// The time that a figure spans, in milliseconds.
 const SPAN_MS: u64 = 500;
 /// Between observations of one worker, in milliseconds: figures span half a second.
 const LEARN_MS: u64 = 250;
-/// A tail above its target multiplies the budget by this.
-const GUARD_CUT: f64 = 0.5;
-/// The least share of the budget that is used.
-const GUARD_LEAST: f64 = 0.05;
-/// What a calm poll gives the guard back.
-const GUARD_RISE: f64 = 0.15;
-/// Every tail below this share of its target counts as calm.
-const CALM: f64 = 0.75;
 /// A tail over its target for this long halts everything that fills beside it, in milliseconds:
 /// well before the time after which it counts as harm.
 const HALT_MS: u64 = 1_200;
-/// Logarithms below this do no harm that pacing could undo.
-const HARMLESS: f64 = 0.03;
-
-impl Default for Pace {
-    fn default() -> Self {
-        Self { guard: 1.0, learned_at: 0 }
-    }
-}
-
 impl Worker {
     /// Learns from the worker's newest figures and returns the worst tail, as a share of its
     /// target.
-    pub(crate) fn observe_tails(&mut self, now: u64, pressure: &mut Pressure) -> f64 {
+    pub(crate) fn observe_tails(
+        &mut self,
+        now: u64,
+        pressure: &Pressure,
+        learned: &mut Pressure,
+    ) -> f64 {
         let uses = self.uses(now);
+        let uses: Vec<(&str, f64)> = uses.iter().map(|(i, c)| (i.as_str(), *c)).collect();
         let learns = now >= self.pace.learned_at + LEARN_MS;
         let mut worst: f64 = 0.0;
         for run in self.runs.values_mut() {
@@ -60,18 +56,16 @@
                 run.over_since.get_or_insert(now);
             }
             if learns {
-                let uses: Vec<(&str, f64)> = uses.iter().map(|(i, c)| (i.as_str(), *c)).collect();
+                let pressed: f64 =
+                    uses.iter().map(|(i, c)| pressure.pair(&run.step.image, i) * c).sum();
+                let load = pressure::contention(tail / target) - pressed;
+                run.load += (load.clamp(0.0, LOAD_MOST) - run.load) * LOAD_BELIEVED;
                 let served = Served { image: &run.step.image, target_ms: run.step.target_ms };
-                pressure.observe(served, tail, &uses);
+                learned.observe(served, tail, &uses);
             }
         }
         if learns {
             self.pace.learned_at = now;
-            if worst > 1.0 {
-                self.pace.guard = (self.pace.guard * GUARD_CUT).max(GUARD_LEAST);
-            } else if worst < CALM {
-                self.pace.guard = (self.pace.guard + GUARD_RISE).min(1.0);
-            }
         }
         worst
     }
@@ -103,7 +97,7 @@
                 *cores.entry(&run.step.image).or_default() += run.step.cores();
             }
         }
-        self.paces_of(now, pressure, &cores)
+        self.paces_of(now, pressure, &cores, 0.0)
     }
 
     /// Returns the pace that one more task of the step would have, in percent.
@@ -113,7 +107,10 @@
             *cores.entry(&run.step.image).or_default() += run.step.cores();
         }
         *cores.entry(&step.image).or_default() += step.cores();
-        self.paces_of(now, pressure, &cores).get(step.image.as_str()).copied().unwrap_or(100)
+        self.paces_of(now, pressure, &cores, LOAD_PEAK)
+            .get(step.image.as_str())
+            .copied()
+            .unwrap_or(100)
     }
 
     fn paces_of<'a>(
@@ -121,31 +118,24 @@
         now: u64,
         pressure: &Pressure,
         cores: &BTreeMap<&'a str, f64>,
+        least_load: f64,
     ) -> BTreeMap<&'a str, u32> {
         let mut paces: BTreeMap<&str, u32> = cores.keys().map(|image| (*image, 100)).collect();
-        let total: f64 = cores.values().sum();
-        let unused = placement::unused_milli(self).max(0) as f64 / 1_000.0;
-        // Tasks that want more than is unused share it, and press that much less.
-        let share = if total > unused { unused / total } else { 1.0 };
-        let budget = Pressure::budget() * self.pace.guard;
-        let served: BTreeMap<&str, bool> = self.served(now);
-        for (image, halted) in served {
-            let pressed = |filling: &str, cores: f64| {
-                pressure.pair(image, filling) * cores * share / self.cores()
-            };
-            let sum: f64 = cores
+        for (image, load) in self.served(now) {
+            let mut budget = (AIM - load.max(least_load)).max(0.0);
+            let mut pairs: Vec<(f64, &str, f64)> = cores
                 .iter()
-                .map(|(filling, cores)| pressed(filling, *cores))
-                .filter(|pressed| *pressed > HARMLESS)
-                .sum();
-            if !halted && sum <= budget {
-                continue;
-            }
-            let percent = if halted { 0 } else { (budget / sum * 100.0) as u32 };
-            for (filling, cores) in cores {
-                if !halted && pressed(filling, *cores) <= HARMLESS {
-                    continue;
-                }
+                .map(|(filling, cores)| (pressure.pair(image, filling), *filling, *cores))
+                .collect();
+            // The least harmful first: the same bound on the tail then lets the most work through.
+            pairs.sort_by(|a, b| a.0.total_cmp(&b.0));
+            for (pair, filling, cores) in pairs {
+                let pressed = pair * cores / self.cores();
+                let percent = match pressed > budget {
+                    true => (budget / pressed * 100.0) as u32,
+                    false => 100,
+                };
+                budget = (budget - pressed).max(0.0);
                 if let Some(pace) = paces.get_mut(filling) {
                     *pace = (*pace).min(percent);
                 }
@@ -159,12 +149,15 @@
         (self.capacity().processors_milli as f64 / 1_000.0).max(1.0)
     }
 
-    /// Returns the serving images here, and whether one's tail has been over for too long.
-    fn served(&self, now: u64) -> BTreeMap<&str, bool> {
-        let mut served = BTreeMap::new();
+    /// Returns the serving images here, each with the highest load of its tasks; infinite when one
+    /// has been over its target for too long.
+    fn served(&self, now: u64) -> BTreeMap<&str, f64> {
+        let mut served: BTreeMap<&str, f64> = BTreeMap::new();
         for run in self.runs.values().filter(|run| run.step.serves()) {
             let halted = run.over_since.is_some_and(|since| now >= since + HALT_MS);
-            *served.entry(run.step.image.as_str()).or_default() |= halted;
+            let load = if halted { f64::INFINITY } else { run.load };
+            let highest = served.entry(run.step.image.as_str()).or_default();
+            *highest = highest.max(load);
         }
         served
     }
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -95,7 +95,7 @@
             score += 200.0 * (likeness - 0.5);
         } else if run.step.fills {
             let pressed = demand.pressure.pair(&demand.step.image, &run.step.image);
-            score -= 100.0 * pressed * run.step.cores() / worker.cores();
+            score -= 200.0 * pressed * run.step.cores() / worker.cores();
         }
     }
     score as i64
--- a/crates/fleet/src/pressure.rs
+++ b/crates/fleet/src/pressure.rs
@@ -4,14 +4,23 @@
 
 use super::*;
 
-/// Slowdowns learned from rough figures, as logarithms of the tail for a whole worker's
-/// processors in use: for each serving image a regression on the share of the processors that each
-/// filling image uses, never below zero.
+/// Contention learned from rough figures, for a whole worker's processors in use, by serving and
+/// filling image. A serving task's own load is known as a range only, so each figure bounds what
+/// the filling tasks beside it add; pairs move no further than the bounds ask, and pacing by the
+/// same figures does not bias them.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Pressure {
-    /// Filling images, in the order in which they were first seen.
-    filling: Vec<String>,
-    served: BTreeMap<String, Moments>,
+    /// By serving image, then by filling image.
+    pairs: BTreeMap<String, BTreeMap<String, Pair>>,
+}
+
+/// What is known of one pair of images.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+struct Pair {
+    /// The contention that a whole worker of the filling image adds; above zero.
+    level: f64,
+    /// The evidence: shares of a worker in use, summed over figures and faded.
+    weight: f64,
 }
 
 /// A serving image and the bound on its tail.
@@ -23,129 +32,104 @@
     pub target_ms: u64,
 }
 
-/// Sums of a regression and its solution, by number of the filling image.
-#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
-struct Moments {
-    products: Vec<Vec<f64>>,
-    responses: Vec<f64>,
-    pairs: Vec<f64>,
-}
-
-/// A tail beside nothing that fills, as a share of its target: targets are set at a small multiple
-/// of the tail alone.
-const ALONE: f64 = 0.45;
-/// The share of its target that a tail may take.
-const AIM: f64 = 0.85;
-/// Assumed of a pair that has not been seen, for a whole worker: slightly harmful.
-const UNKNOWN: f64 = 1.0;
-/// Evidence that the assumption counts as: polls with a tenth of a worker in use, about half a dozen.
-const UNKNOWN_WEIGHT: f64 = 0.06;
-/// Tails saturate: nothing is learned beyond this logarithm.
-const SATURATED: f64 = 3.0;
+/// A tail without load, as a share of its target: targets are set at a small multiple of it.
+const IDLE: f64 = 1.0 / 4.5;
+/// The contention that a serving task's own load makes in the mean.
+pub(crate) const LOAD: f64 = 0.42;
+/// The least and the most of it, with the noise of figures.
+const LOAD_RANGE: (f64, f64) = (0.18, 0.66);
+/// Assumed of a pair that has not been seen, for a whole worker: between the harmless and the
+/// ruinous.
+const UNKNOWN: f64 = 0.5;
+/// Evidence that the assumption counts as: one figure with a tenth of a worker in use.
+const UNKNOWN_WEIGHT: f64 = 0.1;
+/// Tails saturate: beyond this contention they only tell that there is at least as much.
+const SATURATED: f64 = 0.9;
+/// How far a pair moves towards what one figure asks for, as a power of the ratio.
+const STEP: f64 = 0.4;
+/// The range of pairs: below it they are all harmless, above it all ruinous.
+const LEVELS: (f64, f64) = (0.02, 6.0);
+/// The least share of a worker in use from which anything is learned.
+const LEAST_USE: f64 = 0.02;
 /// What is left of evidence after a second: pairs change.
 const KEPT_PER_S: f64 = 0.96;
-/// Sums are stored to a thousandth: evidence of one poll weighs about ten.
+/// Figures are stored to a thousandth.
 const ROUNDING: f64 = 1_000.0;
-/// Rounds of the solution; each refines every pair once.
-const ROUNDS: usize = 12;
-/// A logarithm below this for a whole worker is a serving task's own load, not pressure.
-const HARMLESS: f64 = 1.5;
+
+/// Returns how busy what a serving task shares is, from 0 to 1, by its tail as a share of its
+/// target: tails grow as those of queues do, with the inverse of what is left.
+pub(crate) fn contention(tail: f64) -> f64 {
+    1.0 - IDLE / tail.max(IDLE)
+}
 
 impl Pressure {
-    /// Learns from the tail of a serving task beside filling tasks that use these shares of the worker's
-    /// processors.
+    /// Learns from the tail of a serving task beside filling tasks that use these shares of the
+    /// worker's processors.
     pub fn observe(&mut self, served: Served, tail_ms: f64, uses: &[(&str, f64)]) {
-        if uses.is_empty() || served.target_ms == 0 {
+        let in_use: f64 = uses.iter().map(|(_, share)| share).sum();
+        if in_use < LEAST_USE || served.target_ms == 0 {
             return;
         }
-        let alone = ALONE * served.target_ms as f64;
-        let seen = (tail_ms / alone).max(1.0).ln().min(SATURATED);
-        let uses: Vec<(usize, f64)> =
-            uses.iter().map(|(image, share)| (self.number(image), *share)).collect();
-        let count = self.filling.len();
-        let moments = self.served.entry(served.image.into()).or_default();
-        moments.grow(count);
-        for (i, x) in &uses {
-            moments.responses[*i] += x * seen;
-            for (j, y) in &uses {
-                moments.products[*i][*j] += x * y;
-            }
+        let seen = contention(tail_ms / served.target_ms as f64);
+        let least = seen - LOAD_RANGE.1;
+        let most = if seen < SATURATED { seen - LOAD_RANGE.0 } else { f64::INFINITY };
+        let pairs = self.pairs.entry(served.image.into()).or_default();
+        for (image, share) in uses {
+            let pair = pairs.entry((*image).into()).or_default();
+            pair.weight += share;
         }
-    }
-
-    fn number(&mut self, image: &str) -> usize {
-        if let Some(number) = self.filling.iter().position(|known| known == image) {
-            return number;
+        let added = |(image, share): &(&str, f64)| pairs[*image].level * share;
+        let sum: f64 = uses.iter().map(added).sum();
+        let asked = if sum < least {
+            least
+        } else if sum > most {
+            most
+        } else {
+            return;
+        };
+        let ratio = asked.max(LEAST_USE * LEVELS.0) / sum;
+        for (image, share) in uses {
+            let Some(pair) = pairs.get_mut(*image) else { continue };
+            let part = pair.level * share / sum;
+            pair.level = (pair.level * ratio.powf(STEP * part)).clamp(LEVELS.0, LEVELS.1);
         }
-        self.filling.push(image.into());
-        self.filling.len() - 1
     }
 
-    /// Solves for the pairs, with what `others` have seen too, and lets `seconds` worth of evidence
-    /// fade.
-    pub fn settle(&mut self, seconds: f64, others: &Self) {
-        let mut whole = self.clone();
-        whole.add(others);
-        whole.served.values_mut().for_each(Moments::solve);
+    /// Lets `seconds` worth of evidence fade.
+    pub fn fade(&mut self, seconds: f64) {
         let kept = KEPT_PER_S.powf(seconds);
-        self.served.values_mut().for_each(|moments| moments.fade(kept));
-        for image in &whole.filling {
-            self.number(image);
-        }
-        for (image, solved) in whole.served {
-            let moments = self.served.entry(image).or_default();
-            moments.grow(whole.filling.len());
-            moments.pairs = solved.pairs;
-        }
+        self.pairs.values_mut().flat_map(BTreeMap::values_mut).for_each(|pair| pair.weight *= kept);
     }
 
     /// Adds what another owner has seen.
     pub fn add(&mut self, other: &Self) {
-        let numbers: Vec<usize> = other.filling.iter().map(|image| self.number(image)).collect();
-        let count = self.filling.len();
-        self.served.values_mut().for_each(|moments| moments.grow(count));
-        for (image, seen) in &other.served {
-            let moments = self.served.entry(image.clone()).or_default();
-            moments.grow(count);
-            for (&i, response) in numbers.iter().zip(&seen.responses) {
-                moments.responses[i] += response;
-            }
-            for (&i, row) in numbers.iter().zip(&seen.products) {
-                for (&j, product) in numbers.iter().zip(row) {
-                    moments.products[i][j] += product;
-                }
+        for (served, seen) in &other.pairs {
+            let pairs = self.pairs.entry(served.clone()).or_default();
+            for (filling, seen) in seen {
+                pairs.entry(filling.clone()).or_default().add(seen);
             }
         }
     }
 
-    /// Returns the logarithm by which a whole worker of `filling` raises the tail of `served`.
+    /// Returns the contention that a whole worker of `filling` adds for `served`.
     pub fn pair(&self, served: &str, filling: &str) -> f64 {
-        let number = self.filling.iter().position(|known| known == filling);
-        let pair = number.and_then(|number| self.served.get(served)?.pairs.get(number)).copied();
-        let pair = pair.unwrap_or(UNKNOWN);
-        if pair < HARMLESS { 0.0 } else { pair }
+        let pair = self.pairs.get(served).and_then(|pairs| pairs.get(filling));
+        pair.map_or(UNKNOWN, |pair| pair.level)
     }
 
-    /// Returns the same knowledge with rounded sums, for the store.
+    /// Returns the same knowledge with rounded figures, for the store.
     pub fn rounded(&self) -> Self {
-        let round = |value: &mut f64| *value = (*value * ROUNDING).round() / ROUNDING;
+        let round = |value: f64| (value * ROUNDING).round() / ROUNDING;
         let mut rounded = self.clone();
-        for moments in rounded.served.values_mut() {
-            moments.products.iter_mut().flatten().for_each(round);
-            moments.responses.iter_mut().for_each(round);
-            moments.pairs.iter_mut().for_each(round);
+        for pair in rounded.pairs.values_mut().flat_map(BTreeMap::values_mut) {
+            *pair = Pair { level: round(pair.level), weight: round(pair.weight) };
         }
         rounded
     }
 
     /// Returns whether nothing is known.
     pub fn is_empty(&self) -> bool {
-        self.served.is_empty()
-    }
-
-    /// Returns the logarithm by which tails may rise.
-    pub fn budget() -> f64 {
-        (AIM / ALONE).ln()
+        self.pairs.is_empty()
     }
 
     /// Returns how alike two serving images are pressed, from 0 to 1.
@@ -153,39 +137,35 @@
         if left == right {
             return 1.0;
         }
-        let (Some(a), Some(b)) = (self.served.get(left), self.served.get(right)) else {
+        let (Some(a), Some(b)) = (self.pairs.get(left), self.pairs.get(right)) else {
             return 0.0;
         };
-        let dot: f64 = a.pairs.iter().zip(&b.pairs).map(|(x, y)| x * y).sum();
-        let length = |pairs: &[f64]| pairs.iter().map(|x| x * x).sum::<f64>().sqrt();
-        let lengths = length(&a.pairs) * length(&b.pairs);
-        if lengths > 0.0 { dot / lengths } else { 0.0 }
+        let both = a.iter().filter_map(|(image, pair)| Some((pair.level, b.get(image)?.level)));
+        let (mut dot, mut lengths) = (0.0, (0.0, 0.0));
+        for (x, y) in both {
+            dot += x * y;
+            lengths.0 += x * x;
+            lengths.1 += y * y;
+        }
+        let length = f64::sqrt(lengths.0 * lengths.1);
+        if length > 0.0 { dot / length } else { 0.0 }
     }
 }
 
-impl Moments {
-    fn grow(&mut self, count: usize) {
-        self.products.iter_mut().for_each(|row| row.resize(count, 0.0));
-        self.products.resize_with(count, || vec![0.0; count]);
-        self.responses.resize(count, 0.0);
-        self.pairs.resize(count, UNKNOWN);
-    }
-
-    fn solve(&mut self) {
-        for _ in 0..ROUNDS {
-            for i in 0..self.pairs.len() {
-                let others: f64 = (0..self.pairs.len())
-                    .filter(|&j| j != i)
-                    .map(|j| self.products[i][j] * self.pairs[j])
-                    .sum();
-                let response = self.responses[i] + UNKNOWN * UNKNOWN_WEIGHT - others;
-                self.pairs[i] = (response / (self.products[i][i] + UNKNOWN_WEIGHT)).max(0.0);
-            }
+impl Pair {
+    /// Adds what another owner has seen of the pair, by weight.
+    fn add(&mut self, other: &Self) {
+        let weight = self.weight + other.weight;
+        if weight <= 0.0 {
+            return;
         }
+        let level = (self.level.ln() * self.weight + other.level.ln() * other.weight) / weight;
+        *self = Self { level: level.exp().clamp(LEVELS.0, LEVELS.1), weight };
     }
+}
 
-    fn fade(&mut self, kept: f64) {
-        self.responses.iter_mut().for_each(|sum| *sum *= kept);
-        self.products.iter_mut().flatten().for_each(|sum| *sum *= kept);
+impl Default for Pair {
+    fn default() -> Self {
+        Self { level: UNKNOWN, weight: UNKNOWN_WEIGHT }
     }
 }
--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -30,6 +30,9 @@
 /// A run at a worker.
 #[derive(Clone, Debug)]
 pub struct Run {
+    /// The contention that a serving task's own load makes, from 0 to 1: an estimate that follows
+    /// its figures.
+    pub load: f64,
     /// Processors in use at the last poll, in thousandths of a core, or the tail latency in
     /// milliseconds for a serving task.
     pub figure: Option<f64>,
@@ -56,6 +59,7 @@
     /// Returns a run whose start is under way.
     pub(crate) fn new(now: u64, number: u32, step: Arc<Step>) -> Self {
         Self {
+            load: pressure::LOAD,
             figure: None,
             idle_since: None,
             number,
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -147,6 +147,11 @@
         said && self.missing_since.is_some() && self.missed >= MISSED_TO_LEAVE
     }
 
+    /// Returns whether filling tasks run beside serving ones.
+    pub fn is_shared(&self) -> bool {
+        self.filling_milli > 0 && self.serving_milli > 0
+    }
+
     /// Returns whether it carries a label.
     pub fn is_labelled(&self, label: &str) -> bool {
         self.registration.as_ref().is_some_and(|entry| entry.labels.iter().any(|l| l == label))
--- a/crates/fleet/tests/sharing.rs
+++ b/crates/fleet/tests/sharing.rs
@@ -4,10 +4,11 @@
 
 use {
     oleanderstage_fleet::{
-        Step,
+        Event, Step,
         action::{Report, StopReason},
         pressure::{Pressure, Served},
     },
+    std::collections::BTreeSet,
     world::{QUEUE, World, name, step},
 };
 
@@ -21,34 +22,85 @@
     Step { checkpoints: true, fills: true, image: image.into(), ..step(count, 2) }
 }
 
-/// Feeds polls of workers with a mix of filling images, of which only `loud` raises the tail.
-fn learn(pressure: &mut Pressure, looks: usize) {
-    let images = ["loud", "quiet", "calm"];
+/// What a whole worker of each filling image adds to what a serving task shares.
+const ADDS: [(&str, f64); 3] = [("loud", 2.5), ("quiet", 0.2), ("calm", 0.1)];
+
+/// A task with an eighth of a worker must not start beside a serving task at the peak of its load from here on:
+/// at 0.63, tails of four and a half times the idle one leave 0.148 to add, of which half is for noise.
+const LEAST_HARM: f64 = 8.0 * 0.148 / 2.0;
+
+/// Returns the tail of a queue at this load and with this much added, in milliseconds.
+fn tail(load: f64, added: f64) -> f64 {
+    4.0 / (1.0 - load - added).max(0.005)
+}
+
+/// Feeds polls of workers with a mix of filling images, of which only `loud` raises the tail much,
+/// while the serving task's own load swings. Filling tasks that `pace` holds back press less.
+fn learn_paced(pressure: &mut Pressure, looks: usize, pace: impl Fn(f64) -> f64) {
     for look in 0..looks {
-        let uses: Vec<(&str, f64)> = images
+        let load = 0.42 + 0.21 * (look as f64 * 0.7).sin();
+        let uses: Vec<(&str, f64)> = ADDS
             .iter()
             .enumerate()
-            .map(|(number, image)| (*image, 0.05 * ((look * 7 + number * 5) % 4) as f64))
+            .map(|(number, (image, _))| {
+                (*image, pace(load) * 0.08 * ((look * 7 + number * 5) % 4) as f64)
+            })
             .filter(|(_, share)| *share > 0.0)
             .collect();
-        let pressed: f64 =
-            uses.iter().filter(|(image, _)| *image == "loud").map(|(_, share)| 8.0 * share).sum();
-        let tail = 8.0 * pressed.exp();
-        pressure.observe(Served { image: "feed", target_ms: TARGET_MS }, tail, &uses);
+        let adds = |wanted: &str| ADDS.iter().find(|(image, _)| *image == wanted).unwrap().1;
+        let added: f64 = uses.iter().map(|(image, share)| adds(image) * share).sum();
+        let served = Served { image: "feed", target_ms: TARGET_MS };
+        pressure.observe(served, tail(load, added), &uses);
         if look % 10 == 9 {
-            pressure.settle(0.5, &Pressure::default());
+            pressure.fade(0.5);
         }
     }
-    pressure.settle(0.5, &Pressure::default());
+}
+
+fn learn(pressure: &mut Pressure, looks: usize) {
+    learn_paced(pressure, looks, |_| 1.0);
+}
+
+/// Tells the owner what others learned.
+fn tell_pairs(world: &mut World) {
+    let mut pressure = Pressure::default();
+    learn(&mut pressure, 60);
+    world.handle(Event::Learned(pressure));
+}
+
+fn assert_told_apart(pressure: &Pressure) {
+    let pairs = ADDS.map(|(image, _)| pressure.pair("feed", image));
+    assert!((LEAST_HARM..2.0 * ADDS[0].1).contains(&pairs[0]), "{pairs:?}");
+    assert!(pairs[1..].iter().all(|pair| *pair < LEAST_HARM), "{pairs:?}");
 }
 
 #[test]
 fn the_harmful_pair_is_told_from_harmless_ones_seen_beside_it() {
     let mut pressure = Pressure::default();
     learn(&mut pressure, 60);
-    assert!(pressure.pair("feed", "loud") > 5.0, "{}", pressure.pair("feed", "loud"));
-    assert!(pressure.pair("feed", "quiet") < 0.1, "{}", pressure.pair("feed", "quiet"));
-    assert!(pressure.pair("feed", "calm") < 0.1, "{}", pressure.pair("feed", "calm"));
+    assert_told_apart(&pressure);
+}
+
+/// A regression took a ruinous image for one four times less harmful: filling tasks were held back
+/// when tails were high, so that little use went with high tails.
+#[test]
+fn pacing_by_the_same_figures_does_not_hide_a_harmful_pair() {
+    let mut pressure = Pressure::default();
+    learn_paced(&mut pressure, 120, |load| if load > 0.42 { 0.2 } else { 1.0 });
+    assert_told_apart(&pressure);
+}
+
+/// Tails of ten and of forty times the target say the same of what presses them: too much.
+#[test]
+fn a_saturated_tail_does_not_make_a_harmful_pair_look_better() {
+    let mut pressure = Pressure::default();
+    learn(&mut pressure, 60);
+    let known = pressure.pair("feed", "loud");
+    for _ in 0..40 {
+        let served = Served { image: "feed", target_ms: TARGET_MS };
+        pressure.observe(served, 400.0, &[("loud", 0.9)]);
+    }
+    assert!(pressure.pair("feed", "loud") > known * 0.95);
 }
 
 /// Cells of 70 workers learned more slowly than those of 117, each from its own polls alone.
@@ -59,11 +111,10 @@
     let mut own = Pressure::default();
     let served = Served { image: "feed", target_ms: TARGET_MS };
     own.observe(served, 8.0, &[("late", 0.1), ("quiet", 0.1)]);
-    own.settle(0.5, &other);
-    assert!(own.pair("feed", "loud") > 5.0, "{}", own.pair("feed", "loud"));
-    assert!(own.pair("feed", "quiet") < 0.1);
-    own.settle(0.5, &Pressure::default());
-    assert!(own.pair("feed", "loud") < 1.6, "only its own evidence is kept");
+    let mut known = own.clone();
+    known.add(&other);
+    assert_told_apart(&known);
+    assert!(own.pair("feed", "loud") < LEAST_HARM, "only its own evidence is kept");
 }
 
 #[test]
@@ -120,14 +171,14 @@
     let other = if holder == "w1" { "w2" } else { "w1" };
     world.worker(other).draining = true;
     let members = world.members();
-    world.handle(oleanderstage_fleet::Event::Workers(members));
+    world.handle(Event::Workers(members));
     world.submit("2", "render", vec![filling(1, "loud")]);
     assert_eq!(world.running(name("2", 0, 0)), [holder.as_str()]);
     world.worker(&holder).figures.insert(name("1", 0, 0), 90.0);
     world.pass(2_500);
     world.worker(other).draining = false;
     let members = world.members();
-    world.handle(oleanderstage_fleet::Event::Workers(members));
+    world.handle(Event::Workers(members));
     world.pass(1_500);
     assert_eq!(world.running(name("2", 0, 0)), [other]);
     let moved =
@@ -143,7 +194,7 @@
     world.pass(300);
     world.worker("w1").draining = true;
     let members = world.members();
-    world.handle(oleanderstage_fleet::Event::Workers(members));
+    world.handle(Event::Workers(members));
     world.pass(2_000);
     assert!(world.worker("w1").held.is_empty());
     assert_eq!(world.worker("w2").held.len(), 2);
@@ -166,3 +217,40 @@
     world.pass(600);
     assert!(world.worker("w1").held[&name("2", 0, 0)].pace < 60);
 }
+
+/// Filling tasks began at full pace beside serving ones that they ruined, and were held back from
+/// the next poll on: tails were over their target for a tenth of the day.
+#[test]
+fn a_filling_task_waits_for_a_worker_where_it_presses_nobody() {
+    let mut world = World::new(&["w1", "w2"]);
+    world.run_ms = 60_000;
+    world.submit("1", QUEUE, vec![serving(3, "feed")]);
+    world.pass(300);
+    tell_pairs(&mut world);
+    world.pass(1_000);
+    let serving_at: BTreeSet<String> =
+        (0..3).flat_map(|index| world.starts(name("1", 0, index))).map(|start| start.0).collect();
+    world.submit("2", "render", vec![filling(1, "loud"), filling(1, "quiet")]);
+    world.pass(300);
+    let loud = world.starts(name("2", 0, 0));
+    assert!(loud.iter().all(|(worker, _)| !serving_at.contains(worker)), "{loud:?}");
+    assert_eq!(world.starts(name("2", 1, 0)).len(), 1);
+}
+
+/// The platform takes a job for lost that waits for seconds beside half a fleet.
+#[test]
+fn a_task_that_presses_everywhere_starts_at_a_low_pace_while_there_is_room_to_spare() {
+    let mut world = World::new(&["w1"]);
+    world.run_ms = 60_000;
+    world.submit("1", QUEUE, vec![serving(1, "feed")]);
+    world.pass(300);
+    tell_pairs(&mut world);
+    world.worker("w1").figures.insert(name("1", 0, 0), 10.0);
+    world.pass(1_000);
+    world.submit("2", "render", vec![filling(1, "loud")]);
+    world.pass(1_000);
+    assert!(world.starts(name("2", 0, 0)).is_empty());
+    world.pass(1_500);
+    assert_eq!(world.starts(name("2", 0, 0)).len(), 1);
+    assert!(world.worker("w1").held[&name("2", 0, 0)].pace < 95, "paced once it is confirmed");
+}
