--- a/crates/fleet/src/pace.rs
+++ b/crates/fleet/src/pace.rs
@@ -18,9 +18,11 @@
 /// the rest is for noise and for load that rises until the next poll.
 const AIM: f64 = 0.72;
 /// The most that a serving task's own load makes.
-const LOAD_MOST: f64 = 0.75;
+const LOAD_MOST: f64 = 0.66;
 /// What a serving task's load rises to within seconds: placement looks ahead.
 const LOAD_PEAK: f64 = 0.63;
+/// Contention below this is not worth an order.
+const HARMLESS: f64 = 0.03;
 /// How much of a newer figure is believed.
 const LOAD_BELIEVED: f64 = 0.7;
 /// The time that a figure spans, in milliseconds.
@@ -131,6 +133,9 @@
             pairs.sort_by(|a, b| a.0.total_cmp(&b.0));
             for (pair, filling, cores) in pairs {
                 let pressed = pair * cores / self.cores();
+                if pressed < HARMLESS {
+                    continue;
+                }
                 let percent = match pressed > budget {
                     true => (budget / pressed * 100.0) as u32,
                     false => 100,
