--- a/crates/fleet/src/pace.rs
+++ b/crates/fleet/src/pace.rs
@@ -133,7 +133,7 @@
             pairs.sort_by(|a, b| a.0.total_cmp(&b.0));
             for (pair, filling, cores) in pairs {
                 let pressed = pair * cores / self.cores();
-                if pressed < HARMLESS {
+                if pressed < HARMLESS && load.is_finite() {
                     continue;
                 }
                 let percent = match pressed > budget {
--- a/crates/fleet/tests/sharing.rs
+++ b/crates/fleet/tests/sharing.rs
@@ -162,6 +162,22 @@
     assert_eq!(world.worker("w1").held[&name("2", 0, 0)].pace, 0, "well before four seconds");
 }
 
+/// What added next to nothing was not paced even then, and a serving task was over its target for
+/// more than four seconds beside it.
+#[test]
+fn a_halt_spares_no_image() {
+    let mut world = World::new(&["w1"]);
+    world.run_ms = 60_000;
+    world.submit("1", QUEUE, vec![serving(1, "feed")]);
+    world.pass(300);
+    tell_pairs(&mut world);
+    world.submit("2", "render", vec![filling(1, "calm")]);
+    world.pass(300);
+    world.worker("w1").figures.insert(name("1", 0, 0), 90.0);
+    world.pass(3_400);
+    assert_eq!(world.worker("w1").held[&name("2", 0, 0)].pace, 0);
+}
+
 #[test]
 fn a_task_paced_to_nothing_moves_to_a_worker_where_it_harms_nobody() {
     let mut world = World::new(&["w1", "w2"]);
