--- a/crates/fleet/tests/sharing.rs
+++ b/crates/fleet/tests/sharing.rs
@@ -171,7 +171,9 @@
     world.submit("1", QUEUE, vec![serving(1, "feed")]);
     world.pass(300);
     tell_pairs(&mut world);
-    world.submit("2", "render", vec![filling(1, "calm")]);
+    world.pass(1_000);
+    let small = Step { fills: true, image: "calm".into(), ..step(1, 1) };
+    world.submit("2", "render", vec![small]);
     world.pass(300);
     world.worker("w1").figures.insert(name("1", 0, 0), 90.0);
     world.pass(3_400);
