--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -84,9 +84,9 @@
         Some(cell)
     }
 
-    /// Returns a cell that is not among `cells` and has this much free on one worker, and counts a
-    /// task there.
-    pub fn room(&mut self, cells: &[u32], task_milli: u64) -> Option<u32> {
+    /// Returns a cell that is not among `cells` and has this much free on one worker, with the
+    /// number of `tasks` that find room there, and counts them there.
+    pub fn room(&mut self, cells: &[u32], task_milli: u64, tasks: usize) -> Option<(u32, usize)> {
         let (&cell, seen) = self
             .cells
             .iter_mut()
@@ -95,8 +95,11 @@
                 !cells.contains(cell) && seen.head.largest_milli >= task_milli + sent
             })
             .max_by_key(|(_, seen)| seen.head.largest_milli)?;
-        seen.sent_milli += task_milli;
-        Some(cell)
+        let left = seen.head.largest_milli - seen.sent_milli;
+        let fitting = (left / task_milli.max(1)).max(1) as usize;
+        let taken = tasks.min(fitting);
+        seen.sent_milli += task_milli * taken as u64;
+        Some((cell, taken))
     }
 
     /// Returns the jobs without a started task in a queue.
--- a/crates/fleet/src/cell_balance.rs
+++ b/crates/fleet/src/cell_balance.rs
@@ -104,8 +104,9 @@
             cells.extend(job.home);
             cells.push(self.head.cell);
             let milli = step.reserved().processors_milli;
-            if let Some(to) = self.board.room(&cells, milli) {
-                splits.push((*id, job::Split { to, tasks: waiting }));
+            if let Some((to, taken)) = self.board.room(&cells, milli, waiting.len()) {
+                let tasks = waiting.into_iter().take(taken).collect();
+                splits.push((*id, job::Split { to, tasks }));
             }
             if splits.len() >= MOVES {
                 break;
--- a/crates/fleet/tests/cells.rs
+++ b/crates/fleet/tests/cells.rs
@@ -169,6 +169,26 @@
     assert_eq!(world.tickets[&id("2")].0.cell, 1);
 }
 
+/// Four tasks went to a cell that had room for three. The fourth could not come back when their
+/// first worker was there again, and did not run to the end of the day.
+#[test]
+fn no_more_lasting_tasks_go_to_a_cell_than_it_has_room_for() {
+    let mut world = World::new(&["w1"]);
+    world.run_ms = 600_000;
+    let mut lasting = step(5, 6);
+    lasting.lasting = true;
+    world.submit("1", QUEUE, vec![lasting]);
+    world.pass(300);
+    let other = Head { largest_milli: 13_000, ..head(1, 64_000, 32_000) };
+    world.handle(Event::Board(vec![(other, 9)]));
+    world.pass(2_500);
+    let record: &job::Record = &world.records[&(1, id("1"))];
+    assert_eq!(record.tasks, Some([(0, 2), (0, 3)].into()));
+    world.add_worker("w2");
+    world.pass(1_000);
+    assert_eq!(world.starts(name("1", 0, 4)).len(), 1);
+}
+
 #[test]
 fn lasting_tasks_without_room_go_to_a_cell_that_has_it() {
     let mut world = World::new(&["w1"]);
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -175,6 +175,13 @@
         self.handle(Event::Workers(members));
     }
 
+    /// Adds a worker of 16 cores.
+    pub fn add_worker(&mut self, id: &str) {
+        self.workers.insert(id.into(), Worker::default());
+        let members = self.members();
+        self.handle(Event::Workers(members));
+    }
+
     pub fn members(&self) -> BTreeMap<Arc<str>, Option<Registration>> {
         self.workers
             .iter()
