--- a/crates/fleet/src/cell.rs
+++ b/crates/fleet/src/cell.rs
@@ -140,7 +140,7 @@
                     self.board.observe(head, revision);
                 }
             }
-            Event::Cancelled { id, revision } => self.cancel(clock, id, revision),
+            Event::Cancelled { id, revision } => self.cancel(id, revision),
             Event::Commit(outcome) => self.committed(clock, outcome),
             Event::Configured(config) => self.config = config,
             Event::Learned(others) => self.learned_elsewhere = others,
@@ -238,7 +238,7 @@
         self.unplaced = true;
     }
 
-    fn cancel(&mut self, clock: Clock, id: job::Id, revision: u64) {
+    fn cancel(&mut self, id: job::Id, revision: u64) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         if job.cancelled {
             return;
@@ -247,7 +247,7 @@
         job.ticket = State::Cancelled;
         job.ticket_revision = revision;
         self.finish(id, State::Cancelled);
-        self.stop_job(clock, id, action::StopReason::Cancelled);
+        self.stop_job(id, action::StopReason::Cancelled);
     }
 
     /// Remembers that a job was removed.
@@ -310,7 +310,7 @@
     }
 
     /// Stops every run of a job.
-    pub(crate) fn stop_job(&mut self, clock: Clock, id: job::Id, reason: action::StopReason) {
+    pub(crate) fn stop_job(&mut self, id: job::Id, reason: action::StopReason) {
         let from = task::Name { job: id, occurrence: 0, step: 0, index: 0 };
         let to = task::Name { job: id, occurrence: u32::MAX, step: u16::MAX, index: u16::MAX };
         let runs: Vec<(Arc<str>, task::Name)> = self
@@ -321,7 +321,7 @@
             })
             .collect();
         for (worker, name) in runs {
-            self.stop(clock, &worker, name, reason);
+            self.stop(&worker, name, reason);
         }
     }
 
--- a/crates/fleet/src/cell_ends.rs
+++ b/crates/fleet/src/cell_ends.rs
@@ -58,7 +58,7 @@
         let runs = worker.runs.len();
         self.unfenced.remove(id);
         if runs > 0 {
-            self.release_all(clock, id, WorkerState::Reborn, Proof::Replaced);
+            self.release_all(id, WorkerState::Reborn, Proof::Replaced);
         }
     }
 
@@ -72,7 +72,7 @@
             worker.processed = 0;
             worker.unrecorded.clear();
             worker.granted_until = 0;
-            worker.pace = pace::Pace::default();
+            worker.learned_at = 0;
         }
         worker.born = listing.born;
         worker.clock = Some((listing.clock_ms, clock.now));
@@ -90,7 +90,7 @@
         for row in &listing.running {
             self.runs_on(clock, id, row);
         }
-        self.unlisted(clock, id, sent, &listing);
+        self.unlisted(id, sent, &listing);
         self.pace(clock, id);
     }
 
@@ -117,8 +117,8 @@
         }
         self.judge(clock, id, end);
         match end.how {
-            How::Done => self.done(clock, id, end),
-            How::Failed => self.failed(clock, id, end),
+            How::Done => self.done(id, end),
+            How::Failed => self.failed(id, end),
             _ => {
                 self.save(name, &end.checkpoint);
                 self.requeue(name, id, end.run);
@@ -146,7 +146,7 @@
         }
     }
 
-    fn done(&mut self, clock: Clock, id: &Arc<str>, end: &listing::End) {
+    fn done(&mut self, id: &Arc<str>, end: &listing::End) {
         let name = end.task;
         let Some(job) = self.jobs.get_mut(&name.job) else { return };
         let Some(stage) = job.stage_mut(name.occurrence, name.step) else { return };
@@ -169,7 +169,7 @@
         let done = job.is_done();
         self.touch(name.job);
         for (worker, name) in others {
-            self.stop(clock, &worker, name, StopReason::Unwanted);
+            self.stop(&worker, name, StopReason::Unwanted);
         }
         let open = self.jobs.get(&name.job).is_some_and(|job| job.outcome.is_none());
         if done && open {
@@ -177,7 +177,7 @@
         }
     }
 
-    fn failed(&mut self, clock: Clock, id: &Arc<str>, end: &listing::End) {
+    fn failed(&mut self, id: &Arc<str>, end: &listing::End) {
         let name = end.task;
         let Some(job) = self.jobs.get_mut(&name.job) else { return };
         let attempts = job.queue.max_attempts;
@@ -208,7 +208,7 @@
         self.requeue(name, id, end.run);
         if spent && open {
             self.finish(name.job, State::Failed);
-            self.stop_job(clock, name.job, StopReason::Failed);
+            self.stop_job(name.job, StopReason::Failed);
         }
     }
 
@@ -251,7 +251,7 @@
                 worker.failures += 1;
                 worker.paused_until = clock.now + FAILING_PAUSE_MS;
             }
-            self.stop(clock, id, name, StopReason::Hanging);
+            self.stop(id, name, StopReason::Hanging);
         }
     }
 
@@ -287,7 +287,7 @@
                 self.touch(name.job);
             }
         } else {
-            self.stop(clock, id, name, StopReason::Unwanted);
+            self.stop(id, name, StopReason::Unwanted);
         }
     }
 
@@ -321,12 +321,12 @@
             let mut run = Run::new(clock.now, number, step);
             run.phase = Phase::Confirmed { since: clock.now };
             worker.insert(name, run);
-            self.stop(clock, id, name, StopReason::Unwanted);
+            self.stop(id, name, StopReason::Unwanted);
         }
     }
 
     /// Releases runs that a poll sent after their confirmation does not list.
-    fn unlisted(&mut self, clock: Clock, id: &Arc<str>, sent: u64, listing: &Listing) {
+    fn unlisted(&mut self, id: &Arc<str>, sent: u64, listing: &Listing) {
         let listed: BTreeMap<task::Name, u32> =
             listing.running.iter().map(|row| (row.task, row.run)).collect();
         let Some(worker) = self.workers.get_mut(id) else { return };
@@ -350,7 +350,7 @@
             })
             .collect();
         for (name, proof) in over {
-            self.release(clock, id, name, proof);
+            self.release(id, name, proof);
         }
     }
 
@@ -371,7 +371,7 @@
             })
             .collect();
         for (worker, member) in members {
-            self.stop(Clock::default(), &worker, member, StopReason::Gang);
+            self.stop(&worker, member, StopReason::Gang);
         }
     }
 
--- a/crates/fleet/src/cell_orders.rs
+++ b/crates/fleet/src/cell_orders.rs
@@ -45,13 +45,7 @@
     }
 
     /// Orders a stop of whatever run of the task the worker holds.
-    pub(crate) fn stop(
-        &mut self,
-        _clock: Clock,
-        id: &Arc<str>,
-        name: task::Name,
-        reason: StopReason,
-    ) {
+    pub(crate) fn stop(&mut self, id: &Arc<str>, name: task::Name, reason: StopReason) {
         let Some(worker) = self.workers.get_mut(id) else { return };
         let Some(run) = worker.runs.get_mut(&name) else { return };
         if matches!(run.phase, Phase::Stopping { .. }) {
@@ -101,12 +95,12 @@
                 run.phase = Phase::Starting { retry_at, uncertain: true };
             }
             // Earlier orders went to a life that is over, or carried an earlier deadline.
-            Refusal::Reborn | Refusal::Late => self.release(clock, id, name, Proof::Refused),
+            Refusal::Reborn | Refusal::Late => self.release(id, name, Proof::Refused),
             _ if uncertain => {
                 let retry_at = Some(clock.now + limits::RETRY_MS);
                 run.phase = Phase::Stopping { retry_at, confirmed: None };
             }
-            _ => self.release(clock, id, name, Proof::Refused),
+            _ => self.release(id, name, Proof::Refused),
         }
         self.report(Report::Refused { task: name, run: number, worker: id.clone(), reason });
     }
@@ -183,7 +177,7 @@
                     checkpoint,
                 });
             }
-            (Phase::Starting { .. }, ..) => self.stop(clock, id, name, StopReason::NoAnswer),
+            (Phase::Starting { .. }, ..) => self.stop(id, name, StopReason::NoAnswer),
             _ => {
                 run.phase = Phase::Stopping { retry_at: None, confirmed: None };
                 self.actions.push(Action::Stop { worker: id.clone(), task: name, run: number });
@@ -245,7 +239,7 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in left {
-            self.release_all(clock, &id, WorkerState::Left, Proof::Left);
+            self.release_all(&id, WorkerState::Left, Proof::Left);
         }
         let lapsed: Vec<Arc<str>> = self
             .workers
@@ -258,29 +252,23 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in lapsed {
-            self.release_all(clock, &id, WorkerState::Lapsed, Proof::Lapsed);
+            self.release_all(&id, WorkerState::Lapsed, Proof::Lapsed);
         }
     }
 
     /// Releases every run of a worker.
-    pub(crate) fn release_all(
-        &mut self,
-        clock: Clock,
-        id: &Arc<str>,
-        state: WorkerState,
-        proof: Proof,
-    ) {
+    pub(crate) fn release_all(&mut self, id: &Arc<str>, state: WorkerState, proof: Proof) {
         let Some(worker) = self.workers.get(id) else { return };
         let names: Vec<task::Name> = worker.runs.keys().copied().collect();
         let runs = names.len();
         self.report(Report::Worker { worker: id.clone(), state, runs });
         for name in names {
-            self.release(clock, id, name, proof);
+            self.release(id, name, proof);
         }
     }
 
     /// Takes a run that is proven over out of its worker, and lets its task wait again.
-    pub(crate) fn release(&mut self, _clock: Clock, id: &Arc<str>, name: task::Name, proof: Proof) {
+    pub(crate) fn release(&mut self, id: &Arc<str>, name: task::Name, proof: Proof) {
         let Some(run) = self.workers.get_mut(id).and_then(|worker| worker.remove(&name)) else {
             return;
         };
--- a/crates/fleet/src/cell_record.rs
+++ b/crates/fleet/src/cell_record.rs
@@ -136,7 +136,7 @@
                 self.dirty.extend(pending.commit.removed.iter().copied());
                 self.dirty.extend(pending.commit.tickets.iter().map(|(id, _)| *id));
                 for (id, revision, ticket) in tickets {
-                    self.conflicting(clock, id, revision, ticket.as_ref());
+                    self.conflicting(id, revision, ticket.as_ref());
                 }
             }
             Outcome::Lost => self.lose(),
@@ -184,7 +184,7 @@
     }
 
     /// Takes in a ticket that is not as this owner left it: its caller cancelled the job.
-    fn conflicting(&mut self, clock: Clock, id: job::Id, revision: u64, ticket: Option<&Ticket>) {
+    fn conflicting(&mut self, id: job::Id, revision: u64, ticket: Option<&Ticket>) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         if revision == job.ticket_revision {
             return;
@@ -200,7 +200,7 @@
             job.cancelled = true;
             job.ticket = State::Cancelled;
             self.finish(id, State::Cancelled);
-            self.stop_job(clock, id, action::StopReason::Cancelled);
+            self.stop_job(id, action::StopReason::Cancelled);
         }
     }
 }
--- a/crates/fleet/src/cell_relocate.rs
+++ b/crates/fleet/src/cell_relocate.rs
@@ -39,7 +39,7 @@
         }
         stops.truncate(RELOCATIONS);
         for (id, name) in stops {
-            self.stop(clock, &id, name, action::StopReason::Crowded);
+            self.stop(&id, name, action::StopReason::Crowded);
         }
     }
 
@@ -67,7 +67,7 @@
             }
         }
         for (id, name) in stops {
-            self.stop(clock, &id, name, action::StopReason::Leaving);
+            self.stop(&id, name, action::StopReason::Leaving);
         }
     }
 
--- a/crates/fleet/src/cell_schedule.rs
+++ b/crates/fleet/src/cell_schedule.rs
@@ -9,8 +9,8 @@
 /// earlier owner did not record.
 const RUNS_PER_GENERATION: u32 = 64;
 
-/// The least pace at which a filling task is placed, in percent: it works at full pace until its
-/// first order, so what does not fit does harm at once.
+/// The least pace at which a filling task is placed, in percent. A task works at full pace until its
+/// first order takes effect, so what does not fit harms at once; the rest is rounding.
 const LEAST_PACE: u32 = 95;
 /// The least pace once a job has waited for `PATIENCE_MS` while the cell has room to spare, in percent.
 const LAST_PACE: u32 = 5;
--- a/crates/fleet/src/pace.rs
+++ b/crates/fleet/src/pace.rs
@@ -7,23 +7,16 @@
     run::Phase,
 };
 
-/// How a worker's filling tasks are paced.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Pace {
-    /// When the model last learned from this worker, in milliseconds.
-    learned_at: u64,
-}
-
-/// The contention that a serving task may see: tails are then at three quarters of their target, and
-/// the rest is for noise and for load that rises until the next poll.
+/// The contention that a serving task may see. Tails are over their target at 0.78; the rest is for
+/// noise and for load that rises until the next poll.
 const AIM: f64 = 0.72;
-/// The most that a serving task's own load makes.
-const LOAD_MOST: f64 = 0.66;
-/// What a serving task's load rises to within seconds: placement looks ahead.
+/// What a serving task's own load rises to within seconds: a filling task that starts must fit
+/// beside that too.
 const LOAD_PEAK: f64 = 0.63;
-/// Contention below this is not worth an order.
+/// Contention below this is not worth an order: half of the noise of one figure.
 const HARMLESS: f64 = 0.03;
-/// How much of a newer figure is believed.
+/// How much of a newer figure is believed: figures are noisy by a tenth, load moves by as much in a
+/// second.
 const LOAD_BELIEVED: f64 = 0.7;
 /// The time that a figure spans, in milliseconds.
 const SPAN_MS: u64 = 500;
@@ -32,6 +25,7 @@
 /// A tail over its target for this long halts everything that fills beside it, in milliseconds:
 /// well before the time after which it counts as harm.
 const HALT_MS: u64 = 1_200;
+
 impl Worker {
     /// Learns from the worker's newest figures and returns the worst tail, as a share of its
     /// target.
@@ -43,7 +37,7 @@
     ) -> f64 {
         let uses = self.uses(now);
         let uses: Vec<(&str, f64)> = uses.iter().map(|(i, c)| (i.as_str(), *c)).collect();
-        let learns = now >= self.pace.learned_at + LEARN_MS;
+        let learns = now >= self.learned_at + LEARN_MS;
         let mut worst: f64 = 0.0;
         for run in self.runs.values_mut() {
             let (Some(tail), true) = (run.figure, run.step.serves()) else { continue };
@@ -59,15 +53,15 @@
             }
             if learns {
                 let pressed: f64 =
-                    uses.iter().map(|(i, c)| pressure.pair(&run.step.image, i) * c).sum();
+                    uses.iter().map(|(i, share)| pressure.pair(&run.step.image, i) * share).sum();
                 let load = pressure::contention(tail / target) - pressed;
-                run.load += (load.clamp(0.0, LOAD_MOST) - run.load) * LOAD_BELIEVED;
+                run.load += (load.clamp(0.0, pressure::LOAD_RANGE.1) - run.load) * LOAD_BELIEVED;
                 let served = Served { image: &run.step.image, target_ms: run.step.target_ms };
                 learned.observe(served, tail, &uses);
             }
         }
         if learns {
-            self.pace.learned_at = now;
+            self.learned_at = now;
         }
         worst
     }
--- a/crates/fleet/src/pressure.rs
+++ b/crates/fleet/src/pressure.rs
@@ -37,7 +37,7 @@
 /// The contention that a serving task's own load makes in the mean.
 pub(crate) const LOAD: f64 = 0.42;
 /// The least and the most of it, with the noise of figures.
-const LOAD_RANGE: (f64, f64) = (0.18, 0.66);
+pub(crate) const LOAD_RANGE: (f64, f64) = (0.18, 0.66);
 /// Assumed of a pair that has not been seen, for a whole worker: between the harmless and the
 /// ruinous.
 const UNKNOWN: f64 = 0.5;
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -39,8 +39,8 @@
     pub filling_milli: u64,
     /// Processors of serving tasks, in thousandths of a core.
     pub serving_milli: u64,
-    /// The pace of its filling tasks.
-    pub pace: pace::Pace,
+    /// When tails and loads were last learned from its figures, in milliseconds.
+    pub learned_at: u64,
     /// Filling runs that ended a moment ago: when, their image, the cores that they used.
     pub ended: Vec<(u64, String, f64)>,
     /// Ends in a row that failed.
@@ -74,7 +74,7 @@
             reserved: Resources::default(),
             filling_milli: 0,
             serving_milli: 0,
-            pace: pace::Pace::default(),
+            learned_at: 0,
             ended: Vec::new(),
             failures: 0,
             missing_since: None,
--- a/crates/fleet/tests/sharing.rs
+++ b/crates/fleet/tests/sharing.rs
@@ -1,5 +1,7 @@
 //! Filling tasks beside serving ones, at the load that made tails rise.
 
+#![allow(clippy::unwrap_used)]
+
 mod world;
 
 use {
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -58,7 +58,11 @@
     let Some(taken) = take(node, cell).await else { return };
     log::info!(cell, generation = taken.head.generation, fence = taken.fence; "cell_taken");
     node.meter.event("cell_taken");
-    let Some((state, revision, cancelled)) = load(node, cell, &taken).await else { return };
+    let Some((state, revision, cancelled)) = load(node, cell, &taken).await else {
+        // The map gave the cell to another VM meanwhile, which waits for this entry to go.
+        give_up(node, cell, &taken, &taken.head, taken.head_revision).await;
+        return;
+    };
     let (events, inbox) = mpsc::unbounded_channel();
     let tenure = Rc::new(Tenure {
         node: node.clone(),
