--- a/crates/standin/src/users_store.rs
+++ b/crates/standin/src/users_store.rs
@@ -16,6 +16,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct UsersStore {
     changed: Arc<tokio::sync::Notify>,
+    /// Reads of a range whose prefix begins so wait.
+    held: Arc<tokio::sync::watch::Sender<Option<String>>>,
     state: Arc<Mutex<State>>,
 }
 
@@ -143,6 +145,20 @@
         lock(&self.state).availability = availability;
     }
 
+    /// Lets reads of ranges whose prefix begins so wait until this is called again.
+    pub fn hold_reads(&self, prefix: Option<&str>) {
+        self.held.send_replace(prefix.map(str::to_owned));
+    }
+
+    /// Waits while reads under the prefix are held.
+    async fn held(&self, prefix: &str) {
+        let mut held = self.held.subscribe();
+        let free =
+            |held: &Option<String>| !held.as_deref().is_some_and(|held| prefix.starts_with(held));
+        // The sender lives as long as this store.
+        let _ = held.wait_for(free).await;
+    }
+
     /// Forgets all history, so that watches have to read anew.
     pub fn compact(&self) {
         let mut state = lock(&self.state);
@@ -220,7 +236,10 @@
         let path = parts.uri.path();
         let (status, answer) = match (&parts.method, path) {
             (&Method::GET, "/-/kv-key") => self.key(&query),
-            (&Method::GET, "/-/kv-range") => self.range(&query),
+            (&Method::GET, "/-/kv-range") => {
+                self.held(query.get("prefix").map(String::as_str).unwrap_or_default()).await;
+                self.range(&query)
+            }
             (&Method::GET, "/-/kv-watch") => self.watch(&query).await,
             (&Method::POST, "/-/kv-txn") => self.txn(&body),
             (&Method::POST, "/-/kv-lease") => self.lease(&body),
