One copy of the longest chain, of the choice of a cell and of the fenced answer; weights named

Read through once more. outlook.rs had written Job::chain_ms again, which nothing else called: it serves both now. Board's two searches for the soonest cell, the three checks for a worker's answer of a higher fence, and the look for a run by number are one each. A step's shape is read once in a placement; what filling tasks use is added up only when figures are learned from. Weights of placement have names and a reason. No decision changes; the tests are as they were.

--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -72,11 +72,7 @@
     /// there.
     pub fn better(&mut self, own: u32, demand: Demand<'_>, margin_ms: u64) -> Option<u32> {
         let here = self.cells.get(&own)?.rank(demand).0 * WAIT_STEP_MS;
-        let (&cell, seen) = self
-            .cells
-            .iter_mut()
-            .filter(|(cell, seen)| **cell != own && seen.head.total_milli > 0)
-            .min_by_key(|(cell, seen)| (seen.rank(demand), **cell))?;
+        let (cell, seen) = self.soonest(demand, Some(own))?;
         if seen.rank(demand).0 * WAIT_STEP_MS + margin_ms > here {
             return None;
         }
@@ -109,14 +105,19 @@
 
     /// Chooses the cell that serves the job soonest, and counts the job there.
     pub fn choose(&mut self, demand: Demand<'_>) -> Option<u32> {
-        let (&cell, seen) = self
-            .cells
-            .iter_mut()
-            .filter(|(_, seen)| seen.head.total_milli > 0)
-            .min_by_key(|(cell, seen)| (seen.rank(demand), **cell))?;
+        let (cell, seen) = self.soonest(demand, None)?;
         seen.count(demand);
         Some(cell)
     }
+
+    /// Returns the cell with workers that serves the job soonest, leaving one out.
+    fn soonest(&mut self, demand: Demand<'_>, but: Option<u32>) -> Option<(u32, &mut Seen)> {
+        self.cells
+            .iter_mut()
+            .map(|(cell, seen)| (*cell, seen))
+            .filter(|(cell, seen)| Some(*cell) != but && seen.head.total_milli > 0)
+            .min_by_key(|(cell, seen)| (seen.rank(demand), *cell))
+    }
 }
 
 impl Seen {
--- a/crates/fleet/src/cell.rs
+++ b/crates/fleet/src/cell.rs
@@ -132,6 +132,7 @@
             return Vec::new();
         }
         match event {
+            event if event.is_fenced_off() => self.lose(),
             Event::Accepted { id, record, revision } => {
                 self.add(id, record, &Progress::default(), revision, false);
             }
--- a/crates/fleet/src/cell_ends.rs
+++ b/crates/fleet/src/cell_ends.rs
@@ -37,7 +37,6 @@
         worker.poll_at = clock.now + limits::POLL_PAUSE_MS;
         match answer {
             Ok(listing) => self.listed(clock, id, sent, listing),
-            Err(Refusal::Fenced) => self.lose(),
             Err(Refusal::Reborn) => self.replaced(clock, id),
             Err(_) => {
                 worker.missed += 1;
@@ -102,7 +101,7 @@
             return;
         }
         worker.processed = end.number;
-        let held = worker.runs.get(&name).filter(|run| run.number == end.run).is_some();
+        let held = worker.run_mut(&name, end.run).is_some();
         let run = if held { worker.remove(&name) } else { None };
         if let Some(run) = run.as_ref().filter(|run| run.step.fills) {
             let cores = run.figure.unwrap_or(0.0) / 1_000.0;
@@ -229,7 +228,7 @@
     fn runs_on(&mut self, clock: Clock, id: &Arc<str>, row: &listing::Running) {
         let name = row.task;
         let Some(worker) = self.workers.get_mut(id) else { return };
-        let Some(run) = worker.runs.get_mut(&name).filter(|run| run.number == row.run) else {
+        let Some(run) = worker.run_mut(&name, row.run) else {
             return self.adopt(clock, id, row);
         };
         if matches!(run.phase, Phase::Starting { .. }) {
--- a/crates/fleet/src/cell_orders.rs
+++ b/crates/fleet/src/cell_orders.rs
@@ -65,9 +65,6 @@
         number: u32,
         answer: Result<(), Refusal>,
     ) {
-        if answer == Err(Refusal::Fenced) {
-            return self.lose();
-        }
         let Some(worker) = self.workers.get_mut(id) else { return };
         let Some(run) = worker.runs.get_mut(&name).filter(|run| run.number == number) else {
             return;
@@ -113,13 +110,8 @@
         number: u32,
         answer: Result<(), Refusal>,
     ) {
-        if answer == Err(Refusal::Fenced) {
-            return self.lose();
-        }
-        let Some(worker) = self.workers.get_mut(id) else { return };
-        let Some(run) = worker.runs.get_mut(&name).filter(|run| run.number == number) else {
-            return;
-        };
+        let worker = self.workers.get_mut(id);
+        let Some(run) = worker.and_then(|worker| worker.run_mut(&name, number)) else { return };
         if !matches!(run.phase, Phase::Stopping { .. }) {
             return;
         }
--- a/crates/fleet/src/cell_schedule.rs
+++ b/crates/fleet/src/cell_schedule.rs
@@ -36,21 +36,17 @@
             if passing_on || (job.recovered && !fenced) {
                 continue;
             }
-            for (occurrence, step) in open_stages(job, clock.unix) {
-                let shape = self.jobs.get(&id).and_then(|job| job.stage(occurrence, step));
-                let Some(shape) = shape.map(|stage| stage.step.clone()) else { continue };
+            for (occurrence, step, shape) in open_stages(job, clock.unix) {
                 let milli = shape.resources.processors_milli;
-                if shape.fills && missed.get(&shape.image).is_some_and(|&least| milli >= least) {
-                    continue;
-                }
-                if self.place_stage(clock, id, occurrence, step) {
+                let hopeless = missed.get(&shape.image).is_some_and(|&least| milli >= least);
+                if shape.fills && hopeless || self.place_stage(clock, id, occurrence, step) {
                     continue;
                 }
                 if shape.fills {
                     missed.insert(shape.image.clone(), milli);
-                } else {
-                    misses += 1;
+                    continue;
                 }
+                misses += 1;
                 if misses >= MISSES {
                     return;
                 }
@@ -61,10 +57,11 @@
     /// Returns the jobs in the order in which their tasks are placed: by queue, then by what they can
     /// still be worth, then by age.
     fn ranked(&self, clock: Clock) -> Vec<job::Id> {
-        let outlook = |id| self.jobs.get(id).map(|job| Outlook::of(job, clock.unix));
-        let mut ranked: Vec<(u32, Option<Outlook>, job::Id)> =
-            self.order.iter().map(|(priority, _, id)| (*priority, outlook(id), *id)).collect();
-        ranked.sort_by_key(|(priority, outlook, _)| (*priority, *outlook));
+        let rank = |&(priority, _, id): &(u32, u64, job::Id)| {
+            Some((priority, Outlook::of(self.jobs.get(&id)?, clock.unix), id))
+        };
+        let mut ranked: Vec<(u32, Outlook, job::Id)> = self.order.iter().filter_map(rank).collect();
+        ranked.sort_by_key(|&(priority, outlook, _)| (priority, outlook));
         ranked.into_iter().map(|(.., id)| id).collect()
     }
 
@@ -167,8 +164,8 @@
     }
 }
 
-/// Returns the steps of a job with tasks that may start now.
-fn open_stages(job: &Job, unix: u64) -> Vec<(u32, u16)> {
+/// Returns the steps of a job with tasks that may start now: occurrence, step, shape.
+fn open_stages(job: &Job, unix: u64) -> Vec<(u32, u16, Arc<Step>)> {
     let mut open = Vec::new();
     for (number, occurrence) in (0..).zip(&job.occurrences) {
         if occurrence.due_at_ms > unix {
@@ -176,7 +173,7 @@
         }
         for (step, stage) in (0..).zip(&occurrence.stages) {
             if !stage.waiting.is_empty() && occurrence.is_open(usize::from(step)) {
-                open.push((number, step));
+                open.push((number, step, stage.step.clone()));
             }
         }
     }
--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -92,6 +92,19 @@
     Unknown,
 }
 
+impl Event {
+    /// Returns whether a worker answered that it serves an owner with a higher fencing token.
+    pub(crate) fn is_fenced_off(&self) -> bool {
+        match self {
+            Self::Poll { answer, .. } => *answer == Err(Refusal::Fenced),
+            Self::Start { answer, .. } | Self::Stop { answer, .. } => {
+                *answer == Err(Refusal::Fenced)
+            }
+            _ => false,
+        }
+    }
+}
+
 /// Why an order was not carried out, as far as is known.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -331,13 +331,15 @@
             .sum()
     }
 
-    /// Returns the longest chain of steps, in milliseconds by the estimates.
-    pub fn chain_ms(&self) -> u64 {
+    /// Returns the longest chain of steps of an occurrence, in milliseconds by the estimates, where
+    /// only stages that `counts` holds for take time.
+    pub fn chain_ms(&self, counts: impl Fn(&Stage) -> bool) -> u64 {
         let Some(occurrence) = self.occurrences.first() else { return 0 };
         let mut ends: Vec<u64> = Vec::with_capacity(occurrence.stages.len());
         for stage in &occurrence.stages {
             let before = stage.step.after.iter().filter_map(|&step| ends.get(usize::from(step)));
-            ends.push(before.max().copied().unwrap_or(0) + stage.step.estimate_ms);
+            let own = if counts(stage) { stage.step.estimate_ms } else { 0 };
+            ends.push(before.max().copied().unwrap_or(0) + own);
         }
         ends.into_iter().max().unwrap_or(0)
     }
--- a/crates/fleet/src/outlook.rs
+++ b/crates/fleet/src/outlook.rs
@@ -26,10 +26,8 @@
         if job.is_lasting() || job.record.submission.is_timed() {
             return Self::InTime;
         }
-        let Some(occurrence) = job.occurrences.first() else { return Self::InTime };
-        let stages = &occurrence.stages;
-        let whole = longest(stages, |_| true);
-        let left = longest(stages, |stage| stage.left > 0) * LEAST_OF_ESTIMATE / 100;
+        let whole = job.chain_ms(|_| true);
+        let left = job.chain_ms(|stage| stage.left > 0) * LEAST_OF_ESTIMATE / 100;
         let objective = (whole as f64 * job.queue.stretch) as u64 + job.queue.objective_ms;
         let age = unix.saturating_sub(job.accepted_at_ms);
         if age + left <= objective {
@@ -38,15 +36,3 @@
         if age + left <= objective * OVERDUE_OBJECTIVES { Self::Late } else { Self::Overdue }
     }
 }
-
-/// Returns the estimate of the longest chain of steps, in milliseconds, of those that count.
-fn longest(stages: &[job::Stage], counts: impl Fn(&job::Stage) -> bool) -> u64 {
-    let mut ends: Vec<u64> = Vec::with_capacity(stages.len());
-    for stage in stages {
-        let before = stage.step.after.iter().filter_map(|&step| ends.get(usize::from(step)));
-        let start = before.copied().max().unwrap_or(0);
-        let own = if counts(stage) { stage.step.estimate_ms } else { 0 };
-        ends.push(start + own);
-    }
-    ends.into_iter().max().unwrap_or(0)
-}
--- a/crates/fleet/src/pace.rs
+++ b/crates/fleet/src/pace.rs
@@ -35,9 +35,9 @@
         pressure: &Pressure,
         learned: &mut Pressure,
     ) -> f64 {
-        let uses = self.uses(now);
-        let uses: Vec<(&str, f64)> = uses.iter().map(|(i, c)| (i.as_str(), *c)).collect();
         let learns = now >= self.learned_at + LEARN_MS;
+        let uses = if learns { self.uses(now) } else { Vec::new() };
+        let uses: Vec<(&str, f64)> = uses.iter().map(|(i, c)| (i.as_str(), *c)).collect();
         let mut worst: f64 = 0.0;
         for run in self.runs.values_mut() {
             let (Some(tail), true) = (run.figure, run.step.serves()) else { continue };
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -76,14 +76,25 @@
     let failed_here = demand.avoid == Some(id.as_ref());
     Some(
         score
-            - if away { 1_000 } else { 0 }
-            - if failed_here { 10_000 } else { 0 }
-            - i64::from(worker.failures) * 200,
+            - if away { AWAY } else { 0 }
+            - if failed_here { FAILED_HERE } else { 0 }
+            - i64::from(worker.failures) * FAILURE,
     )
 }
 
+/// What it costs a task to be away from its data: the whole range of room, since it runs several times as
+/// long.
+const AWAY: i64 = 1_000;
+/// What it costs a task to return to the worker of its last failure: more than all else together.
+const FAILED_HERE: i64 = 10_000;
+/// What each failure in a row at a worker costs: a fifth of its room.
+const FAILURE: i64 = 200;
 /// How much more the company of like images counts than room does.
 const ROOM_PER_AFFINITY: i64 = 4;
+/// What a serving neighbour that is pressed alike is worth, and one that is not costs, twice over.
+const LIKENESS: f64 = 200.0;
+/// What pressure by a whole worker of a filling neighbour costs.
+const PRESSED: f64 = 200.0;
 
 /// Returns how well a serving task suits those at a worker: images that are pressed alike belong
 /// together, so that other workers are free for what would press them.
@@ -92,10 +103,10 @@
     for run in worker.runs.values() {
         if run.step.serves() {
             let likeness = demand.pressure.likeness(&demand.step.image, &run.step.image);
-            score += 200.0 * (likeness - 0.5);
+            score += LIKENESS * (likeness - 0.5);
         } else if run.step.fills {
             let pressed = demand.pressure.pair(&demand.step.image, &run.step.image);
-            score -= 200.0 * pressed * run.step.cores() / worker.cores();
+            score -= PRESSED * pressed * run.step.cores() / worker.cores();
         }
     }
     score as i64
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -127,6 +127,11 @@
         self.runs.insert(name, run);
     }
 
+    /// Returns the run of a task with this number.
+    pub fn run_mut(&mut self, name: &task::Name, number: u32) -> Option<&mut Run> {
+        self.runs.get_mut(name).filter(|run| run.number == number)
+    }
+
     /// Takes a run out, and its reservation.
     pub fn remove(&mut self, name: &task::Name) -> Option<Run> {
         let run = self.runs.remove(name)?;
