--- a/crates/fleet/tests/sharing.rs
+++ b/crates/fleet/tests/sharing.rs
@@ -11,19 +11,9 @@
         pressure::{Pressure, Served},
     },
     std::collections::BTreeSet,
-    world::{QUEUE, World, name, step},
+    world::{QUEUE, TARGET_MS, World, filling, name, serving, step},
 };
 
-const TARGET_MS: u64 = 18;
-
-fn serving(count: u16, image: &str) -> Step {
-    Step { image: image.into(), lasting: true, target_ms: TARGET_MS, ..step(count, 4) }
-}
-
-fn filling(count: u16, image: &str) -> Step {
-    Step { checkpoints: true, fills: true, image: image.into(), ..step(count, 2) }
-}
-
 /// What a whole worker of each filling image adds to what a serving task shares.
 const ADDS: [(&str, f64); 3] = [("loud", 2.5), ("quiet", 0.2), ("calm", 0.1)];
 
@@ -63,6 +53,14 @@
     learn_paced(pressure, looks, |_| 1.0);
 }
 
+/// Returns a cell of one worker, at which one task serves.
+fn one_serving() -> World {
+    let mut world = World::new(&["w1"]);
+    world.run_ms = 60_000;
+    world.submit("1", QUEUE, vec![serving(1, "feed")]);
+    world
+}
+
 /// Tells the owner what others learned.
 fn tell_pairs(world: &mut World) {
     let mut pressure = Pressure::default();
@@ -154,9 +152,7 @@
 
 #[test]
 fn a_tail_over_its_target_for_a_second_halts_what_fills() {
-    let mut world = World::new(&["w1"]);
-    world.run_ms = 60_000;
-    world.submit("1", QUEUE, vec![serving(1, "feed")]);
+    let mut world = one_serving();
     world.submit("2", "render", vec![filling(2, "loud")]);
     world.pass(300);
     world.worker("w1").figures.insert(name("1", 0, 0), 90.0);
@@ -168,9 +164,7 @@
 /// more than four seconds beside it.
 #[test]
 fn a_halt_spares_no_image() {
-    let mut world = World::new(&["w1"]);
-    world.run_ms = 60_000;
-    world.submit("1", QUEUE, vec![serving(1, "feed")]);
+    let mut world = one_serving();
     world.pass(300);
     tell_pairs(&mut world);
     world.pass(1_000);
@@ -223,9 +217,7 @@
 /// Each new owner in a rolling restart learned every harmful pair anew.
 #[test]
 fn a_new_owner_knows_what_earlier_ones_learned() {
-    let mut world = World::new(&["w1"]);
-    world.run_ms = 60_000;
-    world.submit("1", QUEUE, vec![serving(1, "feed")]);
+    let mut world = one_serving();
     world.submit("2", "render", vec![filling(2, "loud")]);
     world.pass(300);
     world.worker("w1").figures.insert(name("1", 0, 0), 90.0);
@@ -253,6 +245,7 @@
     world.submit("2", "render", vec![filling(1, "loud"), filling(1, "quiet")]);
     world.pass(300);
     let loud = world.starts(name("2", 0, 0));
+    assert_eq!(loud.len(), 1);
     assert!(loud.iter().all(|(worker, _)| !serving_at.contains(worker)), "{loud:?}");
     assert_eq!(world.starts(name("2", 1, 0)).len(), 1);
 }
@@ -260,9 +253,7 @@
 /// The platform takes a job for lost that waits for seconds beside half a fleet.
 #[test]
 fn a_task_that_presses_everywhere_starts_at_a_low_pace_while_there_is_room_to_spare() {
-    let mut world = World::new(&["w1"]);
-    world.run_ms = 60_000;
-    world.submit("1", QUEUE, vec![serving(1, "feed")]);
+    let mut world = one_serving();
     world.pass(300);
     tell_pairs(&mut world);
     world.worker("w1").figures.insert(name("1", 0, 0), 10.0);
@@ -274,3 +265,66 @@
     assert_eq!(world.starts(name("2", 0, 0)).len(), 1);
     assert!(world.worker("w1").held[&name("2", 0, 0)].pace < 95, "paced once it is confirmed");
 }
+
+/// A new task pressed at full pace until the next poll, a second later.
+#[test]
+fn a_new_task_is_paced_before_the_next_poll() {
+    let mut world = one_serving();
+    world.pass(300);
+    tell_pairs(&mut world);
+    world.worker("w1").figures.insert(name("1", 0, 0), 10.0);
+    world.pass(1_000);
+    world.submit("2", "render", vec![filling(1, "loud")]);
+    while world.starts(name("2", 0, 0)).is_empty() {
+        world.pass(10);
+    }
+    assert!(world.worker("w1").held[&name("2", 0, 0)].pace < 95);
+}
+
+/// One figure beyond what load alone can make left no budget, and everything stood still.
+#[test]
+fn an_outlier_of_one_figure_halts_nobody() {
+    let mut world = one_serving();
+    world.pass(300);
+    tell_pairs(&mut world);
+    world.worker("w1").figures.insert(name("1", 0, 0), 11.0);
+    world.submit("2", "render", vec![filling(2, "quiet")]);
+    world.pass(3_000);
+    let held = name("2", 0, 0);
+    assert_eq!(world.worker("w1").held[&held].pace, 100);
+    world.worker("w1").figures.insert(name("1", 0, 0), 30.0);
+    world.pass(500);
+    assert!(world.worker("w1").held[&held].pace >= 40, "{}", world.worker("w1").held[&held].pace);
+}
+
+/// What added next to nothing was paced with the rest, and was late for it.
+#[test]
+fn what_adds_next_to_nothing_is_not_paced() {
+    const MANY: u16 = 5;
+    let mut world = one_serving();
+    world.pass(300);
+    let tasks: Vec<_> = (0..MANY).map(|number| name("2", number, 0)).collect();
+    let steps = (0..MANY).map(|number| {
+        let mut small = filling(1, &format!("small-{number}"));
+        small.resources.processors_milli = 700;
+        small
+    });
+    world.submit("2", "render", steps.collect());
+    for task in &tasks {
+        world.worker("w1").figures.insert(*task, 100.0);
+    }
+    world.worker("w1").figures.insert(name("1", 0, 0), 12.0);
+    world.pass(3_000);
+    assert!(tasks.iter().all(|task| world.worker("w1").held[task].pace == 100));
+}
+
+/// Load moves by a third of its range in a second: paces that follow it once a second are late.
+#[test]
+fn a_worker_with_filling_tasks_beside_serving_ones_is_polled_twice_a_second() {
+    let mut world = one_serving();
+    world.submit("2", "render", vec![filling(1, "quiet")]);
+    world.pass(1_000);
+    let before = world.polls_sent;
+    world.pass(2_000);
+    assert!(world.polls_sent - before >= 4, "{}", world.polls_sent - before);
+}
--- a/crates/fleet/tests/waiting.rs
+++ b/crates/fleet/tests/waiting.rs
@@ -7,17 +7,12 @@
         Event, Step,
         pressure::{Pressure, Served},
     },
-    world::{QUEUE, World, name, step},
+    world::{QUEUE, TARGET_MS, World, filling, name, serving, step},
 };
 
-const TARGET_MS: u64 = 18;
 /// More than the misses after which the search for places ends.
 const STUCK_JOBS: usize = 60;
 
-fn filling(image: &str) -> Step {
-    Step { fills: true, image: image.into(), ..step(1, 2) }
-}
-
 /// Tells the owner that the image ruins what serves beside it.
 fn tell_ruinous(world: &mut World, image: &str) {
     let mut pressure = Pressure::default();
@@ -34,16 +29,15 @@
 fn jobs_of_an_image_without_a_place_hold_back_no_others() {
     let mut world = World::new(&["w1"]);
     world.run_ms = 60_000;
-    let serving = Step { image: "feed".into(), lasting: true, target_ms: TARGET_MS, ..step(3, 4) };
-    world.submit("1", QUEUE, vec![serving]);
+    world.submit("1", QUEUE, vec![serving(3, "feed")]);
     world.pass(300);
     tell_ruinous(&mut world, "loud");
     world.pass(1_000);
     for number in 0..STUCK_JOBS {
-        world.submit(&format!("a{number}"), "render", vec![filling("loud")]);
+        world.submit(&format!("a{number}"), "render", vec![filling(1, "loud")]);
     }
     world.pass(100);
-    world.submit("2", "render", vec![filling("quiet")]);
+    world.submit("2", "render", vec![filling(1, "quiet")]);
     world.pass(1_000);
     assert_eq!(world.starts(name("2", 0, 0)).len(), 1);
     assert!(world.starts(name("a0", 0, 0)).is_empty());
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -46,6 +46,7 @@
     pub revision: u64,
     pub cores: u64,
     pub learned: oleanderstage_fleet::pressure::Pressure,
+    pub polls_sent: u64,
     polls: Vec<(u64, Arc<str>, u64)>,
     sent: BTreeMap<task::Name, job::Id>,
 }
@@ -74,6 +75,19 @@
     }
 }
 
+/// The bound on the tail of serving tasks, in milliseconds.
+pub const TARGET_MS: u64 = 18;
+
+/// Returns a step of serving tasks of four cores.
+pub fn serving(count: u16, image: &str) -> Step {
+    Step { image: image.into(), lasting: true, target_ms: TARGET_MS, ..step(count, 4) }
+}
+
+/// Returns a step of filling tasks of two cores.
+pub fn filling(count: u16, image: &str) -> Step {
+    Step { checkpoints: true, fills: true, image: image.into(), ..step(count, 2) }
+}
+
 pub fn config() -> Arc<Config> {
     let queue = |name: &str, priority| {
         Arc::new(Queue {
@@ -134,6 +148,7 @@
             revision: 1,
             cores: 16,
             learned: Default::default(),
+            polls_sent: 0,
             polls: Vec::new(),
             sent: BTreeMap::new(),
         };
@@ -346,6 +361,7 @@
                     fake.ended.retain(|end| end.number > acknowledged);
                     fake.lease_until = fake.lease_until.max(lease_until.unwrap_or(0));
                 }
+                self.polls_sent += 1;
                 self.polls.push((self.now, worker, self.now + wait_ms));
             }
             Action::Start { worker, task, run, lease_until, checkpoint, .. } => {
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -22,10 +22,7 @@
         follow.pause = if node.steers() { WORKERS_PAUSE } else { WORKERS_IDLE_PAUSE };
         let before = node.registry.borrow().clone();
         match follow.next().await {
-            Seen::All(items) => {
-                node.registry.borrow_mut().clear();
-                items.into_iter().for_each(|item| take(&node, item));
-            }
+            Seen::All(items) => replace(&node, items),
             Seen::Changes(items) => items.into_iter().for_each(|item| take(&node, item)),
         }
         let changed = differences(&before, &node.registry.borrow());
@@ -35,6 +32,12 @@
     }
 }
 
+/// Takes in all entries.
+fn replace(node: &Rc<Node>, items: Vec<Item>) {
+    node.registry.borrow_mut().clear();
+    items.into_iter().for_each(|item| take(node, item));
+}
+
 /// Takes in one entry.
 fn take(node: &Rc<Node>, item: Item) {
     let Some(id) = item.key.strip_prefix(registration::PREFIX) else { return };
@@ -141,7 +144,6 @@
 pub(crate) async fn refresh(node: &Rc<Node>) -> Result<(), store::Error> {
     let page = node.store.all(registration::PREFIX).await?;
     node.heard();
-    node.registry.borrow_mut().clear();
-    page.items.into_iter().for_each(|item| take(node, item));
+    replace(node, page.items);
     Ok(())
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -40,6 +40,8 @@
 use {
     follow::{Follow, Seen},
     node::Node,
+    record::decode,
+    tenure::Tenure,
 };
 
 pub use run::run;
@@ -52,8 +54,10 @@
 mod meter;
 mod node;
 mod owner;
+mod record;
 mod run;
 mod serve;
 mod session;
 mod submit;
+mod tenure;
 mod time;
--- a/crates/node/src/map.rs
+++ b/crates/node/src/map.rs
@@ -94,7 +94,7 @@
             continue;
         }
         written_at = now;
-        let value = serde_json::to_vec(&next).unwrap_or_default();
+        let value = record::encode(&next);
         let txn = Txn {
             expected: vec![(keys::MAP.into(), revision)],
             writes: vec![(keys::MAP.into(), value, 0)],
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -19,13 +19,13 @@
     head_revision: u64,
 }
 
-/// The orders and store calls of one tenure.
-struct Tenure {
-    node: Rc<Node>,
-    cell: u32,
-    fence: u64,
-    events: mpsc::UnboundedSender<Event>,
-    addresses: RefCell<HashMap<Arc<str>, SocketAddr>>,
+/// A cell as the store holds it.
+struct Loaded {
+    /// Jobs that were cancelled, with the revisions of their marks.
+    cancelled: Vec<(job::Id, u64)>,
+    /// The store's revision at which it was read.
+    revision: u64,
+    state: Cell,
 }
 
 /// Starts and ends tenures as the map says.
@@ -58,21 +58,24 @@
     let Some(taken) = take(node, cell).await else { return };
     log::info!(cell, generation = taken.head.generation, fence = taken.fence; "cell_taken");
     node.meter.event("cell_taken");
-    let Some((state, revision, cancelled)) = load(node, cell, &taken).await else {
+    let kept = match load(node, cell, &taken).await {
+        Some(loaded) => hold(node, cell, &taken, loaded).await,
         // The map gave the cell to another VM meanwhile, which waits for this entry to go.
-        give_up(node, cell, &taken, &taken.head, taken.head_revision).await;
-        return;
+        None => Some((taken.head.clone(), taken.head_revision)),
     };
+    if let Some((head, revision)) = kept {
+        give_up(node, cell, &taken, &head, revision).await;
+    }
+    log::info!(cell, fence = taken.fence; "cell_left");
+}
+
+/// Owns the cell until it is lost or left; returns its head unless it is lost.
+async fn hold(node: &Rc<Node>, cell: u32, taken: &Taken, loaded: Loaded) -> Option<(Head, u64)> {
+    let Loaded { cancelled, revision, state } = loaded;
     let (events, inbox) = mpsc::unbounded_channel();
-    let tenure = Rc::new(Tenure {
-        node: node.clone(),
-        cell,
-        fence: taken.fence,
-        events: events.clone(),
-        addresses: RefCell::default(),
-    });
+    let tenure = Rc::new(Tenure::new(node.clone(), cell, taken.fence, events));
     for (id, revision) in cancelled {
-        let _ = events.send(Event::Cancelled { id, revision });
+        tenure.send(Event::Cancelled { id, revision });
     }
     let follow =
         Follow::new(node.clone(), keys::cell(cell), Duration::from_millis(2)).from(revision);
@@ -81,10 +84,7 @@
     let kept = drive(&tenure, state, inbox).await;
     watch.abort();
     learning.abort();
-    if let Some((head, revision)) = kept {
-        give_up(node, cell, &taken, &head, revision).await;
-    }
-    log::info!(cell, fence = taken.fence; "cell_left");
+    kept
 }
 
 /// Takes the cell when its last owner is gone.
@@ -122,7 +122,7 @@
         expected: vec![(keys::owner(cell), 0), (keys::head(cell), revision)],
         writes: vec![
             (keys::owner(cell), owner, lease),
-            (keys::head(cell), serde_json::to_vec(&head).unwrap_or_default(), 0),
+            (keys::head(cell), record::encode(&head), 0),
         ],
         ..Txn::default()
     };
@@ -152,24 +152,10 @@
     node.store.txn(&txn).await.map(drop)
 }
 
-fn decode<T: serde::de::DeserializeOwned>(item: &Item) -> Option<T> {
-    let value = item.value.as_deref()?;
-    serde_json::from_slice(value)
-        .inspect_err(|error| log::error!(key = item.key, error:% = error; "record_unreadable"))
-        .ok()
-}
-
 /// Reads the jobs of the cell.
-async fn load(
-    node: &Rc<Node>,
-    cell: u32,
-    taken: &Taken,
-) -> Option<(Cell, u64, Vec<(job::Id, u64)>)> {
+async fn load(node: &Rc<Node>, cell: u32, taken: &Taken) -> Option<Loaded> {
     let (items, progress, learned) = loop {
-        let members = node.members(cell).is_some();
-        if !members {
-            return None;
-        }
+        node.members(cell)?;
         if let Err(error) = discovery::refresh(node).await {
             node.store_failed("load", &error);
             sleep(TAKE_AGAIN).await;
@@ -215,7 +201,8 @@
         pressure: learned.as_ref().and_then(decode).unwrap_or_default(),
     };
     let members = node.members(cell)?;
-    Some((Cell::new(start, jobs, members), items.revision, cancelled))
+    let state = Cell::new(start, jobs, members);
+    Some(Loaded { cancelled, revision: items.revision, state })
 }
 
 /// Feeds changes of the cell's keys.
@@ -340,163 +327,3 @@
         node.store_failed("give-up", &error);
     }
 }
-
-impl Tenure {
-    fn send(&self, event: Event) {
-        let _ = self.events.send(event);
-    }
-
-    /// Keeps the addresses of workers.
-    fn learn(&self, members: &BTreeMap<Arc<str>, Option<Registration>>) {
-        let mut addresses = self.addresses.borrow_mut();
-        for (id, entry) in members {
-            let Some(entry) = entry else { continue };
-            if let Ok(address) = entry.address.parse() {
-                addresses.insert(id.clone(), address);
-            }
-        }
-    }
-
-    fn peer<'a>(&self, address: SocketAddr, id: &'a str) -> orders::Peer<'a> {
-        orders::Peer { address, fence: self.fence, id }
-    }
-
-    fn address(&self, worker: &Arc<str>) -> Option<SocketAddr> {
-        self.addresses.borrow().get(worker).copied()
-    }
-
-    /// Carries actions out; returns whether the cell is lost.
-    fn carry(self: &Rc<Self>, actions: Vec<Action>) -> bool {
-        let mut lost = false;
-        for action in actions {
-            match action {
-                Action::Lost => lost = true,
-                Action::Report(report) => self.node.meter.report(self.cell, &report),
-                action => {
-                    spawn_local(perform(self.clone(), action));
-                }
-            }
-        }
-        lost
-    }
-}
-
-/// Carries one action out.
-async fn perform(tenure: Rc<Tenure>, action: Action) {
-    let orders = &tenure.node.orders;
-    match action {
-        Action::Start { worker, task, run, spec, lease_until, checkpoint } => {
-            let start =
-                orders::Start { task, run, spec: &spec, lease_until, checkpoint: &checkpoint };
-            let answer = match tenure.address(&worker) {
-                Some(address) => orders.start(tenure.peer(address, &worker), start).await,
-                None => Err(Refusal::Unreachable),
-            };
-            tenure.send(Event::Start { worker, task, run, answer });
-        }
-        Action::Stop { worker, task, run } => {
-            let answer = match tenure.address(&worker) {
-                Some(address) => orders.stop(tenure.peer(address, &worker), task, run).await,
-                None => Err(Refusal::Unreachable),
-            };
-            tenure.send(Event::Stop { worker, task, run, answer });
-        }
-        Action::Poll { worker, acknowledged, lease_until, wait_ms } => {
-            let sent = time::now();
-            let answer = match tenure.address(&worker) {
-                Some(address) => {
-                    let peer = tenure.peer(address, &worker);
-                    orders.poll(peer, acknowledged, lease_until, wait_ms).await
-                }
-                None => Err(Refusal::Unreachable),
-            };
-            tenure.send(Event::Poll { worker, sent, answer });
-        }
-        Action::Pace { worker, task, run, percent } => {
-            let Some(address) = tenure.address(&worker) else { return };
-            if let Err(reason) =
-                orders.pace(tenure.peer(address, &worker), task, run, percent).await
-            {
-                log::warn!(worker = &*worker, task:% = task, reason:? = reason; "pace_refused");
-            }
-        }
-        Action::Commit(commit) => {
-            let outcome = tenure.commit(&commit).await;
-            tenure.send(Event::Commit(outcome));
-        }
-        Action::Lookup(id) => {
-            let ticket = loop {
-                match tenure.node.store.get(&keys::ticket(id)).await {
-                    Ok(item) => break item.as_ref().and_then(decode),
-                    Err(error) => tenure.node.store_failed("lookup", &error),
-                }
-                sleep(TAKE_AGAIN).await;
-            };
-            tenure.send(Event::TicketRead { id, ticket });
-        }
-        Action::Lost | Action::Report(_) => {}
-    }
-}
-
-impl Tenure {
-    /// Makes a commit, and settles whether it was made when its condition fails.
-    async fn commit(&self, commit: &Commit) -> Outcome {
-        let cell = self.cell;
-        let mut txn = Txn::default();
-        txn.expected.push((keys::head(cell), commit.head_revision));
-        for (id, revision) in &commit.expected {
-            txn.expected.push((keys::ticket(*id), *revision));
-        }
-        txn.writes.push((keys::head(cell), json(&commit.head), 0));
-        for (id, progress) in &commit.progress {
-            txn.writes.push((keys::progress(cell, *id), json(progress), 0));
-        }
-        for (id, ticket) in &commit.tickets {
-            txn.writes.push((keys::ticket(*id), json(ticket), 0));
-        }
-        if let Some(pressure) = &commit.pressure {
-            txn.writes.push((keys::pressure(cell), json(pressure), 0));
-        }
-        for (id, to, record) in &commit.records {
-            txn.writes.push((keys::job(*to, *id), json(&**record), 0));
-        }
-        for id in &commit.removed {
-            txn.removed.push(keys::job(cell, *id));
-            txn.removed.push(keys::progress(cell, *id));
-            txn.removed.push(keys::cancelled(cell, *id));
-        }
-        match self.node.store.txn(&txn).await {
-            Ok(revision) => {
-                self.node.heard();
-                Outcome::Committed(revision)
-            }
-            Err(store::Error::Conflict(items)) => self.conflict(commit, &items),
-            Err(store::Error::Unknown) => Outcome::Unknown,
-            Err(error) => {
-                self.node.store_failed("commit", &error);
-                Outcome::Refused
-            }
-        }
-    }
-
-    fn conflict(&self, commit: &Commit, items: &[Item]) -> Outcome {
-        let key = keys::head(self.cell);
-        let Some(head) = items.iter().find(|item| item.key == key) else { return Outcome::Lost };
-        if head.revision != commit.head_revision {
-            // An earlier try of this commit, whose answer was lost, left this head.
-            let own = decode::<Head>(head).is_some_and(|found| found == commit.head);
-            return if own { Outcome::Committed(head.revision) } else { Outcome::Lost };
-        }
-        let tickets = commit.expected.iter().map(|(id, _)| {
-            let key = keys::ticket(*id);
-            let item = items.iter().find(|item| item.key == key);
-            (*id, item.map_or(0, |item| item.revision), item.and_then(decode))
-        });
-        Outcome::Conflict(tickets.collect())
-    }
-}
-
-/// Returns a record as it is stored.
-fn json<T: serde::Serialize>(value: &T) -> Vec<u8> {
-    serde_json::to_vec(value).unwrap_or_default()
-}
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -25,17 +25,9 @@
 
 /// Runs the program with the arguments, of which the first is its name.
 pub fn run(arguments: impl Iterator<Item = String>) -> miette::Result<()> {
-    let arguments: Vec<String> = arguments.collect();
-    let texts: Vec<&str> = arguments.iter().map(String::as_str).collect();
-    let (name, rest) = texts.split_first().unwrap_or((&"oleanderstage-node", &[]));
-    let arguments = match Arguments::from_args(&[name], rest) {
-        Ok(arguments) => arguments,
-        Err(exit) if exit.status.is_ok() => {
-            println!("{}", exit.output);
-            return Ok(());
-        }
-        Err(exit) => return Err(miette::miette!("{}", exit.output.trim())),
-    };
+    let arguments =
+        oleanderstage_settings::arguments::<Arguments>("oleanderstage-node", arguments)?;
+    let Some(arguments) = arguments else { return Ok(()) };
     let path = settings_path(arguments.settings.as_deref())?;
     let boot = read(&path)?;
     if arguments.check {
@@ -96,7 +88,7 @@
     });
 }
 
-/// Waits for SIGTERM, tenure everything over, and goes on answering for most of the grace period:
+/// Waits for SIGTERM, hands everything over, and goes on answering for most of the grace period:
 /// callers keep their connections until the process is gone.
 async fn until_told(node: &Rc<Node>) -> miette::Result<()> {
     let mut hangup = signal(SignalKind::hangup()).into_diagnostic()?;
--- a/crates/node/src/session.rs
+++ b/crates/node/src/session.rs
@@ -34,7 +34,7 @@
 async fn open(node: &Rc<Node>) -> Result<u64, store::Error> {
     let lease = node.store.lease(Duration::from_millis(node::VM_LEASE_MS)).await?;
     let vm = assignment::Vm { processors_milli: node.boot.processors_milli };
-    let value = serde_json::to_vec(&vm).unwrap_or_default();
+    let value = record::encode(&vm);
     let txn = Txn { writes: vec![(keys::vm(&node.boot.vm), value, lease)], ..Txn::default() };
     node.store.txn(&txn).await?;
     node.heard();
--- a/crates/node/src/submit.rs
+++ b/crates/node/src/submit.rs
@@ -54,13 +54,13 @@
         return not_run(node);
     };
     let ticket = Ticket { also: Vec::new(), cell, queue: queue.name.clone(), state: State::Queued };
-    let record = serde_json::to_vec(&body).unwrap_or_default();
+    let record = record::encode(&body);
     let mut revision = 0;
     loop {
         let txn = Txn {
             expected: vec![(keys::ticket(id), revision)],
             writes: vec![
-                (keys::ticket(id), serde_json::to_vec(&ticket).unwrap_or_default(), 0),
+                (keys::ticket(id), record::encode(&ticket), 0),
                 (keys::job(cell, id), record.clone(), 0),
             ],
             ..Txn::default()
@@ -105,7 +105,7 @@
     let refused = Ticket { state: State::Refused, ..accepted.clone() };
     let txn = Txn {
         expected: vec![(keys::ticket(id), replaces)],
-        writes: vec![(keys::ticket(id), serde_json::to_vec(&refused).unwrap_or_default(), 0)],
+        writes: vec![(keys::ticket(id), record::encode(&refused), 0)],
         ..Txn::default()
     };
     while time::now() < until {
@@ -189,7 +189,7 @@
     let new = Ticket { state: State::Cancelled, ..old };
     let txn = Txn {
         expected: vec![(keys::ticket(id), item.revision)],
-        writes: [(keys::ticket(id), serde_json::to_vec(&new).unwrap_or_default(), 0)]
+        writes: [(keys::ticket(id), record::encode(&new), 0)]
             .into_iter()
             .chain(cells.into_iter().map(|cell| (keys::cancelled(cell, id), Vec::new(), 0)))
             .collect(),
--- /dev/null
+++ b/crates/node/src/tenure.rs
@@ -0,0 +1,174 @@
+//! The orders and store calls of one tenure of a cell.
+
+use super::*;
+
+/// Before a ticket is asked for again.
+const ASK_AGAIN: Duration = Duration::from_millis(40);
+
+/// The orders and store calls of one tenure.
+pub(crate) struct Tenure {
+    pub(crate) node: Rc<Node>,
+    pub(crate) cell: u32,
+    pub(crate) fence: u64,
+    events: mpsc::UnboundedSender<Event>,
+    /// Where workers take orders, also those whose entry is gone.
+    addresses: RefCell<HashMap<Arc<str>, SocketAddr>>,
+}
+
+impl Tenure {
+    pub(crate) fn new(
+        node: Rc<Node>,
+        cell: u32,
+        fence: u64,
+        events: mpsc::UnboundedSender<Event>,
+    ) -> Self {
+        Self { node, cell, fence, events, addresses: RefCell::default() }
+    }
+
+    /// Sends the cell an event.
+    pub(crate) fn send(&self, event: Event) {
+        // A cell that has ended takes no events.
+        let _ = self.events.send(event);
+    }
+
+    /// Keeps the addresses of workers.
+    pub(crate) fn learn(&self, members: &BTreeMap<Arc<str>, Option<Registration>>) {
+        let mut addresses = self.addresses.borrow_mut();
+        for (id, entry) in members {
+            let Some(entry) = entry else { continue };
+            if let Ok(address) = entry.address.parse() {
+                addresses.insert(id.clone(), address);
+            }
+        }
+    }
+
+    /// Returns whom to speak to at a worker, if its address is known.
+    fn peer<'a>(&self, worker: &'a Arc<str>) -> Result<orders::Peer<'a>, Refusal> {
+        let address = self.addresses.borrow().get(worker).copied();
+        let address = address.ok_or(Refusal::Unreachable)?;
+        Ok(orders::Peer { address, fence: self.fence, id: worker })
+    }
+
+    /// Carries actions out; returns whether the cell is lost.
+    pub(crate) fn carry(self: &Rc<Self>, actions: Vec<Action>) -> bool {
+        let mut lost = false;
+        for action in actions {
+            match action {
+                Action::Lost => lost = true,
+                Action::Report(report) => self.node.meter.report(self.cell, &report),
+                action => {
+                    spawn_local(self.clone().perform(action));
+                }
+            }
+        }
+        lost
+    }
+
+    /// Carries one action out.
+    async fn perform(self: Rc<Self>, action: Action) {
+        let orders = &self.node.orders;
+        match action {
+            Action::Start { worker, task, run, spec, lease_until, checkpoint } => {
+                let start =
+                    orders::Start { task, run, spec: &spec, lease_until, checkpoint: &checkpoint };
+                let answer = match self.peer(&worker) {
+                    Ok(peer) => orders.start(peer, start).await,
+                    Err(refusal) => Err(refusal),
+                };
+                self.send(Event::Start { worker, task, run, answer });
+            }
+            Action::Stop { worker, task, run } => {
+                let answer = match self.peer(&worker) {
+                    Ok(peer) => orders.stop(peer, task, run).await,
+                    Err(refusal) => Err(refusal),
+                };
+                self.send(Event::Stop { worker, task, run, answer });
+            }
+            Action::Poll { worker, acknowledged, lease_until, wait_ms } => {
+                let sent = time::now();
+                let answer = match self.peer(&worker) {
+                    Ok(peer) => orders.poll(peer, acknowledged, lease_until, wait_ms).await,
+                    Err(refusal) => Err(refusal),
+                };
+                self.send(Event::Poll { worker, sent, answer });
+            }
+            Action::Pace { worker, task, run, percent } => {
+                let Ok(peer) = self.peer(&worker) else { return };
+                if let Err(reason) = orders.pace(peer, task, run, percent).await {
+                    log::warn!(worker = &*worker, task:% = task, reason:? = reason; "pace_refused");
+                }
+            }
+            Action::Commit(commit) => {
+                let outcome = self.commit(&commit).await;
+                self.send(Event::Commit(outcome));
+            }
+            Action::Lookup(id) => {
+                let ticket = loop {
+                    match self.node.store.get(&keys::ticket(id)).await {
+                        Ok(item) => break item.as_ref().and_then(decode),
+                        Err(error) => self.node.store_failed("lookup", &error),
+                    }
+                    sleep(ASK_AGAIN).await;
+                };
+                self.send(Event::TicketRead { id, ticket });
+            }
+            Action::Lost | Action::Report(_) => {}
+        }
+    }
+
+    /// Makes a commit, and settles whether it was made when its condition fails.
+    async fn commit(&self, commit: &Commit) -> Outcome {
+        let cell = self.cell;
+        let mut txn = Txn::default();
+        txn.expected.push((keys::head(cell), commit.head_revision));
+        for (id, revision) in &commit.expected {
+            txn.expected.push((keys::ticket(*id), *revision));
+        }
+        txn.writes.push((keys::head(cell), record::encode(&commit.head), 0));
+        for (id, progress) in &commit.progress {
+            txn.writes.push((keys::progress(cell, *id), record::encode(progress), 0));
+        }
+        for (id, ticket) in &commit.tickets {
+            txn.writes.push((keys::ticket(*id), record::encode(ticket), 0));
+        }
+        if let Some(pressure) = &commit.pressure {
+            txn.writes.push((keys::pressure(cell), record::encode(pressure), 0));
+        }
+        for (id, to, record) in &commit.records {
+            txn.writes.push((keys::job(*to, *id), record::encode(&**record), 0));
+        }
+        for id in &commit.removed {
+            txn.removed.push(keys::job(cell, *id));
+            txn.removed.push(keys::progress(cell, *id));
+            txn.removed.push(keys::cancelled(cell, *id));
+        }
+        match self.node.store.txn(&txn).await {
+            Ok(revision) => {
+                self.node.heard();
+                Outcome::Committed(revision)
+            }
+            Err(store::Error::Conflict(items)) => self.conflict(commit, &items),
+            Err(store::Error::Unknown) => Outcome::Unknown,
+            Err(error) => {
+                self.node.store_failed("commit", &error);
+                Outcome::Refused
+            }
+        }
+    }
+
+    fn conflict(&self, commit: &Commit, items: &[Item]) -> Outcome {
+        let key = keys::head(self.cell);
+        let Some(head) = items.iter().find(|item| item.key == key) else { return Outcome::Lost };
+        if head.revision != commit.head_revision {
+            // An earlier try of this commit, whose answer was lost, left this head.
+            let own = decode::<Head>(head).is_some_and(|found| found == commit.head);
+            return if own { Outcome::Committed(head.revision) } else { Outcome::Lost };
+        }
+        let tickets = commit.expected.iter().map(|(id, _)| {
+            let key = keys::ticket(*id);
+            let item = items.iter().find(|item| item.key == key);
+            (*id, item.map_or(0, |item| item.revision), item.and_then(decode))
+        });
+        Outcome::Conflict(tickets.collect())
+    }
+}
--- a/crates/scheduler/src/run.rs
+++ b/crates/scheduler/src/run.rs
@@ -15,17 +15,8 @@
 
 /// Runs the program with the arguments, of which the first is its name.
 pub fn run(arguments: impl Iterator<Item = String>) -> miette::Result<()> {
-    let arguments: Vec<String> = arguments.collect();
-    let texts: Vec<&str> = arguments.iter().map(String::as_str).collect();
-    let (name, rest) = texts.split_first().unwrap_or((&"oleanderstage-scheduler", &[]));
-    let arguments = match Arguments::from_args(&[name], rest) {
-        Ok(arguments) => arguments,
-        Err(exit) if exit.status.is_ok() => {
-            println!("{}", exit.output);
-            return Ok(());
-        }
-        Err(exit) => return Err(miette::miette!("{}", exit.output.trim())),
-    };
+    let arguments = settings::arguments::<Arguments>("oleanderstage-scheduler", arguments)?;
+    let Some(arguments) = arguments else { return Ok(()) };
     let settings: settings::Scheduler =
         settings::read(&arguments.settings).map_err(|error| *error)?;
     if arguments.check {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -2,6 +2,7 @@
 //! checked types, every error told at once.
 
 use {
+    argh::FromArgs,
     jsonc_parser::{
         CollectOptions, ParseOptions,
         ast::{Array, NumberLit, Object, StringLit, Value},
@@ -26,6 +27,7 @@
 };
 
 pub use {
+    command_line::arguments,
     configuration::configuration,
     entry::Entry,
     error::Error,
@@ -36,6 +38,7 @@
     tls::Tls,
 };
 
+pub mod command_line;
 pub mod configuration;
 mod document;
 pub mod entry;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -71,6 +71,7 @@
 mod stream_guard;
 pub mod summary;
 mod usage;
+mod users_http;
 pub mod users_store;
 pub mod users_worker;
 pub mod vms;
--- a/crates/standin/src/run.rs
+++ b/crates/standin/src/run.rs
@@ -23,17 +23,9 @@
 
 /// Runs the program with the arguments, of which the first is its name.
 pub fn run(arguments: impl Iterator<Item = String>) -> Result<()> {
-    let arguments: Vec<String> = arguments.collect();
-    let texts: Vec<&str> = arguments.iter().map(String::as_str).collect();
-    let (name, rest) = texts.split_first().unwrap_or((&"oleanderstage-standin", &[]));
-    let arguments = match Arguments::from_args(&[name], rest) {
-        Ok(arguments) => arguments,
-        Err(exit) if exit.status.is_ok() => {
-            println!("{}", exit.output);
-            return Ok(());
-        }
-        Err(exit) => return Err(miette::miette!("{}", exit.output.trim())),
-    };
+    let arguments =
+        oleanderstage_settings::arguments::<Arguments>("oleanderstage-standin", arguments)?;
+    let Some(arguments) = arguments else { return Ok(()) };
     let settings: settings::Settings =
         oleanderstage_settings::read(&arguments.settings).map_err(|error| *error)?;
     if arguments.check {
--- /dev/null
+++ b/crates/standin/src/users_http.rs
@@ -0,0 +1,46 @@
+//! Serves calls of the users' platform over HTTP, for its store and its workers.
+
+use {
+    super::*,
+    http_body_util::{BodyExt, Full},
+    hyper::{Request, Response, body::Incoming, http::request::Parts, service::service_fn},
+    hyper_util::rt::TokioIo,
+    serde_json::Value,
+    std::convert::Infallible,
+    tokio::net::TcpListener,
+};
+
+/// Answers every call at the listener, each with its body in JSON.
+pub(crate) fn serve<F, A>(listener: TcpListener, answer: F)
+where
+    F: Fn(Parts, Value) -> A + Clone + Send + 'static,
+    A: Future<Output = Response<Full<Bytes>>> + Send + 'static,
+{
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let answer = answer.clone();
+            let service = service_fn(move |request: Request<Incoming>| {
+                let answer = answer.clone();
+                async move {
+                    let (parts, body) = request.into_parts();
+                    let body = body.collect().await.map(|body| body.to_bytes()).unwrap_or_default();
+                    let body = serde_json::from_slice(&body).unwrap_or_default();
+                    Ok::<_, Infallible>(answer(parts, body).await)
+                }
+            });
+            tokio::spawn(async move {
+                // A client that goes away ends its connection with an error.
+                let _ = hyper::server::conn::http1::Builder::new()
+                    .serve_connection(TokioIo::new(stream), service)
+                    .await;
+            });
+        }
+    });
+}
+
+/// Returns an answer with a body in JSON.
+pub(crate) fn respond(status: u16, body: &Value) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(body.to_string())));
+    *response.status_mut() = hyper::StatusCode::from_u16(status).unwrap_or_default();
+    response
+}
--- a/crates/standin/src/users_store.rs
+++ b/crates/standin/src/users_store.rs
@@ -3,12 +3,11 @@
 
 use {
     super::*,
+    crate::users_http::{self, respond},
     base64::{Engine, prelude::BASE64_STANDARD},
-    http_body_util::{BodyExt, Full},
-    hyper::{Method, Request, Response, body::Incoming, service::service_fn},
-    hyper_util::rt::TokioIo,
+    http_body_util::Full,
+    hyper::{Method, Response, http::request::Parts},
     serde_json::{Value, json},
-    std::convert::Infallible,
     tokio::net::TcpListener,
 };
 
@@ -132,10 +131,9 @@
             }
         });
         let serving = store.clone();
-        tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(serving.clone().connection(stream));
-            }
+        users_http::serve(listener, move |parts, body| {
+            let store = serving.clone();
+            async move { store.answer(&parts, &body).await }
         });
         Ok((store, address))
     }
@@ -210,27 +208,10 @@
         lock(&self.state).writes
     }
 
-    async fn connection(self, stream: TcpStream) {
-        let service = service_fn(move |request| {
-            let store = self.clone();
-            async move { store.answer(request).await }
-        });
-        // A client that goes away ends its connection with an error.
-        let _ = hyper::server::conn::http1::Builder::new()
-            .serve_connection(TokioIo::new(stream), service)
-            .await;
-    }
-
-    async fn answer(
-        &self,
-        request: Request<Incoming>,
-    ) -> Result<Response<Full<Bytes>>, Infallible> {
-        let (parts, body) = request.into_parts();
-        let body = body.collect().await.map(|body| body.to_bytes()).unwrap_or_default();
-        let body: Value = serde_json::from_slice(&body).unwrap_or_default();
+    async fn answer(&self, parts: &Parts, body: &Value) -> Response<Full<Bytes>> {
         let availability = lock(&self.state).availability;
         if availability == Availability::Busy {
-            return Ok(respond(503, &json!({})));
+            return respond(503, &json!({}));
         }
         let query = query(parts.uri.query().unwrap_or_default());
         let path = parts.uri.path();
@@ -241,8 +222,8 @@
                 self.range(&query)
             }
             (&Method::GET, "/-/kv-watch") => self.watch(&query).await,
-            (&Method::POST, "/-/kv-txn") => self.txn(&body),
-            (&Method::POST, "/-/kv-lease") => self.lease(&body),
+            (&Method::POST, "/-/kv-txn") => self.txn(body),
+            (&Method::POST, "/-/kv-lease") => self.lease(body),
             (&Method::POST, path) if path.starts_with("/-/kv-keep/") => self.keep(path),
             (&Method::DELETE, path) if path.starts_with("/-/kv-lease-end/") => self.lease_end(path),
             _ => (404, json!({})),
@@ -250,7 +231,7 @@
         if availability == Availability::Mute && path == "/-/kv-txn" {
             std::future::pending::<()>().await;
         }
-        Ok(respond(status, &answer))
+        respond(status, &answer)
     }
 
     fn key(&self, query: &BTreeMap<String, String>) -> (u16, Value) {
@@ -397,9 +378,3 @@
     let pairs = text.split('&').filter_map(|pair| pair.split_once('='));
     pairs.map(|(name, value)| (name.into(), value.into())).collect()
 }
-
-pub(crate) fn respond(status: u16, body: &Value) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from(body.to_string())));
-    *response.status_mut() = hyper::StatusCode::from_u16(status).unwrap_or_default();
-    response
-}
--- a/crates/standin/src/users_worker.rs
+++ b/crates/standin/src/users_worker.rs
@@ -2,12 +2,13 @@
 
 use {
     super::*,
-    crate::users_store::{UsersStore, respond},
-    http_body_util::{BodyExt, Full},
-    hyper::{Request, Response, body::Incoming, service::service_fn},
-    hyper_util::rt::TokioIo,
+    crate::{
+        users_http::{self, respond},
+        users_store::UsersStore,
+    },
+    http_body_util::Full,
+    hyper::{Response, http::request::Parts},
     serde_json::{Value, json},
-    std::convert::Infallible,
     tokio::net::TcpListener,
 };
 
@@ -73,6 +74,24 @@
 /// Between looks for runs that are over.
 const STEP: Duration = Duration::from_millis(10);
 
+impl State {
+    /// Returns a new life, in which nothing is known of earlier ones.
+    fn new(born: u64) -> Self {
+        Self {
+            born,
+            ended: VecDeque::new(),
+            ends: 0,
+            fails: false,
+            fence: 0,
+            lease_until: 0,
+            life: Instant::now(),
+            past: BTreeMap::new(),
+            running: BTreeMap::new(),
+            used_milli: 0,
+        }
+    }
+}
+
 impl UsersLedger {
     /// Returns what is known of a task.
     pub fn entry(&self, task: &str) -> Entry {
@@ -104,23 +123,11 @@
     pub async fn start(id: &str, ledger: UsersLedger) -> io::Result<(Self, SocketAddr)> {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
         let address = listener.local_addr()?;
-        let state = State {
-            born: 1,
-            ended: VecDeque::new(),
-            ends: 0,
-            fails: false,
-            fence: 0,
-            lease_until: 0,
-            life: Instant::now(),
-            past: BTreeMap::new(),
-            running: BTreeMap::new(),
-            used_milli: 0,
-        };
         let worker = Self {
             id: id.into(),
             ledger,
             changed: Arc::default(),
-            state: Arc::new(Mutex::new(state)),
+            state: Arc::new(Mutex::new(State::new(1))),
         };
         let working = worker.clone();
         tokio::spawn(async move {
@@ -130,10 +137,9 @@
             }
         });
         let serving = worker.clone();
-        tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(serving.clone().connection(stream));
-            }
+        users_http::serve(listener, move |parts, body| {
+            let worker = serving.clone();
+            async move { worker.answer(&parts, &body).await }
         });
         Ok((worker, address))
     }
@@ -163,18 +169,7 @@
                 entry.running.remove(&self.id);
             });
         }
-        *state = State {
-            born: state.born + 1,
-            ended: VecDeque::new(),
-            ends: 0,
-            fails: false,
-            fence: 0,
-            lease_until: 0,
-            life: Instant::now(),
-            past: BTreeMap::new(),
-            running: BTreeMap::new(),
-            used_milli: 0,
-        };
+        *state = State::new(state.born + 1);
     }
 
     fn work(&self) {
@@ -212,43 +207,26 @@
         self.changed.notify_waiters();
     }
 
-    async fn connection(self, stream: TcpStream) {
-        let service = service_fn(move |request| {
-            let worker = self.clone();
-            async move { worker.answer(request).await }
-        });
-        // A client that goes away ends its connection with an error.
-        let _ = hyper::server::conn::http1::Builder::new()
-            .serve_connection(TokioIo::new(stream), service)
-            .await;
-    }
-
-    async fn answer(
-        &self,
-        request: Request<Incoming>,
-    ) -> Result<Response<Full<Bytes>>, Infallible> {
-        let (parts, body) = request.into_parts();
-        let body = body.collect().await.map(|body| body.to_bytes()).unwrap_or_default();
-        let body: Value = serde_json::from_slice(&body).unwrap_or_default();
+    async fn answer(&self, parts: &Parts, body: &Value) -> Response<Full<Bytes>> {
         let meant = parts.headers.get("expect-instance").and_then(|value| value.to_str().ok());
         if meant.is_some_and(|id| id != self.id) {
-            return Ok(respond(421, &json!({})));
+            return respond(421, &json!({}));
         }
         let fence = body["fencing_token"].as_u64().unwrap_or(0);
         {
             let mut state = lock(&self.state);
             if fence < state.fence {
-                return Ok(self.refuse(&state, "fence"));
+                return self.refuse(&state, "fence");
             }
             state.fence = fence;
         }
-        Ok(match parts.uri.path() {
-            "/-/run-start" => self.begin(&body),
-            "/-/run-stop" => self.stop(&body),
-            "/-/hold" => self.hold(&body).await,
+        match parts.uri.path() {
+            "/-/run-start" => self.begin(body),
+            "/-/run-stop" => self.stop(body),
+            "/-/hold" => self.hold(body).await,
             "/-/pace" => respond(200, &json!({"clock_ms": 0})),
             _ => respond(404, &json!({})),
-        })
+        }
     }
 
     fn refuse(&self, state: &State, reason: &str) -> Response<Full<Bytes>> {
