--- a/crates/fleet/tests/sharing.rs
+++ b/crates/fleet/tests/sharing.rs
@@ -328,3 +328,17 @@
     world.pass(2_000);
     assert!(world.polls_sent - before >= 4, "{}", world.polls_sent - before);
 }
+
+/// Figures of a tail a little over its target are now and then a little under it.
+#[test]
+fn noise_around_the_target_does_not_put_off_a_halt() {
+    let mut world = one_serving();
+    world.submit("2", "render", vec![filling(2, "loud")]);
+    world.pass(300);
+    for round in 0..9 {
+        let tail = if round % 3 == 2 { 17.5 } else { 20.0 };
+        world.worker("w1").figures.insert(name("1", 0, 0), tail);
+        world.pass(400);
+    }
+    assert_eq!(world.worker("w1").held[&name("2", 0, 0)].pace, 0, "well before four seconds");
+}
