A halt by the smoothed tail: noise around the target does not put it off

Cause: one measurement at or under the target began the 1.2 s of a halt anew, and measurements are noisy by a tenth. A serving task a little over its target stayed so for 4 s beside a filling task that worked on (HARM). Change: the time over the target follows the smoothed contention that the tails show. Contention is bounded, so one outlier neither starts nor prolongs a halt by much.

--- a/crates/fleet/src/pace.rs
+++ b/crates/fleet/src/pace.rs
@@ -24,9 +24,26 @@
 /// Minimum interval between observations of one worker, in milliseconds: measurements cover half a
 /// second.
 const OBSERVE_INTERVAL_MS: u64 = 250;
-/// How long a tail may exceed its target before all filling tasks on the worker are halted, in
-/// milliseconds: well below the four seconds after which it counts as harm.
+/// How long a smoothed tail may exceed its target before all filling tasks on the worker are halted,
+/// in milliseconds: well below the four seconds after which it counts as harm.
 const HALT_AFTER_MS: u64 = 1_200;
+/// Weight of the newest measurement in the smoothed tail: noise around the target must neither start
+/// nor end the time over it.
+const TAIL_WEIGHT: f64 = 0.5;
+
+impl Run {
+    /// Smooths the contention that a serving task's tail latency shows, and tracks since when it has
+    /// been over its target.
+    fn observe_contention(&mut self, now: u64, contention: f64) {
+        let smoothed = self.contention.get_or_insert(contention);
+        *smoothed += (contention - *smoothed) * TAIL_WEIGHT;
+        if *smoothed <= pressure::TARGET_CONTENTION {
+            self.over_target_since = None;
+        } else {
+            self.over_target_since.get_or_insert(now);
+        }
+    }
+}
 
 impl Worker {
     /// Updates the loads of serving tasks and `own_pressure` from the worker's newest measurements,
@@ -50,17 +67,14 @@
             }
             let target = run.step.target_ms as f64;
             worst_ratio = worst_ratio.max(tail / target);
-            if tail <= target {
-                run.over_target_since = None;
-            } else {
-                run.over_target_since.get_or_insert(now);
-            }
+            let contention = pressure::contention(tail / target);
             if due {
+                run.observe_contention(now, contention);
                 let added: f64 = usage_shares
                     .iter()
                     .map(|(image, share)| pressure.level(&run.step.image, image) * share)
                     .sum();
-                let load = pressure::contention(tail / target) - added;
+                let load = contention - added;
                 run.load += (load.clamp(0.0, pressure::LOAD_RANGE.1) - run.load) * LOAD_WEIGHT;
                 let serving =
                     ServingImage { image: &run.step.image, target_ms: run.step.target_ms };
--- a/crates/fleet/src/pressure.rs
+++ b/crates/fleet/src/pressure.rs
@@ -38,6 +38,8 @@
 
 /// Tail latency without load relative to the target: targets are 4.5 times the idle latency.
 const IDLE_TAIL: f64 = 1.0 / 4.5;
+/// Contention at which a tail latency is at its target.
+pub(crate) const TARGET_CONTENTION: f64 = 1.0 - IDLE_TAIL;
 /// Mean contention caused by a serving task's own load.
 pub(crate) const MEAN_LOAD: f64 = 0.42;
 /// Range of the contention caused by a serving task's own load, including measurement noise.
--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -52,7 +52,11 @@
     pub started: u64,
     /// The step of the task.
     pub step: Arc<Step>,
-    /// Since when the tail latency of a serving task has been over its target, in milliseconds.
+    /// The smoothed contention that a serving task's tail latency shows, from 0 to 1; `None` before
+    /// the first measurement.
+    pub contention: Option<f64>,
+    /// Since when the smoothed tail latency of a serving task has been over its target, in
+    /// milliseconds.
     pub over_target_since: Option<u64>,
 }
 
@@ -69,6 +73,7 @@
             progress: 0,
             started: now,
             step,
+            contention: None,
             over_target_since: None,
         }
     }
