A split counts as made only by its own commit

Cause: apply_commit took any split of a job whose ticket the commit held. A commit that was sent before the split was planned, such as that of the job's first start while the store was away, marked the tasks as run elsewhere although no record of them had been written: they ran nowhere until the next owner. Change: a commit takes a split only if it holds the split's record. Test: a_split_that_is_planned_while_a_commit_is_pending_loses_no_task, failed before, passes now.

--- a/crates/fleet/src/cell_record.rs
+++ b/crates/fleet/src/cell_record.rs
@@ -171,7 +171,11 @@
                 job.ticket_state = ticket.state;
                 job.ticket_revision = revision;
                 job.also.clone_from(&ticket.also);
-                if let Some(split) = job.splitting.take() {
+                // The split may have been planned after this commit was sent.
+                let made = |split: &job::Split| {
+                    commit.records.iter().any(|(job, cell, _)| job == id && *cell == split.to)
+                };
+                if let Some(split) = job.splitting.take_if(|split| made(split)) {
                     job.mark_elsewhere(|task| split.tasks.contains(&task));
                     let (job, to, tasks) = (*id, split.to, split.tasks.len());
                     split_reports.push(Report::Split { job, to, tasks });
--- a/crates/fleet/tests/cells.rs
+++ b/crates/fleet/tests/cells.rs
@@ -190,6 +190,26 @@
     assert_eq!(world.starts(name("1", 0, 4)).len(), 1);
 }
 
+/// The commit of a job's first start was applied after a split of the job was planned, and took the
+/// split for its own: the tasks ran nowhere.
+#[test]
+fn a_split_that_is_planned_while_a_commit_is_pending_loses_no_task() {
+    let mut world = World::new(&["w1"]);
+    world.run_ms = 600_000;
+    let mut lasting = step(3, 6);
+    lasting.lasting = true;
+    world.store = world::Store::Down;
+    world.submit("1", QUEUE, vec![lasting]);
+    world.advance(300);
+    let other = Head { largest_milli: 16_000, ..head(1, 64_000, 32_000) };
+    world.handle(Event::Heads(vec![(other, 9)]));
+    world.advance(1_500);
+    world.store = world::Store::Up;
+    world.advance(1_500);
+    let record: &job::Record = &world.records[&(1, id("1"))];
+    assert_eq!(record.tasks, Some([(0, 2)].into()));
+}
+
 #[test]
 fn lasting_tasks_without_room_go_to_a_cell_that_has_it() {
     let mut world = World::new(&["w1"]);
