Workers' entries only move to newer revisions, and an owner with old ones starts nothing

Cause: at 1,100 workers the store's watch is cut off at about 500 of 730 heartbeats a second, and VMs without cells, which watched every 2 s, fell seconds behind. Change: fleet::Registry holds each entry at its newest revision; an older read or watch changes nothing. VMs that own no cell and don't write the assignment don't follow the workers, and read them when they need them. The assignment is not rewritten from old entries. An owner whose entries are older than 0.8 of drain_ms while the store answers starts nothing. An event loop copies its members only when they have changed.

--- a/crates/fleet/src/cell.rs
+++ b/crates/fleet/src/cell.rs
@@ -79,6 +79,8 @@
     pub(crate) placement_due: bool,
     /// Workers that have not answered this owner and may run orders of an earlier one.
     pub(crate) unfenced: BTreeSet<Arc<str>>,
+    /// The workers' entries are too old: some worker may drain by now.
+    pub(crate) view_stale: bool,
     pub(crate) workers: BTreeMap<Arc<str>, Worker>,
 }
 
@@ -121,6 +123,7 @@
             pressure: start.pressure,
             placement_due: true,
             unfenced: members.keys().cloned().collect(),
+            view_stale: false,
             workers: BTreeMap::new(),
         };
         for (id, record, progress, revision) in jobs {
@@ -160,6 +163,10 @@
                 self.handle_stop_answer(clock, &worker, task, run, answer);
             }
             Event::Tick => {}
+            Event::ViewStale(stale) => {
+                self.view_stale = stale;
+                self.placement_due = true;
+            }
             Event::Workers(members) => self.update_members(clock, members),
         }
         self.run_due_work(clock);
--- a/crates/fleet/src/cell_schedule.rs
+++ b/crates/fleet/src/cell_schedule.rs
@@ -26,7 +26,7 @@
 impl Cell {
     /// Places waiting tasks if free resources or work have changed since the last pass.
     pub(crate) fn place_tasks(&mut self, clock: Clock) {
-        if !self.placement_due || self.leaving {
+        if !self.placement_due || self.leaving || self.view_stale {
             return;
         }
         self.placement_due = false;
--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -73,6 +73,8 @@
     },
     /// Time has passed.
     Tick,
+    /// The workers' entries are too old for new runs, or are current again.
+    ViewStale(bool),
     /// The workers of this cell changed: every member with its entry in the store, if any.
     Workers(BTreeMap<Arc<str>, Option<Registration>>),
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,8 +16,9 @@
 pub use {
     action::Action, assignment::Assignment, cell::Cell, clock::Clock, commit::Commit,
     config::Config, event::Event, head::Head, job::Job, lateness::Lateness, limits::Limits,
-    listing::Listing, progress::Progress, queue::Queue, registration::Registration, run::Run,
-    state::State, step::Step, submission::Submission, ticket::Ticket, worker::Worker,
+    listing::Listing, progress::Progress, queue::Queue, registration::Registration,
+    registry::Registry, run::Run, state::State, step::Step, submission::Submission, ticket::Ticket,
+    worker::Worker,
 };
 
 pub mod action;
@@ -39,6 +40,7 @@
 pub mod progress;
 pub mod queue;
 pub mod registration;
+pub mod registry;
 pub mod run;
 pub mod state;
 pub mod step;
--- a/crates/fleet/tests/runs.rs
+++ b/crates/fleet/tests/runs.rs
@@ -3,7 +3,7 @@
 mod world;
 
 use {
-    oleanderstage_fleet::{State, event::Refusal},
+    oleanderstage_fleet::{Event, State, event::Refusal},
     world::{QUEUE, Store, World, name, step},
 };
 
@@ -230,3 +230,17 @@
     world.handle(event);
     assert_eq!(world.starts(name("1", 0, 0)).len(), 1);
 }
+
+/// The entries of the workers were seconds old after a takeover, and tasks started on workers that
+/// had been draining all the while.
+#[test]
+fn an_owner_with_too_old_entries_starts_nothing_until_they_are_current() {
+    let mut world = World::new(&["w1"]);
+    world.handle(Event::ViewStale(true));
+    world.submit("1", QUEUE, vec![step(1, 1)]);
+    world.advance(1_000);
+    assert!(world.starts(name("1", 0, 0)).is_empty());
+    world.handle(Event::ViewStale(false));
+    world.advance(20);
+    assert_eq!(world.starts(name("1", 0, 0)).len(), 1);
+}
--- a/crates/node/src/assigner.rs
+++ b/crates/node/src/assigner.rs
@@ -23,11 +23,12 @@
     let mut follower = Follower::new(node.clone(), keys::FLEET, Duration::ZERO);
     loop {
         match follower.next().await {
-            Update::All(items) => {
+            Update::All { items, .. } => {
                 node.vms.borrow_mut().clear();
                 items.into_iter().for_each(|item| update(&node, item));
             }
-            Update::Changes(items) => items.into_iter().for_each(|item| update(&node, item)),
+            Update::Changes { items, .. } if items.is_empty() => continue,
+            Update::Changes { items, .. } => items.into_iter().for_each(|item| update(&node, item)),
         }
         node.wake();
     }
@@ -85,7 +86,9 @@
         if workers != worker_count.0 {
             worker_count = (workers, now);
         }
-        if workers == 0 || (is_first && now < worker_count.1 + WORKERS_STABLE_MS) {
+        let current =
+            node.registry.borrow().is_current(now.saturating_sub(discovery::WORKERS_MAX_AGE_MS));
+        if workers == 0 || !current || (is_first && now < worker_count.1 + WORKERS_STABLE_MS) {
             continue;
         }
         let (next, revision) = next_assignment(&node, now, &mut missing_since);
@@ -135,9 +138,9 @@
         .collect();
     let mut next = assignment.next(&node.vms.borrow(), &workers);
     let removal_after_ms = node.boot.worker_lease_ms + REMOVAL_SLACK_MS;
-    missing_since.retain(|id, _| !registry.contains_key(id.as_str()));
+    missing_since.retain(|id, _| registry.get(id).is_none());
     next.workers.retain(|id, _| {
-        if registry.contains_key(id.as_str()) {
+        if registry.get(id).is_some() {
             return true;
         }
         let since = *missing_since.entry(id.clone()).or_insert(now);
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -4,9 +4,11 @@
 
 /// Delay before each watch of the workers' entries, which change with each heartbeat.
 const WORKERS_WATCH_DELAY: Duration = Duration::from_millis(350);
-/// The same on VMs that neither own a cell nor write the assignment: they answer callers without
-/// the workers.
-const WORKERS_IDLE_WATCH_DELAY: Duration = Duration::from_millis(2_000);
+/// Workers' entries older than this are read anew, in milliseconds, and the assignment is not
+/// rewritten from them.
+pub(crate) const WORKERS_MAX_AGE_MS: u64 = 2_500;
+/// How often a VM checks whether it needs the workers' entries now.
+const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Delay before each watch of the configuration.
 const CONFIG_WATCH_DELAY: Duration = Duration::from_millis(20);
 /// Interval between reads of the heads, in milliseconds, with up to `FULL_RATE_VMS` VMs.
@@ -18,72 +20,71 @@
 /// number, so that the store's load grows more slowly than the fleet.
 const FULL_RATE_VMS: u64 = 10;
 
-/// Follows the workers' entries.
+/// Follows the workers' entries while this VM needs them: owners and the writer of the assignment.
+/// All other VMs answer callers without the workers, and hundreds of VMs that follow the heartbeats
+/// of a thousand workers would take most of the store's bandwidth.
 pub(crate) async fn follow_workers(node: Rc<Node>) {
     let mut follower = Follower::new(node.clone(), registration::PREFIX, WORKERS_WATCH_DELAY);
     loop {
-        follower.watch_delay =
-            if node.needs_workers() { WORKERS_WATCH_DELAY } else { WORKERS_IDLE_WATCH_DELAY };
-        let before = node.registry.borrow().clone();
-        match follower.next().await {
-            Update::All(items) => replace_workers(&node, items),
-            Update::Changes(items) => {
-                items.into_iter().for_each(|item| update_worker(&node, item));
-            }
+        if !node.needs_workers() {
+            let _ = tokio::time::timeout(IDLE_CHECK_INTERVAL, node.changed.notified()).await;
+            follower.restart();
+            continue;
         }
-        let changed = log_differences(&before, &node.registry.borrow());
-        if changed {
-            node.wake();
+        let recently = time::now().saturating_sub(WORKERS_MAX_AGE_MS);
+        if node.registry.borrow().is_current(recently) {
+            follower.skip_to(node.registry.borrow().revision());
         }
+        let update = follower.next().await;
+        let changes = match update {
+            Update::All { items, sent_at, revision } => {
+                let items = worker_items(&node, items);
+                node.registry.borrow_mut().replace(sent_at, revision, items)
+            }
+            Update::Changes { items, confirmed_at, revision } => {
+                let items = worker_items(&node, items);
+                node.registry.borrow_mut().apply(confirmed_at, revision, items)
+            }
+        };
+        workers_changed(&node, &changes);
     }
 }
 
-/// Replaces all workers' entries.
-fn replace_workers(node: &Rc<Node>, items: Vec<Item>) {
-    node.registry.borrow_mut().clear();
-    items.into_iter().for_each(|item| update_worker(node, item));
-}
-
-/// Updates or removes one worker's entry. An unreadable entry is logged and ignored.
-fn update_worker(node: &Rc<Node>, item: Item) {
-    let Some(id) = item.key.strip_prefix(registration::PREFIX) else { return };
-    let mut registry = node.registry.borrow_mut();
-    let Some(value) = item.value else {
-        registry.remove(id);
-        return;
-    };
-    match registration::decode(&value) {
-        Ok(entry) => {
-            registry.insert(Arc::from(id), entry);
-        }
-        Err(error) => {
-            node.meter.event("worker_entry_unreadable");
-            log::warn!(worker = id, error:% = error; "worker_entry_unreadable");
+/// Decodes workers' entries. An unreadable entry is logged and left out.
+fn worker_items(node: &Rc<Node>, items: Vec<Item>) -> Vec<registry::Item> {
+    let decode = |item: Item| {
+        let worker = Arc::from(item.key.strip_prefix(registration::PREFIX)?);
+        let registration = item.value.as_deref().map(registration::decode).transpose();
+        match registration {
+            Ok(registration) => {
+                Some(registry::Item { worker, revision: item.revision, registration })
+            }
+            Err(error) => {
+                node.meter.event("worker_entry_unreadable");
+                log::warn!(worker = &*worker, error:% = error; "worker_entry_unreadable");
+                None
+            }
         }
-    }
+    };
+    items.into_iter().filter_map(decode).collect()
 }
 
-/// Logs workers that came, changed state or left, and returns whether any entry changed.
-fn log_differences(
-    before: &BTreeMap<Arc<str>, Registration>,
-    after: &BTreeMap<Arc<str>, Registration>,
-) -> bool {
-    let mut changed = false;
-    for (id, entry) in after {
-        if before.get(id) == Some(entry) {
-            continue;
-        }
-        changed = true;
-        let (draining, born) = (entry.draining, entry.born);
-        if before.get(id).is_none_or(|old| old.draining != draining || old.born != born) {
-            log::info!(worker = &**id, draining, born; "worker_seen");
+/// Logs workers that came, changed state or left, and wakes the tasks that depend on them.
+fn workers_changed(node: &Rc<Node>, changes: &[registry::Change]) {
+    for change in changes {
+        match change {
+            registry::Change::Seen(worker) => {
+                let registry = node.registry.borrow();
+                let Some(entry) = registry.get(worker) else { continue };
+                let (draining, born) = (entry.draining, entry.born);
+                log::info!(worker = &**worker, draining, born; "worker_seen");
+            }
+            registry::Change::Gone(worker) => log::info!(worker = &**worker; "worker_gone"),
         }
     }
-    for id in before.keys().filter(|id| !after.contains_key(*id)) {
-        changed = true;
-        log::info!(worker = &**id; "worker_gone");
+    if !changes.is_empty() {
+        node.wake();
     }
-    changed
 }
 
 /// Follows the configuration.
@@ -91,7 +92,7 @@
     let mut follower = Follower::new(node.clone(), configuration::KEY, CONFIG_WATCH_DELAY);
     loop {
         let items = match follower.next().await {
-            Update::All(items) | Update::Changes(items) => items,
+            Update::All { items, .. } | Update::Changes { items, .. } => items,
         };
         let newest = items.into_iter().rfind(|item| item.key == configuration::KEY);
         let Some(value) = newest.and_then(|item| item.value) else { continue };
@@ -148,10 +149,16 @@
     Duration::from_millis(interval.min(MAX_HEADS_READ_INTERVAL_MS))
 }
 
-/// Reads all workers' entries again, for a VM that has just acquired a cell.
-pub(crate) async fn refresh_workers(node: &Rc<Node>) -> Result<(), store::Error> {
+/// Reads all workers' entries again, unless they are known as of `since`, in milliseconds.
+pub(crate) async fn refresh_workers(node: &Rc<Node>, since: u64) -> Result<(), store::Error> {
+    if node.registry.borrow().is_current(since) {
+        return Ok(());
+    }
+    let sent_at = time::now();
     let page = node.store.read_all(registration::PREFIX).await?;
     node.store_answered();
-    replace_workers(node, page.items);
+    let items = worker_items(node, page.items);
+    let changes = node.registry.borrow_mut().replace(sent_at, page.revision, items);
+    workers_changed(node, &changes);
     Ok(())
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,10 +14,11 @@
     },
     oleanderstage_fleet::{
         Action, Assignment, Cell, Clock, Commit, Config, Event, Head, Limits, Progress, Queue,
-        Registration, State, Ticket, action, admission, assignment, cell,
+        Registration, Registry, State, Ticket, action, admission, assignment, cell,
         event::{Outcome, Refusal},
         job,
         pressure::Pressure,
+        registry,
     },
     std::{
         cell::{Cell as Slot, RefCell},
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -10,8 +10,8 @@
     pub(crate) meter: meter::Meter,
     /// The active configuration of this VM; `None` before one was read.
     pub(crate) config: RefCell<Option<Arc<Config>>>,
-    /// The workers' entries by worker ID.
-    pub(crate) registry: RefCell<BTreeMap<Arc<str>, Registration>>,
+    /// The workers' entries.
+    pub(crate) registry: RefCell<Registry>,
     /// The assignment of cells and its revision; revision 0 before one was read.
     pub(crate) assignment: RefCell<(Assignment, u64)>,
     /// The VMs' entries by name.
@@ -54,6 +54,9 @@
 /// the store that affects all VMs. A successor waits this long only for workers that it cannot
 /// reach.
 pub(crate) const OWNER_SILENCE_MS: u64 = 5_500;
+/// Age of the workers' entries above which owners start no runs, in percent of the time for which a
+/// draining worker may still get new ones: longer than a watch without changes takes.
+const MAX_VIEW_AGE_PERCENT: u64 = 80;
 /// The worker lease that orders ask for, in milliseconds, unless the settings bound it lower:
 /// longer than a takeover takes, and short compared with the wait for a silent worker.
 const WORKER_LEASE_MS: u64 = 4_000;
@@ -142,6 +145,19 @@
         Some(members.collect())
     }
 
+    /// Returns a value that changes whenever the result of `assigned_members` may change.
+    pub(crate) fn view(&self) -> (u64, u64, bool) {
+        (self.assignment.borrow().1, self.registry.borrow().version(), self.leaving.get())
+    }
+
+    /// Returns whether the workers' entries are too old for new runs although the store answers: a
+    /// worker may have started to drain since. During an outage of the store no entry can change.
+    pub(crate) fn is_view_stale(&self, now: u64) -> bool {
+        let max_age_ms = self.boot.drain_ms * MAX_VIEW_AGE_PERCENT / 100;
+        let current = self.registry.borrow().is_current(now.saturating_sub(max_age_ms));
+        !current && self.is_store_reachable()
+    }
+
     /// Returns whether this VM needs current workers' entries: it owns or acquires cells, or writes
     /// the assignment.
     pub(crate) fn needs_workers(&self) -> bool {
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -184,7 +184,7 @@
 async fn load(node: &Rc<Node>, cell: u32, acquisition: &Acquisition) -> Option<Snapshot> {
     let (items, progress, pressure) = loop {
         node.assigned_members(cell)?;
-        if let Err(error) = discovery::refresh_workers(node).await {
+        if let Err(error) = discovery::refresh_workers(node, acquisition.sent_at).await {
             node.store_failed("load", &error);
             sleep(RETRY_DELAY).await;
             continue;
@@ -243,8 +243,8 @@
 async fn watch_keys(executor: Rc<Executor>, mut follower: Follower) {
     loop {
         let (items, complete) = match follower.next().await {
-            Update::All(items) => (items, true),
-            Update::Changes(items) => (items, false),
+            Update::All { items, .. } => (items, true),
+            Update::Changes { items, .. } => (items, false),
         };
         let mut owned = !complete;
         for item in items {
@@ -300,7 +300,8 @@
 ) -> Option<(Head, u64)> {
     let node = &executor.node;
     let wake = node.cells.borrow().get(&executor.cell).cloned().unwrap_or_default();
-    let mut members = None;
+    let mut seen_view = None;
+    let mut stale = false;
     let mut config_version = 0;
     let mut heads_read_at = 0;
     let mut leaving_since = None;
@@ -323,18 +324,25 @@
             let heads = node.heads.borrow().clone();
             lost |= executor.execute_all(cell.handle(clock, Event::Heads(heads)));
         }
-        match node.assigned_members(executor.cell) {
-            Some(current) if members.as_ref() != Some(&current) => {
-                executor.update_addresses(&current);
-                members = Some(current.clone());
-                lost |= executor.execute_all(cell.handle(clock, Event::Workers(current)));
-            }
-            Some(_) => {}
-            None if leaving_since.is_none() => {
-                leaving_since = Some(clock.now);
-                lost |= executor.execute_all(cell.handle(clock, Event::Leaving));
+        let view = node.view();
+        if seen_view != Some(view) {
+            seen_view = Some(view);
+            match node.assigned_members(executor.cell) {
+                Some(members) => {
+                    executor.update_addresses(&members);
+                    lost |= executor.execute_all(cell.handle(clock, Event::Workers(members)));
+                }
+                None if leaving_since.is_none() => {
+                    leaving_since = Some(clock.now);
+                    lost |= executor.execute_all(cell.handle(clock, Event::Leaving));
+                }
+                None => {}
             }
-            None => {}
+        }
+        if stale != node.is_view_stale(clock.now) {
+            stale = !stale;
+            log::info!(cell = executor.cell, stale; "view_stale");
+            lost |= executor.execute_all(cell.handle(clock, Event::ViewStale(stale)));
         }
         let silent = clock.now > node.lease_confirmed_at.get() + node::OWNER_SILENCE_MS;
         if lost || silent {
--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -21,7 +21,7 @@
                 listen.ready=127.0.0.1:2\nplatform.address=127.0.0.1:3\n\
                 platform.ttl_min_ms=1000\nlimits.cpu_share=0.1\nlimits.cores=1\n\
                 bounds.hold_max_ms=6000\nbounds.stop_timeout_ms=400\n\
-                bounds.gang_timeout_ms=3000\nbounds.grace_s=6\nheartbeat_ms=1500\n";
+                bounds.gang_timeout_ms=3000\nbounds.grace_s=6\nbounds.drain_ms=2000\nheartbeat_ms=1500\n";
     let (valid, text) = check("good.conf", text);
     assert!(valid, "{text}");
     assert!(text.contains("is in order"), "{text}");
--- a/crates/node/tests/tenure.rs
+++ b/crates/node/tests/tenure.rs
@@ -36,7 +36,7 @@
         "node_name={name}\nzone=z\nip=127.0.0.1\nlisten.front=127.0.0.1:0\n\
          listen.ready=127.0.0.1:0\nplatform.address={store}\nlimits.cpu_share=0.5\n\
          limits.cores=1\nbounds.hold_max_ms=6000\nbounds.stop_timeout_ms=400\n\
-         bounds.gang_timeout_ms=3000\nbounds.grace_s=6\n"
+         bounds.gang_timeout_ms=3000\nbounds.grace_s=6\nbounds.drain_ms=2000\n"
     );
     fs::write(&settings, text).unwrap();
     let log = fs::File::create(directory.join(format!("tenure-{name}.log"))).unwrap();
