Lasting jobs spread over cells by their room, move when they have none, and leave room for urgent ones

A lasting job that waited in a full cell saw no other as sooner, since reserved processors were taken to be free again after a second. Change: with more than ten fronts jobs are drawn over the cells that serve them about as soon, in proportion to their room, by the job's ID. A lasting job's wait is that of the room it lacks; a short one's counts only processors that no lasting task holds. Owners read the heads every 0.4 s at any size.

--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -1,6 +1,8 @@
 //! Chooses the cell of a new job from the loads that cells publish in their heads. Heads are
 //! slightly out of date, and bursts of wide jobs arrive at many entry processes at once, so each
-//! process adds the jobs that it has sent to a cell since its last head.
+//! process adds the jobs that it has sent to a cell since its last head. With many processes most
+//! jobs are sent by others: all of them would choose the same cell, so each spreads its jobs over
+//! the cells in proportion to their room.
 
 use super::*;
 
@@ -8,6 +10,8 @@
 #[derive(Debug, Default)]
 pub struct Balancer {
     cells: BTreeMap<u32, Load>,
+    /// The number of processes that choose cells at the same time.
+    processes: usize,
 }
 
 #[derive(Debug, Default)]
@@ -25,10 +29,16 @@
 pub struct Demand<'a> {
     /// The image of its filling step with the most work, if any.
     pub filling: Option<&'a str>,
+    /// The job's ID, by which jobs are spread over cells.
+    pub id: job::Id,
+    /// Whether its tasks last.
+    pub lasting: bool,
     /// Its queue's priority; 0 is placed first.
     pub priority: u32,
     /// Processors that its widest step reserves, in thousandths of a core.
     pub reserved_milli: u64,
+    /// Processors that its largest task reserves, in thousandths of a core.
+    pub task_milli: u64,
     /// Its estimated work, in core-milliseconds.
     pub work: u64,
 }
@@ -36,6 +46,15 @@
 /// Expected wait of a job for reserved processors that are in use, in milliseconds: about the
 /// duration of a short task.
 const RESERVED_WAIT_MS: u64 = 1_000;
+/// Expected wait of a lasting job without room for any of its tasks, in milliseconds: other lasting
+/// tasks hold the processors, for minutes.
+const LASTING_WAIT_MS: u64 = 20_000;
+/// Share of a cell's processors that lasting jobs may hold when another one starts, in percent.
+/// Lasting tasks keep their room for minutes; the rest is for bursts of urgent short tasks, and for
+/// filling tasks that would harm a lasting one.
+const MAX_LASTING_PERCENT: u64 = 70;
+/// From this many processes on, jobs are spread over cells in proportion to their room.
+const MANY_PROCESSES: usize = 11;
 
 /// Maximum slowdown assumed for an image: a cell counts with at least 1/20 of its processors, since
 /// its tasks end and free resources.
@@ -44,24 +63,39 @@
 /// reserved share.
 const WAIT_RESOLUTION_MS: u64 = 100;
 
+/// Returns the processors that lasting jobs may hold when another one starts in a cell with `total`
+/// processors, both in thousandths of a core.
+pub(crate) fn lasting_limit(total: u64) -> u64 {
+    total * MAX_LASTING_PERCENT / 100
+}
+
 impl<'a> Demand<'a> {
-    /// Returns the demand of a submission to a queue.
-    pub fn new(submission: &'a Submission, queue: &Queue) -> Self {
+    /// Returns the demand of a job that was submitted to a queue.
+    pub fn new(id: job::Id, submission: &'a Submission, queue: &Queue) -> Self {
         let work = |step: &Step| {
             u64::from(step.count) * step.estimate_ms * step.resources.processors_milli / 1_000
         };
         let reserved = |step: &Step| u64::from(step.count) * step.reserved().processors_milli;
         let filling = submission.steps.iter().filter(|step| step.fills).max_by_key(|s| work(s));
+        let task = |step: &Step| step.reserved().processors_milli;
         Self {
             filling: filling.map(|step| step.image.as_str()),
+            id,
+            lasting: submission.steps.iter().any(|step| step.lasting),
             priority: queue.priority,
             reserved_milli: submission.steps.iter().map(reserved).max().unwrap_or(0),
+            task_milli: submission.steps.iter().map(task).max().unwrap_or(0),
             work: submission.steps.iter().filter(|step| !step.lasting).map(work).sum(),
         }
     }
 }
 
 impl Balancer {
+    /// Sets the number of processes that choose cells at the same time.
+    pub fn set_processes(&mut self, processes: usize) {
+        self.processes = processes;
+    }
+
     /// Updates a cell's load from its head; ignores a head that is not newer than the last one.
     pub fn observe(&mut self, head: Head, revision: u64) {
         let load = self.cells.entry(head.cell).or_default();
@@ -79,9 +113,9 @@
         demand: Demand<'_>,
         margin_ms: u64,
     ) -> Option<u32> {
-        let here = self.cells.get(&own)?.rank(demand).0 * WAIT_RESOLUTION_MS;
+        let here = self.cells.get(&own)?.wait_ms(demand);
         let (cell, load) = self.soonest(demand, Some(own))?;
-        if load.rank(demand).0 * WAIT_RESOLUTION_MS + margin_ms > here {
+        if load.wait_ms(demand) + margin_ms > here {
             return None;
         }
         load.add_job(demand);
@@ -125,13 +159,23 @@
     }
 
     /// Returns the cell that serves the job soonest among those with workers that answer, except
-    /// `excluded`.
+    /// `excluded`. With many processes, one of the cells that serve it about as soon.
     fn soonest(&mut self, demand: Demand<'_>, excluded: Option<u32>) -> Option<(u32, &mut Load)> {
-        self.cells
+        let spread = self.processes >= MANY_PROCESSES;
+        let mut cells: Vec<(u32, &mut Load)> = self
+            .cells
             .iter_mut()
             .map(|(cell, load)| (*cell, load))
             .filter(|(cell, load)| Some(*cell) != excluded && load.head.total_milli > 0)
-            .min_by_key(|(cell, load)| (load.rank(demand), *cell))
+            .collect();
+        if !spread {
+            return cells.into_iter().min_by_key(|(cell, load)| (load.rank(demand), *cell));
+        }
+        let least = cells.iter().map(|(_, load)| load.rank(demand).0).min()?;
+        cells.retain(|(_, load)| load.rank(demand).0 <= least + 1);
+        cells.into_iter().min_by(|(a, left), (b, right)| {
+            left.draw(demand, *a).total_cmp(&right.draw(demand, *b))
+        })
     }
 }
 
@@ -146,17 +190,60 @@
     /// of `WAIT_RESOLUTION_MS`, then the share of the processors that would be reserved, in
     /// thousandths.
     fn rank(&self, demand: Demand<'_>) -> (u64, u64) {
+        let total = self.head.total_milli.max(1);
+        let reserved = self.reserved_milli() + demand.reserved_milli;
+        (self.wait_ms(demand) / WAIT_RESOLUTION_MS, reserved * 1_000 / total)
+    }
+
+    /// Returns the expected time until the job is done, or until it runs if it lasts, in
+    /// milliseconds.
+    fn wait_ms(&self, demand: Demand<'_>) -> u64 {
+        let total = self.head.total_milli.max(1);
+        let missing = demand.reserved_milli.saturating_sub(self.room(demand));
+        if demand.lasting {
+            return missing * LASTING_WAIT_MS / demand.reserved_milli.max(1);
+        }
         let ahead =
             |work: &BTreeMap<u32, u64>| work.range(..=demand.priority).map(|(_, w)| w).sum();
         let backlog: u64 = ahead(&self.head.backlog);
         let sent: u64 = ahead(&self.sent_work);
-        let total = self.head.total_milli.max(1);
-        let used = total.saturating_sub(self.head.free_milli) + self.sent_milli;
-        let reserved = used + demand.reserved_milli;
         let usable = demand.filling.and_then(|image| self.head.usable_milli.get(image));
-        let speed = usable.copied().unwrap_or(total).max(total / MAX_SLOWDOWN).max(1);
-        let wait = (backlog + sent + demand.work) * 1_000 / speed
-            + reserved.saturating_sub(total) * RESERVED_WAIT_MS / total;
-        (wait / WAIT_RESOLUTION_MS, reserved * 1_000 / total)
+        let least = (total / MAX_SLOWDOWN).max(1);
+        let speed = usable.copied().unwrap_or(total).max(least);
+        // Only processors that no lasting task holds become free while the job waits.
+        let turnover = total.saturating_sub(self.head.lasting_milli).max(least);
+        (backlog + sent + demand.work) * 1_000 / speed + missing * RESERVED_WAIT_MS / turnover
+    }
+
+    /// Returns the reserved processors, with those of jobs sent since the head was read, in
+    /// thousandths of a core.
+    fn reserved_milli(&self) -> u64 {
+        self.head.total_milli.saturating_sub(self.head.free_milli) + self.sent_milli
+    }
+
+    /// Returns the processors that the job could reserve now, in thousandths of a core.
+    fn room(&self, demand: Demand<'_>) -> u64 {
+        if self.head.largest_milli < demand.task_milli {
+            return 0;
+        }
+        let free = self.head.total_milli.saturating_sub(self.reserved_milli());
+        if demand.lasting {
+            let lasting = self.head.lasting_milli + self.sent_milli;
+            return free.min(lasting_limit(self.head.total_milli).saturating_sub(lasting));
+        }
+        free
+    }
+
+    /// Returns the cell's draw for the job, the lowest wins: exponentially distributed by the job's
+    /// ID, with a rate that is the cell's room, so that cells win in proportion to it.
+    fn draw(&self, demand: Demand<'_>, cell: u32) -> f64 {
+        let room = match demand.filling {
+            Some(image) => self.head.usable_milli.get(image).copied().unwrap_or(0),
+            None => self.room(demand),
+        };
+        let hash = xxhash_rust::xxh3::xxh3_64_with_seed(demand.id.as_str().as_bytes(), cell.into());
+        // From the upper half of the hash, as a fraction in (0, 1].
+        let uniform = ((hash >> 32) + 1) as f64 / (1_u64 << 32) as f64;
+        -uniform.ln() / room.max(1) as f64
     }
 }
--- a/crates/fleet/src/cell.rs
+++ b/crates/fleet/src/cell.rs
@@ -143,7 +143,8 @@
             Event::Accepted { id, record, revision } => {
                 self.add_job(id, record, &Progress::default(), revision, false);
             }
-            Event::Heads(heads) => {
+            Event::Heads { heads, owners } => {
+                self.balancer.set_processes(owners);
                 for (head, revision) in heads {
                     self.balancer.observe(head, revision);
                 }
--- a/crates/fleet/src/cell_balance.rs
+++ b/crates/fleet/src/cell_balance.rs
@@ -65,7 +65,7 @@
             if job.record.submission.is_timed() {
                 continue;
             }
-            let demand = admission::Demand::new(&job.record.submission, &job.queue);
+            let demand = admission::Demand::new(*id, &job.record.submission, &job.queue);
             if let Some(cell) =
                 self.balancer.find_sooner_cell(self.head.cell, demand, MOVE_MARGIN_MS)
             {
--- a/crates/fleet/src/cell_record.rs
+++ b/crates/fleet/src/cell_record.rs
@@ -54,9 +54,12 @@
         self.commit = Some(PendingCommit { commit, covered_changes, retry_at: None });
     }
 
-    /// Returns whether two heads publish the same free processors, backlog and pending jobs.
+    /// Returns whether two heads publish the same processors, backlog and pending jobs.
     fn same_load(left: &Head, right: &Head) -> bool {
         left.free_milli == right.free_milli
+            && left.largest_milli == right.largest_milli
+            && left.lasting_milli == right.lasting_milli
+            && left.total_milli == right.total_milli
             && left.backlog == right.backlog
             && left.pending == right.pending
     }
@@ -106,6 +109,7 @@
             free_milli: 0,
             generation: self.head.generation,
             largest_milli: 0,
+            lasting_milli: 0,
             owner: self.head.owner.clone(),
             pending: BTreeMap::new(),
             usable_milli: self.usable_milli.clone(),
@@ -117,6 +121,7 @@
         {
             head.free_milli += worker.unreserved().processors_milli;
             head.total_milli += worker.capacity().processors_milli;
+            head.lasting_milli += worker.lasting_milli;
             if worker.is_usable(self.committed_at) {
                 head.largest_milli = head.largest_milli.max(worker.unreserved().processors_milli);
             }
--- a/crates/fleet/src/cell_schedule.rs
+++ b/crates/fleet/src/cell_schedule.rs
@@ -38,7 +38,7 @@
         for id in self.jobs_by_rank(clock) {
             let Some(job) = self.jobs.get(&id) else { continue };
             let moving = job.moving_to.is_some() || job.splitting.is_some();
-            if moving || (job.recovered && !all_fenced) {
+            if moving || (job.recovered && !all_fenced) || self.is_held_back(id, job) {
                 continue;
             }
             for (occurrence, step_number, step) in ready_stages(job, clock.unix) {
@@ -61,6 +61,19 @@
         }
     }
 
+    /// Returns whether a lasting job has to wait until others have ended, so that room is left for
+    /// urgent short tasks. A job that has begun is not held back: its tasks restart at once.
+    fn is_held_back(&self, id: job::Id, job: &Job) -> bool {
+        let may_have_begun = job.begun || job.recovered || job.record.tasks.is_some();
+        if !job.is_lasting() || may_have_begun {
+            return false;
+        }
+        let total: u64 = self.workers.values().map(|w| w.capacity().processors_milli).sum();
+        let lasting: u64 = self.workers.values().map(|worker| worker.lasting_milli).sum();
+        let demand = admission::Demand::new(id, &job.record.submission, &job.queue);
+        lasting > 0 && lasting + demand.reserved_milli > admission::lasting_limit(total)
+    }
+
     /// Returns the jobs in the order in which their tasks are placed: by queue priority, then by
     /// expected lateness, then by age.
     fn jobs_by_rank(&self, clock: Clock) -> Vec<job::Id> {
--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -15,7 +15,12 @@
         revision: u64,
     },
     /// The heads of all cells were read.
-    Heads(Vec<(Head, u64)>),
+    Heads {
+        /// The heads with their revisions.
+        heads: Vec<(Head, u64)>,
+        /// The number of owners that move jobs at the same time.
+        owners: usize,
+    },
     /// A job's caller cancelled it.
     Cancelled {
         /// The job's ID.
--- a/crates/fleet/src/head.rs
+++ b/crates/fleet/src/head.rs
@@ -13,6 +13,9 @@
     /// Unreserved processors, in thousandths of a core.
     #[serde(default)]
     pub free_milli: u64,
+    /// Processors reserved by lasting tasks, which keep them for minutes, in thousandths of a core.
+    #[serde(default)]
+    pub lasting_milli: u64,
     /// Processors of all workers that answer, in thousandths of a core.
     #[serde(default)]
     pub total_milli: u64,
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -40,10 +40,16 @@
     pub reserved: Resources,
     /// Processors requested by filling tasks, in thousandths of a core.
     pub filling_milli: u64,
+    /// Processors reserved by lasting tasks, in thousandths of a core.
+    pub lasting_milli: u64,
     /// Processors reserved by serving tasks, in thousandths of a core.
     pub serving_milli: u64,
     /// When loads and contention were last estimated from its measurements, in milliseconds.
     pub observed_at: u64,
+    /// When a pace was last ordered, in milliseconds.
+    pub paced_at: u64,
+    /// The share of its processors that each filling image used at `observed_at`.
+    pub observed_shares: BTreeMap<String, f64>,
     /// Recently ended filling runs: time of the end in milliseconds, image, and cores used.
     pub ended_filling: Vec<(u64, String, f64)>,
     /// Consecutive failed runs.
@@ -75,8 +81,11 @@
             runs: BTreeMap::new(),
             reserved: Resources::default(),
             filling_milli: 0,
+            lasting_milli: 0,
             serving_milli: 0,
             observed_at: 0,
+            paced_at: 0,
+            observed_shares: BTreeMap::new(),
             ended_filling: Vec::new(),
             failures: 0,
             missing_since: None,
@@ -125,6 +134,9 @@
         if run.step.fills {
             self.filling_milli += run.step.resources.processors_milli;
         }
+        if run.step.lasting {
+            self.lasting_milli += run.step.reserved().processors_milli;
+        }
         if run.step.target_ms > 0 {
             self.serving_milli += run.step.resources.processors_milli;
         }
@@ -144,6 +156,10 @@
         if run.step.fills {
             self.filling_milli = self.filling_milli.saturating_sub(milli);
         }
+        if run.step.lasting {
+            let lasting = run.step.reserved().processors_milli;
+            self.lasting_milli = self.lasting_milli.saturating_sub(lasting);
+        }
         if run.step.target_ms > 0 {
             self.serving_milli = self.serving_milli.saturating_sub(milli);
         }
--- a/crates/fleet/tests/cells.rs
+++ b/crates/fleet/tests/cells.rs
@@ -4,11 +4,12 @@
 
 use {
     oleanderstage_fleet::{
-        Assignment, Event, Head, Queue, Submission,
+        Assignment, Event, Head, Queue, Step, Submission,
         action::Report,
         admission::{Balancer, Demand},
         assignment::Vm,
         job,
+        listing::EndReason,
     },
     std::collections::BTreeMap,
     world::{QUEUE, World, id, name, step},
@@ -48,7 +49,12 @@
 }
 
 fn head(cell: u32, total: u64, free: u64) -> Head {
-    Head { cell, free_milli: free, total_milli: total, ..Head::default() }
+    Head { cell, free_milli: free, largest_milli: free, total_milli: total, ..Head::default() }
+}
+
+fn heads(heads: Vec<(Head, u64)>) -> Event {
+    let owners = heads.len();
+    Event::Heads { heads, owners }
 }
 
 #[test]
@@ -116,13 +122,13 @@
     let mut filling = submission(4);
     filling.steps[0].fills = true;
     filling.steps[0].image = "loud".into();
-    assert_eq!(balancer.choose(Demand::new(&filling, &queue)), Some(0));
+    assert_eq!(balancer.choose(Demand::new(id("1"), &filling, &queue)), Some(0));
     let mut no_workers = head(0, 0, 0);
     no_workers.usable_milli.insert("loud".into(), 0);
     balancer.observe(no_workers, 2);
-    assert_eq!(balancer.find_sooner_cell(0, Demand::new(&filling, &queue), 100), None);
-    assert_eq!(balancer.choose(Demand::new(&job, &queue)), None);
-    assert_eq!(balancer.find_sooner_cell(0, Demand::new(&job, &queue), 100), None);
+    assert_eq!(balancer.find_sooner_cell(0, Demand::new(id("1"), &filling, &queue), 100), None);
+    assert_eq!(balancer.choose(Demand::new(id("1"), &job, &queue)), None);
+    assert_eq!(balancer.find_sooner_cell(0, Demand::new(id("1"), &job, &queue), 100), None);
 }
 
 #[test]
@@ -134,7 +140,7 @@
     let (job, queue) = (submission(8), queue(0));
     let mut counts = [0; 4];
     for _ in 0..16 {
-        let cell = balancer.choose(Demand::new(&job, &queue)).expect("a cell");
+        let cell = balancer.choose(Demand::new(id("1"), &job, &queue)).expect("a cell");
         counts[cell as usize] += 1;
     }
     assert_eq!(counts, [4, 4, 4, 4]);
@@ -152,7 +158,7 @@
     let mut job = submission(8);
     job.steps[0].fills = true;
     job.steps[0].image = "loud".into();
-    assert_eq!(balancer.choose(Demand::new(&job, &queue(2))), Some(1));
+    assert_eq!(balancer.choose(Demand::new(id("1"), &job, &queue(2))), Some(1));
 }
 
 #[test]
@@ -162,7 +168,7 @@
     world.submit("1", QUEUE, vec![step(16, 1)]);
     world.submit("2", QUEUE, vec![step(4, 1)]);
     let busy = Head { backlog: [(0, 900_000)].into(), ..head(0, 16_000, 0) };
-    world.handle(Event::Heads(vec![(busy, 9), (head(1, 64_000, 64_000), 9)]));
+    world.handle(heads(vec![(busy, 9), (head(1, 64_000, 64_000), 9)]));
     world.advance(1_200);
     assert!(world.reports.contains(&Report::Moved { job: id("2"), to: 1 }));
     assert!(world.records.contains_key(&(1, id("2"))));
@@ -181,7 +187,7 @@
     world.submit("1", QUEUE, vec![lasting]);
     world.advance(300);
     let other = Head { largest_milli: 13_000, ..head(1, 64_000, 32_000) };
-    world.handle(Event::Heads(vec![(other, 9)]));
+    world.handle(heads(vec![(other, 9)]));
     world.advance(2_500);
     let record: &job::Record = &world.records[&(1, id("1"))];
     assert_eq!(record.tasks, Some([(0, 2), (0, 3)].into()));
@@ -202,7 +208,7 @@
     world.submit("1", QUEUE, vec![lasting]);
     world.advance(300);
     let other = Head { largest_milli: 16_000, ..head(1, 64_000, 32_000) };
-    world.handle(Event::Heads(vec![(other, 9)]));
+    world.handle(heads(vec![(other, 9)]));
     world.advance(1_500);
     world.store = world::Store::Up;
     world.advance(1_500);
@@ -219,7 +225,7 @@
     world.submit("1", QUEUE, vec![lasting]);
     world.advance(300);
     let other = Head { largest_milli: 16_000, ..head(1, 64_000, 32_000) };
-    world.handle(Event::Heads(vec![(other, 9)]));
+    world.handle(heads(vec![(other, 9)]));
     world.advance(2_500);
     let record: &job::Record = &world.records[&(1, id("1"))];
     assert_eq!(record.tasks, Some([(0, 2)].into()));
@@ -230,3 +236,100 @@
     world.advance(1_000);
     assert!(world.starts(name("1", 0, 2)).is_empty(), "another cell runs it");
 }
+
+/// All fronts saw the same empty cells when 214 lasting jobs arrived within a quarter of a second,
+/// and each front chose the first cell: it was full, and others nearly empty.
+#[test]
+fn lasting_jobs_at_many_fronts_spread_over_cells_that_look_alike() {
+    const JOBS: usize = 214;
+    let lasting =
+        Submission { steps: vec![Step { lasting: true, ..step(24, 3) }], ..Submission::default() };
+    let mut counts = [0_usize; 16];
+    for job in 0..JOBS {
+        let mut front = Balancer::default();
+        front.set_processes(147);
+        (0..16).for_each(|cell| front.observe(head(cell, 1_280_000, 1_280_000), 1));
+        let demand = Demand::new(id(&format!("{job:x}")), &lasting, &queue(0));
+        counts[front.choose(demand).expect("a cell") as usize] += 1;
+    }
+    let mean = JOBS / counts.len();
+    assert!(counts.iter().all(|&count| count >= mean / 3 && count <= mean * 2), "{counts:?}");
+}
+
+#[test]
+fn many_fronts_send_more_jobs_to_cells_with_more_room() {
+    let mut counts = [0; 2];
+    for job in 0..300 {
+        let mut front = Balancer::default();
+        front.set_processes(147);
+        front.observe(head(0, 1_280_000, 300_000), 1);
+        front.observe(head(1, 1_280_000, 600_000), 1);
+        let demand = submission(8);
+        let demand = Demand::new(id(&format!("{job:x}")), &demand, &queue(0));
+        counts[front.choose(demand).expect("a cell") as usize] += 1;
+    }
+    assert!((75..=125).contains(&counts[0]), "a third of 300: {counts:?}");
+}
+
+/// A lasting job waited in a full cell for the whole day: the wait for its room was taken to be a
+/// second, as for short tasks, and so no other cell seemed to serve it much sooner.
+#[test]
+fn a_lasting_job_without_room_moves_to_a_cell_that_has_it() {
+    let mut world = World::new(&["w1"]);
+    world.run_ms = 600_000;
+    let lasting = |count| Step { lasting: true, ..step(count, 2) };
+    world.submit("1", QUEUE, vec![lasting(8)]);
+    world.submit("2", QUEUE, vec![lasting(1)]);
+    world.advance(600);
+    let full = Head { lasting_milli: 16_000, ..head(0, 16_000, 0) };
+    world.handle(heads(vec![(full, 9), (head(1, 16_000, 8_000), 9)]));
+    world.advance(600);
+    assert!(world.reports.contains(&Report::Moved { job: id("2"), to: 1 }));
+}
+
+/// A cell whose processors are held by lasting tasks has little that becomes free.
+#[test]
+fn short_jobs_wait_longer_where_lasting_tasks_hold_the_processors() {
+    let mut balancer = Balancer::default();
+    balancer.observe(Head { lasting_milli: 60_000, ..head(0, 64_000, 0) }, 1);
+    balancer.observe(Head { lasting_milli: 8_000, ..head(1, 64_000, 0) }, 1);
+    let job = submission(8);
+    assert_eq!(balancer.choose(Demand::new(id("1"), &job, &queue(0))), Some(1));
+}
+
+/// Lasting jobs took every core of a cell within a quarter of a second, and urgent short jobs waited
+/// for the rest of the day.
+#[test]
+fn lasting_jobs_leave_room_for_urgent_short_ones() {
+    let mut world = World::new(&["w1", "w2"]);
+    world.run_ms = 600_000;
+    let lasting = || vec![Step { lasting: true, ..step(5, 2) }];
+    for job in ["1", "2", "3"] {
+        world.submit(job, QUEUE, lasting());
+    }
+    world.advance(500);
+    assert_eq!(world.starts(name("2", 0, 4)).len(), 1);
+    assert!(world.starts(name("3", 0, 0)).is_empty());
+    world.submit("4", QUEUE, vec![step(4, 2)]);
+    world.advance(100);
+    assert_eq!(world.starts(name("4", 0, 3)).len(), 1);
+    world.cancel("1");
+    world.advance(500);
+    assert_eq!(world.starts(name("3", 0, 4)).len(), 1, "it starts once another has ended");
+}
+
+/// The tasks of a job that has begun restart at once, also in a cell without room for more jobs.
+#[test]
+fn a_lasting_task_that_ends_is_not_held_back() {
+    let mut world = World::new(&["w1", "w2"]);
+    world.run_ms = 600_000;
+    world.submit("1", QUEUE, vec![Step { lasting: true, ..step(11, 2) }]);
+    world.submit("2", QUEUE, vec![Step { lasting: true, ..step(4, 2) }]);
+    world.advance(500);
+    world.run_ms = 600_000;
+    let held = world.worker("w1").held[&name("1", 0, 0)].run;
+    world.worker("w1").held.remove(&name("1", 0, 0));
+    world.worker("w1").end(name("1", 0, 0), held, EndReason::Failed, String::new());
+    world.advance(500);
+    assert_eq!(world.starts(name("1", 0, 0)).len(), 2);
+}
--- a/crates/fleet/tests/takeover.rs
+++ b/crates/fleet/tests/takeover.rs
@@ -98,7 +98,7 @@
     let idle = Head { cell: 1, total_milli: 64_000, free_milli: 64_000, ..Head::default() };
     let busy =
         Head { cell: 0, total_milli: 1_000, backlog: [(0, 900_000)].into(), ..Head::default() };
-    world.handle(Event::Heads(vec![(idle, 50), (busy, 50)]));
+    world.handle(Event::Heads { heads: vec![(idle, 50), (busy, 50)], owners: 2 });
     world.advance(900);
     world.store = Store::Up;
     world.advance(2_000);
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -122,6 +122,7 @@
                 node.store_answered();
                 node.heads_read_at.set(time::now());
                 let mut balancer = node.balancer.borrow_mut();
+                balancer.set_processes(node.vms.borrow().len());
                 let mut heads = Vec::with_capacity(page.items.len());
                 for item in page.items {
                     let head = item.value.as_deref().map(serde_json::from_slice::<Head>);
@@ -139,7 +140,8 @@
             Err(error) => node.store_failed("heads", &error),
         }
         let vms = node.vms.borrow().len() as u64;
-        sleep(heads_read_interval(vms)).await;
+        let owns = !node.cells.borrow().is_empty();
+        sleep(heads_read_interval(if owns { FULL_RATE_VMS } else { vms })).await;
     }
 }
 
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -322,7 +322,8 @@
         if newest_read_at != heads_read_at {
             heads_read_at = newest_read_at;
             let heads = node.heads.borrow().clone();
-            lost |= executor.execute_all(cell.handle(clock, Event::Heads(heads)));
+            let owners = heads.len();
+            lost |= executor.execute_all(cell.handle(clock, Event::Heads { heads, owners }));
         }
         let view = node.view();
         if seen_view != Some(view) {
--- a/crates/node/src/requests.rs
+++ b/crates/node/src/requests.rs
@@ -51,7 +51,7 @@
         return not_run(node);
     }
     let deadline = time::now() + STORE_CALLS_MS;
-    let demand = admission::Demand::new(&record.submission, queue);
+    let demand = admission::Demand::new(id, &record.submission, queue);
     let Some(cell) = node.balancer.borrow_mut().choose(demand) else {
         return not_run(node);
     };
