Harmful pairs of images from what starts and ends change, and filling tasks from three quarters of their pace

Bounds by the load show a harmful pair only at the load's peak, which is the harm itself; and polls without evidence counted as such, so that fifteen cells outweighed the one that knew. Change: the contention of a serving task before and after a start or an end beside it gives a level at any load, unless a pace was ordered; weights are information, and merged as such. Filling tasks then start where 75% of their pace is allowed instead of 95%: they waited beside room that they could use. Tests: four of sharing; the last two seen to fail without their mechanism, the first two are of the new estimate.

--- a/crates/fleet/src/cell_polls.rs
+++ b/crates/fleet/src/cell_polls.rs
@@ -417,6 +417,7 @@
             // Raise in steps: measurements reflect a new pace only half a second later.
             let next = run.pace.map_or(pace, |old| pace.min(old + MAX_PACE_RISE));
             run.pace = Some(next);
+            worker.paced_at = clock.now;
             orders.push((*name, run.number, next));
         }
         let tail_percent = (worst_tail_ratio * 100.0) as u32;
--- a/crates/fleet/src/cell_schedule.rs
+++ b/crates/fleet/src/cell_schedule.rs
@@ -13,7 +13,7 @@
 /// Lowest pace at which a filling task is placed, in percent. A task runs at full pace until its
 /// first pace order takes effect, so one that needs a lower pace would slow serving tasks at once;
 /// the margin below 100 allows for rounding.
-const MIN_PACE: u32 = 95;
+const MIN_PACE: u32 = 75;
 /// Lowest pace once a job has waited for `FULL_PACE_WAIT_MS` in a cell with spare capacity, in
 /// percent.
 const MIN_PACE_AFTER_WAIT: u32 = 5;
--- a/crates/fleet/src/pace.rs
+++ b/crates/fleet/src/pace.rs
@@ -24,6 +24,14 @@
 /// Minimum interval between observations of one worker, in milliseconds: measurements cover half a
 /// second.
 const OBSERVE_INTERVAL_MS: u64 = 250;
+/// How long an order on pace shows in measurements, in milliseconds: until it takes effect, and the
+/// period of a measurement.
+const PACE_EFFECT_MS: u64 = 700;
+/// The longest time between two measurements whose difference counts, in milliseconds: a serving
+/// task's own load changes in seconds.
+const MAX_CHANGE_INTERVAL_MS: u64 = 1_200;
+/// The smallest change of an image's share of a worker that counts.
+const MIN_SHARE_CHANGE: f64 = 0.03;
 /// How long a smoothed tail may exceed its target before all filling tasks on the worker are halted,
 /// in milliseconds: well below the four seconds after which it counts as harm.
 const HALT_AFTER_MS: u64 = 1_200;
@@ -57,8 +65,12 @@
     ) -> f64 {
         let due = now >= self.observed_at + OBSERVE_INTERVAL_MS;
         let usage_shares = if due { self.usage_shares(now) } else { Vec::new() };
-        let usage_shares: Vec<(&str, f64)> =
-            usage_shares.iter().map(|(image, share)| (image.as_str(), *share)).collect();
+        let share_changes = if due { self.share_changes(now, &usage_shares) } else { Vec::new() };
+        let share_changes: Vec<(&str, f64)> = borrowed(&share_changes);
+        if due {
+            self.observed_shares = usage_shares.iter().cloned().collect();
+        }
+        let usage_shares: Vec<(&str, f64)> = borrowed(&usage_shares);
         let mut worst_ratio: f64 = 0.0;
         for run in self.runs.values_mut() {
             let (Some(tail), true) = (run.measurement, run.step.serves()) else { continue };
@@ -79,6 +91,12 @@
                 let serving =
                     ServingImage { image: &run.step.image, target_ms: run.step.target_ms };
                 own_pressure.observe(serving, tail, &usage_shares);
+                let last = run.last_contention.replace(contention);
+                let measurable = contention < pressure::SATURATION && !share_changes.is_empty();
+                if let Some(last) = last.filter(|last| measurable && *last < pressure::SATURATION) {
+                    let change = contention - last;
+                    own_pressure.observe_change(&run.step.image, change, &share_changes);
+                }
             }
         }
         if due {
@@ -106,6 +124,25 @@
         usage_shares.into_iter().map(|(image, cores)| (image.into(), cores / total)).collect()
     }
 
+    /// Returns by how much the filling images' shares have changed since the last observation, if
+    /// only because runs began or ended. Empty if it was too long ago, after an order on pace, or if
+    /// no share has changed much.
+    fn share_changes(&self, now: u64, shares: &[(String, f64)]) -> Vec<(String, f64)> {
+        let paced = self.paced_at + PACE_EFFECT_MS > self.observed_at;
+        if paced || now > self.observed_at + MAX_CHANGE_INTERVAL_MS {
+            return Vec::new();
+        }
+        let mut changes: BTreeMap<&str, f64> =
+            self.observed_shares.iter().map(|(image, share)| (image.as_str(), -share)).collect();
+        for (image, share) in shares {
+            *changes.entry(image).or_default() += share;
+        }
+        if changes.values().all(|change| change.abs() < MIN_SHARE_CHANGE) {
+            return Vec::new();
+        }
+        changes.into_iter().map(|(image, change)| (image.into(), change)).collect()
+    }
+
     /// Returns the pace allowed for each filling image, in percent.
     pub fn paces(&self, now: u64, pressure: &Pressure) -> BTreeMap<&str, u32> {
         let mut cores: BTreeMap<&str, f64> = BTreeMap::new();
@@ -184,3 +221,7 @@
         serving_loads
     }
 }
+
+fn borrowed(shares: &[(String, f64)]) -> Vec<(&str, f64)> {
+    shares.iter().map(|(image, share)| (image.as_str(), *share)).collect()
+}
--- a/crates/fleet/src/pressure.rs
+++ b/crates/fleet/src/pressure.rs
@@ -22,8 +22,8 @@
 struct Pair {
     /// The contention added when the filling image uses all processors of a worker; above zero.
     level: f64,
-    /// The amount of evidence: the filling image's share of a worker's processors, summed over
-    /// measurements with decay.
+    /// The amount of evidence, as the inverse of the level's variance, with decay. Measurements that
+    /// agree with any level within the bounds are none.
     weight: f64,
 }
 
@@ -46,10 +46,13 @@
 pub(crate) const LOAD_RANGE: (f64, f64) = (0.18, 0.66);
 /// Level assumed for a pair without measurements: between harmless and very harmful pairs.
 const DEFAULT_LEVEL: f64 = 0.5;
-/// Weight of the assumed level: one measurement with a tenth of a worker in use.
-const DEFAULT_WEIGHT: f64 = 0.1;
+/// Weight of the assumed level: it may be off by two.
+const DEFAULT_WEIGHT: f64 = 0.25;
+/// Variance of the change of contention between two measurements without a change in what fills:
+/// from their noise, and from the serving task's own load.
+const CHANGE_VARIANCE: f64 = 0.01;
 /// Contention from which tail latencies saturate and give only a lower bound.
-const SATURATION: f64 = 0.9;
+pub(crate) const SATURATION: f64 = 0.9;
 /// Learning rate: the exponent applied to the ratio between a violated bound and the estimate.
 const LEARNING_RATE: f64 = 0.4;
 /// Range of levels: below it all pairs are harmless, above it all are equally harmful.
@@ -80,9 +83,8 @@
         let upper_bound =
             if measured < SATURATION { measured - LOAD_RANGE.0 } else { f64::INFINITY };
         let pairs = self.pairs.entry(serving.image.into()).or_default();
-        for (image, share) in shares {
-            let pair = pairs.entry((*image).into()).or_default();
-            pair.weight += share;
+        for (image, _) in shares {
+            pairs.entry((*image).into()).or_default();
         }
         let added = |(image, share): &(&str, f64)| pairs[*image].level * share;
         let sum: f64 = shares.iter().map(added).sum();
@@ -97,11 +99,35 @@
         for (image, share) in shares {
             let Some(pair) = pairs.get_mut(*image) else { continue };
             let part = pair.level * share / sum;
+            pair.weight += share;
             pair.level =
                 (pair.level * ratio.powf(LEARNING_RATE * part)).clamp(LEVEL_RANGE.0, LEVEL_RANGE.1);
         }
     }
 
+    /// Updates the estimates from a change of the contention of a serving task between two
+    /// measurements, while the filling images' shares of the worker's processors changed by these
+    /// amounts because runs began or ended. The task's own load hardly changes in between, so one
+    /// start shows a very harmful pair before its load peaks. Changes of pace must be left out: they
+    /// follow the load.
+    pub fn observe_change(&mut self, serving: &str, change: f64, share_changes: &[(&str, f64)]) {
+        let pairs = self.pairs.entry(serving.into()).or_default();
+        let mut expected = 0.0;
+        let mut variance = CHANGE_VARIANCE;
+        for (image, share) in share_changes {
+            let pair = pairs.entry((*image).into()).or_default();
+            expected += pair.level * share;
+            variance += share * share / pair.weight.max(DEFAULT_WEIGHT);
+        }
+        let error = change - expected;
+        for (image, share) in share_changes {
+            let Some(pair) = pairs.get_mut(*image) else { continue };
+            let gain = share / pair.weight.max(DEFAULT_WEIGHT) / variance;
+            pair.level = (pair.level + gain * error).clamp(LEVEL_RANGE.0, LEVEL_RANGE.1);
+            pair.weight += share * share / CHANGE_VARIANCE;
+        }
+    }
+
     /// Decays the weight of the evidence by `seconds`.
     pub fn decay(&mut self, seconds: f64) {
         let kept = WEIGHT_DECAY_PER_S.powf(seconds);
@@ -161,14 +187,14 @@
 }
 
 impl Pair {
-    /// Merges another owner's estimate of the pair: the geometric mean by weight.
+    /// Merges another owner's estimate of the pair: the mean by weight.
     fn merge(&mut self, other: &Self) {
         let weight = self.weight + other.weight;
         if weight <= 0.0 {
             return;
         }
-        let level = (self.level.ln() * self.weight + other.level.ln() * other.weight) / weight;
-        *self = Self { level: level.exp().clamp(LEVEL_RANGE.0, LEVEL_RANGE.1), weight };
+        let level = (self.level * self.weight + other.level * other.weight) / weight;
+        *self = Self { level, weight };
     }
 }
 
--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -55,6 +55,8 @@
     /// The smoothed contention that a serving task's tail latency shows, from 0 to 1; `None` before
     /// the first measurement.
     pub contention: Option<f64>,
+    /// The contention that a serving task's last observed tail latency showed.
+    pub last_contention: Option<f64>,
     /// Since when the smoothed tail latency of a serving task has been over its target, in
     /// milliseconds.
     pub over_target_since: Option<u64>,
@@ -74,6 +76,7 @@
             started: now,
             step,
             contention: None,
+            last_contention: None,
             over_target_since: None,
         }
     }
--- a/crates/fleet/tests/sharing.rs
+++ b/crates/fleet/tests/sharing.rs
@@ -348,3 +348,69 @@
     }
     assert_eq!(world.worker("w1").held[&name("2", 0, 0)].pace, 0, "well before four seconds");
 }
+
+/// Bounds on the load alone show a harmful pair only when the load peaks, which is when it harms: at
+/// a mean load, tails stay under their target beside it.
+#[test]
+fn starts_at_a_mean_load_show_a_harmful_pair() {
+    let mut pressure = Pressure::default();
+    for start in 0..8 {
+        let noise = if start % 2 == 0 { 0.04 } else { -0.04 };
+        pressure.observe_change("feed", 0.1 * 2.5 + noise, &[("loud", 0.1)]);
+        pressure.observe_change("feed", -0.1 * 0.1 + noise, &[("calm", -0.1)]);
+    }
+    let levels = ["loud", "calm"].map(|image| pressure.level("feed", image));
+    assert!((1.8..3.0).contains(&levels[0]), "{levels:?}");
+    assert!(levels[1] < HARMFUL_LEVEL, "{levels:?}");
+}
+
+/// Images that start together share the error by what is known of each.
+#[test]
+fn a_harmful_pair_is_found_beside_a_known_one() {
+    let mut pressure = Pressure::default();
+    for _ in 0..20 {
+        pressure.observe_change("feed", 0.1 * 0.2, &[("quiet", 0.1)]);
+    }
+    for _ in 0..6 {
+        pressure.observe_change("feed", 0.1 * 2.7, &[("quiet", 0.1), ("loud", 0.1)]);
+    }
+    assert!(pressure.level("feed", "loud") > 1.8, "{}", pressure.level("feed", "loud"));
+    assert!(pressure.level("feed", "quiet") < 0.5, "{}", pressure.level("feed", "quiet"));
+}
+
+/// Fifteen cells that had seen a harmful pair only at low loads outweighed the one that had seen its
+/// harm, and the image went on beside that serving image everywhere.
+#[test]
+fn cells_without_evidence_do_not_outweigh_the_one_that_has_it() {
+    let served = ServingImage { image: "feed", target_ms: TARGET_MS };
+    let mut known = Pressure::default();
+    for _ in 0..8 {
+        known.observe_change("feed", 0.25, &[("loud", 0.1)]);
+    }
+    for _ in 0..15 {
+        let mut other = Pressure::default();
+        for _ in 0..200 {
+            other.observe(served, tail(0.42, 0.05), &[("loud", 0.1)]);
+        }
+        known.merge(&other);
+    }
+    assert!(known.level("feed", "loud") > HARMFUL_LEVEL, "{}", known.level("feed", "loud"));
+}
+
+/// Tasks of a burst waited for a worker that allowed their full pace, while those beside the same
+/// serving tasks went on at three quarters of it.
+#[test]
+fn a_filling_task_starts_where_three_quarters_of_its_pace_are_allowed() {
+    let mut world = one_serving();
+    world.advance(300);
+    let mut pressure = Pressure::default();
+    for _ in 0..40 {
+        pressure.observe_change("feed", 0.125 * 0.9, &[("middling", 0.125)]);
+    }
+    world.handle(Event::Pressure(pressure));
+    world.worker("w1").measurements.insert(name("1", 0, 0), 10.0);
+    world.advance(1_000);
+    world.submit("2", "render", vec![filling(1, "middling")]);
+    world.advance(200);
+    assert_eq!(world.starts(name("2", 0, 0)).len(), 1);
+}
