Answers within the callers' time limit by construction, and a free metrics port in the tests of tenure

Two runs of tests/tenure.rs on one machine met on port 9464. Change: the time for further calls is derived from the limits of a call; the tests take any free port.

--- a/crates/node/src/requests.rs
+++ b/crates/node/src/requests.rs
@@ -21,11 +21,17 @@
     Unknown,
 }
 
-/// How long a request may start further store calls, in milliseconds: the last call adds its own
-/// time limit, and the answer must arrive within the caller's time limit of 3 s.
-const STORE_CALLS_MS: u64 = 1_800;
+/// The time limit of callers, in milliseconds.
+const CALLER_TIMEOUT_MS: u64 = 3_000;
+/// What is left of that limit for the answer itself, in milliseconds.
+const ANSWER_SLACK_MS: u64 = 150;
+/// How long a request may start further store calls, in milliseconds: the last one starts after
+/// another delay, and the answer must still arrive within the caller's time limit.
+const STORE_CALLS_MS: u64 =
+    CALLER_TIMEOUT_MS - ANSWER_SLACK_MS - store::MAX_CALL_MS - RETRY_DELAY_MS;
 /// Delay before a failed call is repeated.
-const RETRY_DELAY: Duration = Duration::from_millis(120);
+const RETRY_DELAY_MS: u64 = 120;
+const RETRY_DELAY: Duration = Duration::from_millis(RETRY_DELAY_MS);
 /// The shortest `Retry-After` of a refused caller, in seconds.
 const MIN_RETRY_AFTER_S: u64 = 1;
 /// The longest `Retry-After` of a refused caller, in seconds: about the length of a store outage.
--- a/crates/node/tests/tenure.rs
+++ b/crates/node/tests/tenure.rs
@@ -41,7 +41,9 @@
     fs::write(&settings, text).unwrap();
     let log = fs::File::create(directory.join(format!("tenure-{name}.log"))).unwrap();
     let mut command = Command::new(env!("CARGO_BIN_EXE_oleanderstage-node"));
-    let child = command.arg("--settings").arg(settings).stdin(Stdio::null()).stdout(log).spawn();
+    // Any free port: several runs of the tests share a machine.
+    command.arg("--settings").arg(settings).args(["--metrics-port", "0"]);
+    let child = command.stdin(Stdio::null()).stdout(log).spawn();
     Vm(child.unwrap())
 }
 
