Records of progress share commits: every 60 ms instead of 15

Change: a commit that holds no final state, move or split waits for 60 ms; final states and moves go out after 15 ms as before.

--- a/crates/fleet/src/cell_record.rs
+++ b/crates/fleet/src/cell_record.rs
@@ -8,6 +8,9 @@
 const MAX_ENTRIES: usize = 32;
 /// Minimum interval between commits, in milliseconds: several ends share one write.
 const MIN_COMMIT_INTERVAL_MS: u64 = 15;
+/// Minimum interval between commits without a final state or a move, in milliseconds: no caller waits
+/// for the record of a start or of a step's end.
+const PROGRESS_COMMIT_INTERVAL_MS: u64 = 60;
 /// Interval between commits that only update the load in the head, in milliseconds.
 pub(crate) const LOAD_INTERVAL_MS: u64 = 500;
 /// Interval between writes of the measured contention, from which a new owner starts, in
@@ -37,9 +40,11 @@
             return;
         }
         let age = clock.now.saturating_sub(self.committed_at);
-        if age < MIN_COMMIT_INTERVAL_MS
-            || (self.dirty.is_empty() && (age < LOAD_INTERVAL_MS || self.leaving))
-        {
+        let interval = match self.has_urgent_changes() {
+            true => MIN_COMMIT_INTERVAL_MS,
+            false => PROGRESS_COMMIT_INTERVAL_MS,
+        };
+        if age < interval || (self.dirty.is_empty() && (age < LOAD_INTERVAL_MS || self.leaving)) {
             return;
         }
         let (commit, complete) = self.build_commit(clock.now);
@@ -54,6 +59,14 @@
         self.commit = Some(PendingCommit { commit, covered_changes, retry_at: None });
     }
 
+    /// Returns whether a caller or another cell waits for one of the changes, or the next owner.
+    fn has_urgent_changes(&self) -> bool {
+        let urgent = |job: &Job| {
+            job.final_state.is_some() || job.moving_to.is_some() || job.splitting.is_some()
+        };
+        self.leaving || self.dirty.iter().any(|id| self.jobs.get(id).is_none_or(urgent))
+    }
+
     /// Returns whether two heads publish the same processors, backlog and pending jobs.
     fn same_load(left: &Head, right: &Head) -> bool {
         left.free_milli == right.free_milli
--- a/crates/fleet/tests/runs.rs
+++ b/crates/fleet/tests/runs.rs
@@ -244,3 +244,25 @@
     world.advance(20);
     assert_eq!(world.starts(name("1", 0, 0)).len(), 1);
 }
+
+/// Ends of steps arrive one by one, and each took a write of the store.
+#[test]
+fn ends_of_steps_share_commits_and_a_finished_job_is_recorded_at_once() {
+    let mut world = World::new(&["w1"]);
+    for job in 0..12 {
+        let mut second = step(1, 1);
+        second.after = vec![0];
+        world.submit(&format!("{job:x}"), QUEUE, vec![step(1, 1), second]);
+        world.advance(20);
+    }
+    world.advance(240);
+    let before = world.commits;
+    world.advance(260);
+    assert!(world.commits - before <= 5, "{} commits", world.commits - before);
+    world.advance(320);
+    assert_eq!(
+        world.state("0"),
+        State::Completed,
+        "60 ms after the second of its two steps of 0.5 s"
+    );
+}
