A caller has the whole answer of a keyed request only after the second holder knows the end

Cause: an entry reported the end of a run to the second holder of its record after it had forwarded the answer. Change: the last part of the answer waits for the report, at most 100 ms if the second holder is silent; the report goes on after that. An answer without a body still ends with its headers, before the report. By reading, a caller can't have the last part before the report or its time limit.

--- a/crates/entry/src/keyed.rs
+++ b/crates/entry/src/keyed.rs
@@ -17,6 +17,7 @@
     },
     refusal::{Reason, Refusal},
     sha2::{Digest, Sha256},
+    std::pin::pin,
     tokio::sync::{oneshot, watch},
     wire::{StoredAnswer, stored_answer::Header},
 };
@@ -33,6 +34,9 @@
 const MAX_WITNESS_CALLS: usize = 2;
 /// Maximum attempts to report the end of a run to the second holder of its record.
 const MAX_END_REPORT_ATTEMPTS: u32 = 3;
+/// How long the last part of an answer waits for that report: many times the round trip between
+/// entries, and short for the caller if the second holder does not answer.
+const END_REPORT_WAIT: Duration = Duration::from_millis(100);
 
 /// An admitted request with an idempotency key.
 pub(crate) struct KeyedRequest {
@@ -66,6 +70,13 @@
     end_sender: watch::Sender<Option<End>>,
 }
 
+/// The unsent end of an answer.
+struct LastPart {
+    caller: mpsc::Sender<io::Result<Bytes>>,
+    /// The last part of the body; `None` if the body is empty.
+    part: Option<Bytes>,
+}
+
 impl KeyedRequest {
     /// Returns the request sent under `key`; its fingerprint covers method, path and body.
     pub(crate) fn new(
@@ -290,9 +301,11 @@
 }
 
 impl Run {
-    /// Makes the attempts, forwards the answer and keeps it, even if the caller disconnects.
+    /// Makes the attempts, forwards the answer and keeps it, even if the caller disconnects. A
+    /// caller that has the whole answer can rely on a repetition being answered alike, even if this
+    /// entry dies: the second holder of the record knows the end first.
     async fn execute(self, attempts: Attempts) {
-        let (end, answer) = match attempts.run().await {
+        let (end, answer, last_part) = match attempts.run().await {
             Ok(answer) => {
                 let (part_sender, parts) = mpsc::channel(CALLER_BUFFER_PARTS);
                 let streamed = Answer {
@@ -309,13 +322,20 @@
                     outcome::Outcome::Answered | outcome::Outcome::Unknown => End::Unknown,
                 };
                 let _ = self.answer_sender.send(Err(refusal));
-                (end, None)
+                (end, None, None)
             }
         };
         let message = end_message(&self.record, end, answer);
         self.context.keys.record_end(self.context.key_now(), &message);
         self.context.keys.finish_run(&self.record.id, &self.end_sender, end);
-        report_end(&self.context, self.second_holder.as_ref(), &message).await;
+        let mut report = pin!(report_end(&self.context, self.second_holder.as_ref(), &message));
+        let reported = tokio::time::timeout(END_REPORT_WAIT, &mut report).await.is_ok();
+        if let Some(last_part) = last_part {
+            last_part.send().await;
+        }
+        if !reported {
+            report.await;
+        }
     }
 }
 
@@ -334,25 +354,33 @@
     }
 }
 
-/// Forwards an answer. Also returns it if it is complete and its body is at most
-/// `wire::stored_answer::MAX_BODY_BYTES` long.
+/// Forwards an answer up to its last part, which is returned unsent. Also returns the answer if it is
+/// complete and its body is at most `wire::stored_answer::MAX_BODY_BYTES` long.
 async fn forward_and_collect(
     mut answer: Answer,
     request: request::Id,
     caller: mpsc::Sender<io::Result<Bytes>>,
-) -> (End, Option<StoredAnswer>) {
+) -> (End, Option<StoredAnswer>, Option<LastPart>) {
     let mut body = BytesMut::new();
     let mut fits = true;
+    let mut held: Option<Bytes> = None;
     while let Some(part) = answer.body.next().await {
-        let Ok(part) = part else {
-            let _ = caller.send(part).await;
-            return (End::Unknown, None);
-        };
-        fits &= body.len() + part.len() <= wire::stored_answer::MAX_BODY_BYTES;
-        if fits {
-            body.extend_from_slice(&part);
+        if let Some(previous) = held.take() {
+            let _ = caller.send(Ok(previous)).await;
+        }
+        match part {
+            Ok(part) => {
+                fits &= body.len() + part.len() <= wire::stored_answer::MAX_BODY_BYTES;
+                if fits {
+                    body.extend_from_slice(&part);
+                }
+                held = Some(part);
+            }
+            Err(error) => {
+                let _ = caller.send(Err(error)).await;
+                return (End::Unknown, None, None);
+            }
         }
-        let _ = caller.send(Ok(part)).await;
     }
     let header = |(name, value): (&HeaderName, &HeaderValue)| Header {
         name: name.as_str().to_owned(),
@@ -361,7 +389,16 @@
     let headers = answer.headers.iter().map(header).collect();
     let status = answer.status.as_u16();
     let kept = StoredAnswer { body: body.freeze(), headers, request, status };
-    (End::Answered, fits.then_some(kept))
+    (End::Answered, fits.then_some(kept), Some(LastPart { caller, part: held }))
+}
+
+impl LastPart {
+    /// Sends the part and ends the answer.
+    async fn send(self) {
+        if let Some(part) = self.part {
+            let _ = self.caller.send(Ok(part)).await;
+        }
+    }
 }
 
 async fn receive_part(
