A lasting job is not held back while its cell has room to spare

Cause, by reading: a job wider than the rest of the 70% waited although its cell was half free; the platform counts a job as lost that waits so for 3 s while under half of the service is in use. Test: a_wide_lasting_job_starts_while_there_is_room_to_spare.

--- a/crates/fleet/tests/cells.rs
+++ b/crates/fleet/tests/cells.rs
@@ -333,3 +333,14 @@
     world.advance(500);
     assert_eq!(world.starts(name("1", 0, 0)).len(), 2);
 }
+
+/// The platform counts a job as lost if it waits for seconds while half the fleet is free.
+#[test]
+fn a_wide_lasting_job_starts_while_there_is_room_to_spare() {
+    let mut world = World::new(&["w1", "w2"]);
+    world.run_ms = 600_000;
+    world.submit("1", QUEUE, vec![Step { lasting: true, ..step(6, 2) }]);
+    world.submit("2", QUEUE, vec![Step { lasting: true, ..step(9, 2) }]);
+    world.advance(300);
+    assert_eq!(world.starts(name("2", 0, 8)).len(), 1);
+}
