Entries do not grow old while the store is away

Cause, by reading: an owner with old entries starts nothing while the store answers. After an outage the store answers other calls before the watch that was sent during the outage times out, up to 1.7 s later, and the outage itself counted as age. Change: the age counts from the store's return. Test: an_outage_of_the_store_makes_no_entry_stale.

--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -122,6 +122,12 @@
         self.confirmed_at.is_some_and(|at| at >= since)
     }
 
+    /// Returns whether the entries lack changes of more than `max_age_ms` milliseconds. While the
+    /// store is away nothing changes, so the time counts from its return at `store_back_at`.
+    pub fn is_stale(&self, now: u64, store_back_at: u64, max_age_ms: u64) -> bool {
+        now > self.confirmed_at.unwrap_or(0).max(store_back_at) + max_age_ms
+    }
+
     /// Returns a worker's entry.
     pub fn get(&self, worker: &str) -> Option<&Registration> {
         self.entries.get(worker).map(|entry| &entry.registration)
--- a/crates/fleet/tests/registry.rs
+++ b/crates/fleet/tests/registry.rs
@@ -94,3 +94,15 @@
     assert_eq!(changes, [Change::Seen(Arc::from("w1"))]);
     assert_ne!(registry.version(), version);
 }
+
+/// Owners started nothing for up to 1.7 s after an outage, until the watch that had been sent during
+/// it timed out.
+#[test]
+fn an_outage_of_the_store_makes_no_entry_stale() {
+    let mut registry = Registry::default();
+    registry.replace(1_000, 10, vec![item("w1", 5, false)]);
+    assert!(!registry.is_stale(2_600, 0, 1_600));
+    assert!(registry.is_stale(2_601, 0, 1_600));
+    assert!(!registry.is_stale(8_500, 7_000, 1_600), "the store is back since 7 s");
+    assert!(registry.is_stale(8_601, 7_000, 1_600));
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -28,6 +28,8 @@
     pub(crate) lease_confirmed_at: Slot<u64>,
     /// When the store last answered a call, in milliseconds.
     pub(crate) store_answered_at: Slot<u64>,
+    /// When the store last answered again after an outage, in milliseconds.
+    pub(crate) store_back_at: Slot<u64>,
     /// Whether the log last reported the store as reachable.
     pub(crate) reported_reachable: Slot<bool>,
     /// Whether this process is shutting down.
@@ -79,6 +81,7 @@
             lease: Slot::new(None),
             lease_confirmed_at: Slot::new(0),
             store_answered_at: Slot::new(0),
+            store_back_at: Slot::new(0),
             reported_reachable: Slot::new(false),
             leaving: Slot::new(false),
             changed: Notify::new(),
@@ -102,6 +105,7 @@
     pub(crate) fn store_answered(&self) {
         self.store_answered_at.set(time::now());
         if !self.reported_reachable.replace(true) {
+            self.store_back_at.set(time::now());
             log::info!(dependency = "store"; "dependency_regained");
         }
     }
@@ -151,11 +155,11 @@
     }
 
     /// Returns whether the workers' entries are too old for new runs although the store answers: a
-    /// worker may have started to drain since. During an outage of the store no entry can change.
+    /// worker may have started to drain since.
     pub(crate) fn is_view_stale(&self, now: u64) -> bool {
         let max_age_ms = self.boot.drain_ms * MAX_VIEW_AGE_PERCENT / 100;
-        let current = self.registry.borrow().is_current(now.saturating_sub(max_age_ms));
-        !current && self.is_store_reachable()
+        let registry = self.registry.borrow();
+        self.is_store_reachable() && registry.is_stale(now, self.store_back_at.get(), max_age_ms)
     }
 
     /// Returns whether this VM needs current workers' entries: it owns or acquires cells, or writes
