A lasting job that has run stays one when it moves

Cause: after an outage in which the workers' leases ran out, new owners moved recovered lasting jobs to cells with room. There they were new, and were held back so that lasting tasks leave room: they had run for 40 s and did not start again. Change: the record of a moved job says whether its tasks may have run (begun), and such a job is not held back. Tests: a_lasting_job_that_ran_before_it_moved_is_not_held_back, a_recovered_lasting_job_that_moves_counts_as_begun; both seen to fail without it.

--- a/crates/fleet/src/cell_record.rs
+++ b/crates/fleet/src/cell_record.rs
@@ -247,7 +247,8 @@
         let queue = job.queue.name.clone();
         let ticket = Ticket { also: Vec::new(), cell, queue, state: State::Queued };
         commit.tickets.push((id, ticket));
-        commit.records.push((id, cell, job.record.clone()));
+        let record = job::Record { begun: job.may_have_begun(), ..(*job.record).clone() };
+        commit.records.push((id, cell, Arc::new(record)));
         commit.removed.push(id);
         return;
     }
--- a/crates/fleet/src/cell_schedule.rs
+++ b/crates/fleet/src/cell_schedule.rs
@@ -64,8 +64,7 @@
     /// Returns whether a lasting job has to wait until others have ended, so that room is left for
     /// urgent short tasks. A job that has begun is not held back: its tasks restart at once.
     fn is_held_back(&self, id: job::Id, job: &Job) -> bool {
-        let may_have_begun = job.begun || job.recovered || job.record.tasks.is_some();
-        if !job.is_lasting() || may_have_begun || self.has_spare_capacity() {
+        if !job.is_lasting() || job.may_have_begun() || self.has_spare_capacity() {
             return false;
         }
         let total: u64 = self.workers.values().map(|w| w.capacity().processors_milli).sum();
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -21,6 +21,9 @@
 pub struct Record {
     /// When the job was accepted, in milliseconds since 1970.
     pub accepted_at_ms: u64,
+    /// Whether its tasks may have run in the cell that it was moved from.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub begun: bool,
     /// The name of its queue.
     pub queue: String,
     /// The submission by its caller.
@@ -305,6 +308,11 @@
         self.occurrences.get_mut(occurrence as usize)?.stages.get_mut(usize::from(step))
     }
 
+    /// Returns whether a task may have run, here or in a cell that the job was moved from.
+    pub fn may_have_begun(&self) -> bool {
+        self.begun || self.recovered || self.record.begun || self.record.tasks.is_some()
+    }
+
     /// Returns the task called `name`.
     pub fn task(&self, name: &task::Name) -> Option<&task::Task> {
         self.stage(name.occurrence, name.step)?.tasks.get(usize::from(name.index))
--- a/crates/fleet/tests/cells.rs
+++ b/crates/fleet/tests/cells.rs
@@ -344,3 +344,36 @@
     world.advance(300);
     assert_eq!(world.starts(name("2", 0, 8)).len(), 1);
 }
+
+/// All owners changed after an outage in which the workers' leases ran out. Lasting jobs that had run
+/// for 40 s moved to other cells, where they were new and were held back.
+#[test]
+fn a_lasting_job_that_ran_before_it_moved_is_not_held_back() {
+    let mut world = World::new(&["w1", "w2"]);
+    world.run_ms = 600_000;
+    let lasting = |count| vec![Step { lasting: true, ..step(count, 2) }];
+    world.submit("1", QUEUE, lasting(11));
+    world.submit("2", QUEUE, lasting(4));
+    world.advance(500);
+    assert!(world.starts(name("2", 0, 0)).is_empty(), "a new one is held back");
+    world.cancel("2");
+    world.submit("3", QUEUE, lasting(1));
+    let record = world.records[&(0, id("3"))].clone();
+    world.accept(id("4"), job::Record { begun: true, ..record });
+    world.advance(500);
+    assert_eq!(world.starts(name("4", 0, 0)).len(), 1);
+}
+
+#[test]
+fn a_recovered_lasting_job_that_moves_counts_as_begun() {
+    let mut world = World::new(&["w1"]);
+    world.run_ms = 600_000;
+    world.submit("1", QUEUE, vec![Step { lasting: true, ..step(8, 2) }]);
+    world.submit("2", QUEUE, vec![Step { lasting: true, ..step(1, 2) }]);
+    world.take_over();
+    world.advance(600);
+    let full = Head { lasting_milli: 16_000, ..head(0, 16_000, 0) };
+    world.handle(heads(vec![(full, 9), (head(1, 16_000, 8_000), 9)]));
+    world.advance(600);
+    assert!(world.records[&(1, id("2"))].begun);
+}
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -228,6 +228,7 @@
     pub fn submit(&mut self, job: &str, queue: &str, steps: Vec<Step>) {
         let record = job::Record {
             accepted_at_ms: START_UNIX_MS + self.now,
+            begun: false,
             queue: queue.into(),
             submission: Submission { spec: "work".into(), steps, ..Submission::default() },
             tasks: None,
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -63,6 +63,7 @@
             };
             let record = job::Record {
                 accepted_at_ms: received.unix,
+                begun: false,
                 queue: queue.name.clone(),
                 submission,
                 tasks: None,
