--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -128,6 +128,16 @@
         now > self.confirmed_at.unwrap_or(0).max(store_back_at) + max_age_ms
     }
 
+    /// Returns the time since which the entries are known to be complete, in milliseconds.
+    pub fn confirmed_at(&self) -> Option<u64> {
+        self.confirmed_at
+    }
+
+    /// Returns the revision at which a worker's entry was written.
+    pub fn entry_revision(&self, worker: &str) -> Option<u64> {
+        self.entries.get(worker).map(|entry| entry.revision)
+    }
+
     /// Returns a worker's entry.
     pub fn get(&self, worker: &str) -> Option<&Registration> {
         self.entries.get(worker).map(|entry| &entry.registration)
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -77,7 +77,8 @@
                 let registry = node.registry.borrow();
                 let Some(entry) = registry.get(worker) else { continue };
                 let (draining, born) = (entry.draining, entry.born);
-                log::info!(worker = &**worker, draining, born; "worker_seen");
+                let revision = registry.entry_revision(worker);
+                log::info!(worker = &**worker, draining, born, revision; "worker_seen");
             }
             registry::Change::Gone(worker) => log::info!(worker = &**worker; "worker_gone"),
         }
--- a/crates/node/src/executor.rs
+++ b/crates/node/src/executor.rs
@@ -54,10 +54,11 @@
     /// Starts the execution of actions and returns whether one of them reports the cell as lost.
     pub(crate) fn execute_all(self: &Rc<Self>, actions: Vec<Action>) -> bool {
         let mut lost = false;
+        let view_age_ms = self.node.view_age_ms();
         for action in actions {
             match action {
                 Action::Lost => lost = true,
-                Action::Report(report) => self.node.meter.report(self.cell, &report),
+                Action::Report(report) => self.node.meter.report(self.cell, &report, view_age_ms),
                 action => {
                     spawn_local(self.clone().execute(action));
                 }
--- a/crates/node/src/meter.rs
+++ b/crates/node/src/meter.rs
@@ -61,8 +61,9 @@
         self.latency.with_label_values(&["answer"]).observe(took_ms as f64);
     }
 
-    /// Counts and logs a decision of a cell, with its latency if it has one.
-    pub(crate) fn report(&self, cell: u32, report: &Report) {
+    /// Counts and logs a decision of a cell, with its latency if it has one. `view_age_ms` is the age
+    /// of the workers' entries, in milliseconds; a start is decided by them.
+    pub(crate) fn report(&self, cell: u32, report: &Report, view_age_ms: u64) {
         let name = match report {
             Report::End { after_ms, .. } => {
                 self.latency.with_label_values(&["run"]).observe(*after_ms as f64);
@@ -79,13 +80,17 @@
             Report::Released { .. } => "run_released",
             Report::Start { after_ms, .. } => {
                 self.latency.with_label_values(&["start"]).observe(*after_ms as f64);
+                self.latency.with_label_values(&["start_view_age"]).observe(view_age_ms as f64);
                 "run_started"
             }
             Report::Stop { .. } => "run_stopped",
             Report::Worker { .. } => "worker_believed",
         };
         self.event(name);
-        log::info!(cell, detail:serde = report; "{name}");
+        match report {
+            Report::Start { .. } => log::info!(cell, view_age_ms, detail:serde = report; "{name}"),
+            _ => log::info!(cell, detail:serde = report; "{name}"),
+        }
     }
 
     /// Returns all metrics in the Prometheus text format.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -154,6 +154,11 @@
         (self.assignment.borrow().1, self.registry.borrow().version(), self.leaving.get())
     }
 
+    /// Returns the age of the workers' entries, in milliseconds.
+    pub(crate) fn view_age_ms(&self) -> u64 {
+        time::now().saturating_sub(self.registry.borrow().confirmed_at().unwrap_or(0))
+    }
+
     /// Returns whether the workers' entries are too old for new runs although the store answers: a
     /// worker may have started to drain since.
     pub(crate) fn is_view_stale(&self, now: u64) -> bool {
