--- a/crates/fleet/tests/runs.rs
+++ b/crates/fleet/tests/runs.rs
@@ -4,6 +4,7 @@
 
 use {
     oleanderstage_fleet::{Event, State, event::Refusal},
+    std::collections::BTreeMap,
     world::{QUEUE, Store, World, name, step},
 };
 
@@ -245,6 +246,56 @@
     assert_eq!(world.starts(name("1", 0, 0)).len(), 1);
 }
 
+/// A start was sent again for 600 ms whatever the owner had learned of the worker meanwhile.
+#[test]
+fn an_unanswered_start_is_not_repeated_at_a_worker_that_drains() {
+    let mut world = World::new(&["w1"]);
+    world.worker("w1").unreachable = true;
+    world.submit("1", QUEUE, vec![step(1, 1)]);
+    world.advance(50);
+    world.worker("w1").draining = true;
+    let members = world.members();
+    world.handle(Event::Workers(members));
+    world.worker("w1").unreachable = false;
+    world.add_worker("w2");
+    world.advance(1_000);
+    let workers: Vec<String> = world.starts(name("1", 0, 0)).into_iter().map(|run| run.0).collect();
+    assert_eq!(workers, ["w2"]);
+}
+
+/// The same while the owner does not know whether the worker drains.
+#[test]
+fn an_unanswered_start_is_not_repeated_from_too_old_entries() {
+    let mut world = World::new(&["w1"]);
+    world.worker("w1").unreachable = true;
+    world.submit("1", QUEUE, vec![step(1, 1)]);
+    world.advance(50);
+    world.handle(Event::ViewStale(true));
+    world.worker("w1").unreachable = false;
+    world.advance(1_000);
+    assert!(world.starts(name("1", 0, 0)).is_empty());
+    world.handle(Event::ViewStale(false));
+    world.advance(200);
+    assert_eq!(world.starts(name("1", 0, 0)).len(), 1);
+}
+
+/// The owner of a cell follows the entries of its members only, so it would not notice that a
+/// worker drains which was removed from the cell while a task ran there.
+#[test]
+fn a_worker_that_is_no_longer_a_member_gets_no_new_run() {
+    let mut world = World::new(&["w1"]);
+    world.submit("1", QUEUE, vec![step(1, 1)]);
+    world.advance(100);
+    world.handle(Event::Workers(BTreeMap::new()));
+    world.submit("2", QUEUE, vec![step(1, 1)]);
+    world.advance(300);
+    assert_eq!(world.running(name("1", 0, 0)), ["w1"], "what runs there goes on");
+    assert!(world.starts(name("2", 0, 0)).is_empty());
+    world.add_worker("w2");
+    world.advance(200);
+    assert_eq!(world.starts(name("2", 0, 0)).len(), 1);
+}
+
 /// Ends of steps arrive one by one, and each took a write of the store.
 #[test]
 fn ends_of_steps_share_commits_and_a_finished_job_is_recorded_at_once() {
--- /dev/null
+++ b/crates/node/tests/process/mod.rs
@@ -0,0 +1,117 @@
+//! Runs the program as a process against stand-ins that the test controls.
+
+#![allow(clippy::unwrap_used, dead_code, unreachable_pub)]
+
+use {
+    hyper::Method,
+    oleanderstage_adapter::Http,
+    rustix::process::{Pid, Signal, kill_process},
+    serde_json::{Value, json},
+    std::{
+        fs,
+        net::{Ipv4Addr, SocketAddr},
+        path::PathBuf,
+        process::{Child, Command, Stdio},
+        sync::atomic::{AtomicU8, Ordering},
+        time::{Duration, Instant},
+    },
+};
+
+/// The time limit for an awaited state.
+pub const TIMEOUT: Duration = Duration::from_secs(20);
+/// The port at which a process answers callers, at an IP address of its own.
+const FRONT_PORT: u16 = 8_161;
+/// The time limit for an answer to a caller.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Number of processes that this test program has started.
+static COUNT: AtomicU8 = AtomicU8::new(0);
+
+/// A process that is killed when the test ends.
+pub struct Process {
+    child: Child,
+    /// The address at which it answers callers.
+    pub front: SocketAddr,
+}
+
+impl Process {
+    /// Starts a VM's process, whose endpoints may get new runs for `drain_ms` after they drain.
+    pub fn start(name: &str, store: SocketAddr, drain_ms: u64) -> Self {
+        let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+        let settings = directory.join(format!("process-{name}.conf"));
+        // Several runs of the tests share a machine.
+        let id = std::process::id();
+        let (high, low) = ((1 + id / 250 % 250) as u8, (id % 250) as u8);
+        let number = 200 + COUNT.fetch_add(1, Ordering::Relaxed);
+        let ip = Ipv4Addr::new(127, high, low, number);
+        let text = format!(
+            "node_name={name}\nzone=z\nip={ip}\nlisten.front={ip}:{FRONT_PORT}\n\
+             listen.ready={ip}:0\nplatform.address={store}\nlimits.cpu_share=0.5\n\
+             limits.cores=1\nbounds.hold_max_ms=6000\nbounds.stop_timeout_ms=400\n\
+             bounds.gang_timeout_ms=3000\nbounds.grace_s=6\nbounds.drain_ms={drain_ms}\n"
+        );
+        fs::write(&settings, text).unwrap();
+        let log = fs::File::create(directory.join(format!("process-{name}.log"))).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_oleanderstage-node"));
+        command.arg("--settings").arg(settings).args(["--metrics-port", "0"]);
+        let child = command.stdin(Stdio::null()).stdout(log).spawn().unwrap();
+        Self { child, front: (ip, FRONT_PORT).into() }
+    }
+
+    /// Pauses the process, or resumes it.
+    pub fn pause(&self, paused: bool) {
+        let pid = Pid::from_raw(self.child.id() as i32).unwrap();
+        kill_process(pid, if paused { Signal::STOP } else { Signal::CONT }).unwrap();
+    }
+
+    /// Submits a job until it is accepted. The duration of its tasks is in milliseconds.
+    pub async fn submit(&self, job: &str, task_ms: u64, steps: Value) {
+        let http = Http::default();
+        let body = json!({"spec": format!("{task_ms} 1000"), "steps": steps}).to_string();
+        let deadline = Instant::now() + TIMEOUT;
+        loop {
+            let body = body.clone().into_bytes();
+            let path = format!("/q/{job}");
+            let answer = http.call(self.front, Method::POST, &path, body, ANSWER_TIMEOUT).await;
+            if answer.is_ok_and(|answer| answer.status.is_success()) {
+                return;
+            }
+            assert!(Instant::now() < deadline, "job {job} was not accepted in time");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+}
+
+/// Waits until a condition holds, and fails the test after `timeout`.
+pub async fn wait_until(what: &str, timeout: Duration, mut holds: impl FnMut() -> bool) {
+    let deadline = Instant::now() + timeout;
+    while !holds() {
+        assert!(Instant::now() < deadline, "timed out waiting for {what}");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// Returns a configuration with one queue, for any host.
+pub fn config() -> Value {
+    json!({
+        "version": 1,
+        "routes": [{
+            "name": "q", "host": "", "prefix": "/q/", "service": "desk", "priority": 0,
+            "max_attempts": 3, "stretch": 1.5, "target_duration_ms": 250,
+        }],
+        "services": [{"name": "desk", "admission_check": true}],
+        "limits": {"max_body_bytes": 262_144},
+    })
+}
+
+/// Returns a step of tasks that need a core each.
+pub fn step(count: u64, after: &[u64]) -> Value {
+    json!({"count": count, "cpu": 1_000, "mem_mb": 64, "estimate_ms": 500, "after": after})
+}
--- a/crates/standin/src/users_store.rs
+++ b/crates/standin/src/users_store.rs
@@ -18,6 +18,8 @@
     changed: Arc<tokio::sync::Notify>,
     /// Reads of a range wait while its prefix starts with this one.
     held_prefix: Arc<tokio::sync::watch::Sender<Option<String>>>,
+    /// Answers to watches wait while their prefix is one of these.
+    held_watch_prefixes: Arc<tokio::sync::watch::Sender<Vec<String>>>,
     state: Arc<Mutex<State>>,
 }
 
@@ -60,6 +62,8 @@
     /// When each lease ends, and its length.
     leases: BTreeMap<u64, (Instant, Duration)>,
     availability: Availability,
+    /// Number of answers to watches that wait.
+    held_watches: usize,
     next_lease: u64,
     revision: u64,
     /// Committed transactions.
@@ -158,6 +162,26 @@
         self.held_prefix.send_replace(prefix.map(str::to_owned));
     }
 
+    /// Makes answers to watches of these prefixes wait, after their changes are determined, until
+    /// the next call of this method.
+    pub fn hold_watches(&self, prefixes: &[&str]) {
+        self.held_watch_prefixes.send_replace(prefixes.iter().map(|&text| text.into()).collect());
+    }
+
+    /// Returns the number of answers to watches that wait now.
+    pub fn held_watches(&self) -> usize {
+        lock(&self.state).held_watches
+    }
+
+    /// Waits while answers to watches of the prefix are held.
+    async fn wait_while_watch_held(&self, prefix: &str) {
+        let mut held = self.held_watch_prefixes.subscribe();
+        lock(&self.state).held_watches += 1;
+        // Fails only if the sender is dropped, and the sender lives as long as this store.
+        let _ = held.wait_for(|held| !held.iter().any(|held| held == prefix)).await;
+        lock(&self.state).held_watches -= 1;
+    }
+
     /// Waits while reads under the prefix are held.
     async fn wait_while_held(&self, prefix: &str) {
         let mut held_prefix = self.held_prefix.subscribe();
@@ -233,7 +257,12 @@
                     .await;
                 self.range(&query)
             }
-            (&Method::GET, "/-/kv-watch") => self.watch(&query).await,
+            (&Method::GET, "/-/kv-watch") => {
+                let answer = self.watch(&query).await;
+                let prefix = query.get("prefix").map(String::as_str).unwrap_or_default();
+                self.wait_while_watch_held(prefix).await;
+                answer
+            }
             (&Method::POST, "/-/kv-txn") => self.txn(body),
             (&Method::POST, "/-/kv-lease") => self.grant(body),
             (&Method::POST, path) if path.starts_with("/-/kv-keep/") => self.keep_alive(path),
