An owner that was paused doesn't take its pause for an outage of the store

In the test: 0.2 s after it is resumed, on a worker that has drained for 2.8 s, where 2 s are allowed. Cause: during an outage of the store no entry of a worker can change, so an owner goes on with the entries it has. It inferred the outage from 1.8 s without an answer, and a VM that stood still for that long has none either: it logged dependency_lost and dependency_regained on resuming, and took its entries for as new as the store's return. Besides, each event was handled before the age of the view and the owner's lease were looked at, so the first one after a pause was decided without them. Evidence: the log of the test on the code before (dependency_lost, silent_ms 2610, dependency_regained, run_started within 0.2 s). Change: fleet::Continuity observes that the process runs, at least every 0.2 s; a longer gap is a pause, logged as process_resumed. Silence of the store counts as an outage only if the process has run through it. node::Inputs passes changes of the shared state, the age of the view first, before the event. A lease that is too old ends the ownership before the event, not after. Why it works: entries confirmed before a pause age through it, so that they are too old as soon as the pause is longer than the limit.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,8 +15,8 @@
 
 pub use {
     action::Action, assignment::Assignment, cell::Cell, clock::Clock, commit::Commit,
-    config::Config, event::Event, head::Head, job::Job, lateness::Lateness, limits::Limits,
-    listing::Listing, progress::Progress, queue::Queue, registration::Registration,
+    config::Config, continuity::Continuity, event::Event, head::Head, job::Job, lateness::Lateness,
+    limits::Limits, listing::Listing, progress::Progress, queue::Queue, registration::Registration,
     registry::Registry, run::Run, settling::Settling, state::State, step::Step,
     submission::Submission, ticket::Ticket, worker::Worker,
 };
@@ -28,6 +28,7 @@
 pub mod clock;
 pub mod commit;
 pub mod config;
+pub mod continuity;
 pub mod event;
 pub mod head;
 pub mod job;
--- /dev/null
+++ b/crates/node/src/inputs.rs
@@ -0,0 +1,66 @@
+//! The part of this VM's shared state that a cell decides from.
+
+use super::*;
+
+/// What was last passed on to a cell of the configuration, the other cells' heads and the workers.
+#[derive(Default)]
+pub(crate) struct Inputs {
+    config_version: u64,
+    heads_read_at: u64,
+    /// Since when the cell is assigned to another VM, or this VM leaves, in milliseconds.
+    pub(crate) leaving_since: Option<u64>,
+    /// Whether the workers' entries were too old for new runs.
+    stale: bool,
+    view: Option<(u64, u64, bool)>,
+}
+
+impl Inputs {
+    /// Returns the changes since the last call, in an order in which the cell places nothing from
+    /// entries that are too old.
+    pub(crate) fn changes(&mut self, executor: &Executor, now: u64) -> Vec<Event> {
+        let node = &executor.node;
+        let stale = node.is_view_stale(now);
+        let stale_changed = stale != self.stale;
+        self.stale = stale;
+        let mut events = Vec::new();
+        if stale_changed {
+            log::info!(cell = executor.cell, stale; "view_stale");
+        }
+        if stale_changed && stale {
+            events.push(Event::ViewStale(true));
+        }
+        let config = node.config.borrow().clone();
+        if let Some(config) = config.filter(|config| config.version != self.config_version) {
+            self.config_version = config.version;
+            events.push(Event::Configured(config));
+        }
+        let heads_read_at = node.heads_read_at.get();
+        if heads_read_at != self.heads_read_at {
+            self.heads_read_at = heads_read_at;
+            let heads = node.heads.borrow().clone();
+            let owners = heads.len();
+            events.push(Event::Heads { heads, owners });
+        }
+        let view = node.view();
+        if self.view != Some(view) {
+            self.view = Some(view);
+            events.extend(self.members_event(executor, now));
+        }
+        if stale_changed && !stale {
+            events.push(Event::ViewStale(false));
+        }
+        events
+    }
+
+    /// Returns the event for a changed view: the members, or the first notice that the cell is to be
+    /// released.
+    fn members_event(&mut self, executor: &Executor, now: u64) -> Option<Event> {
+        let Some(members) = executor.node.assigned_members(executor.cell) else {
+            let is_first = self.leaving_since.is_none();
+            self.leaving_since.get_or_insert(now);
+            return is_first.then_some(Event::Leaving);
+        };
+        executor.update_addresses(&members);
+        Some(Event::Workers(members))
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,8 +13,9 @@
         store::{self, Item, Txn},
     },
     oleanderstage_fleet::{
-        Action, Assignment, Cell, Clock, Commit, Config, Event, Head, Limits, Progress, Queue,
-        Registration, Registry, Settling, State, Ticket, action, admission, assignment, cell,
+        Action, Assignment, Cell, Clock, Commit, Config, Continuity, Event, Head, Limits, Progress,
+        Queue, Registration, Registry, Settling, State, Ticket, action, admission, assignment,
+        cell,
         event::{Outcome, Refusal},
         job,
         pressure::Pressure,
@@ -42,6 +43,7 @@
 use {
     executor::Executor,
     follower::{Follower, Update},
+    inputs::Inputs,
     node::Node,
     record::decode,
 };
@@ -53,6 +55,7 @@
 mod executor;
 mod follower;
 mod front;
+mod inputs;
 mod keys;
 mod meter;
 mod node;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -30,6 +30,8 @@
     pub(crate) store_answered_at: Slot<u64>,
     /// When the store last answered again after an outage, in milliseconds.
     pub(crate) store_back_at: Slot<u64>,
+    /// Whether this process has run without a pause.
+    pub(crate) continuity: RefCell<Continuity>,
     /// Whether the log last reported the store as reachable.
     pub(crate) reported_reachable: Slot<bool>,
     /// Whether this process is shutting down.
@@ -82,6 +84,7 @@
             lease_confirmed_at: Slot::new(0),
             store_answered_at: Slot::new(0),
             store_back_at: Slot::new(0),
+            continuity: RefCell::default(),
             reported_reachable: Slot::new(false),
             leaving: Slot::new(false),
             changed: Notify::new(),
@@ -101,15 +104,35 @@
         }
     }
 
+    /// Records that this process runs, and logs the end of a pause. Called before anything is
+    /// decided from what was known earlier.
+    pub(crate) fn observe_running(&self) {
+        let paused_ms = self.continuity.borrow_mut().observe(time::now());
+        if let Some(paused_ms) = paused_ms {
+            self.meter.event("process_resumed");
+            log::warn!(paused_ms; "process_resumed");
+        }
+    }
+
     /// Records an answer of the store, and logs the end of an outage.
     pub(crate) fn store_answered(&self) {
-        self.store_answered_at.set(time::now());
+        self.observe_running();
+        let now = time::now();
+        self.store_answered_at.set(now);
         if !self.reported_reachable.replace(true) {
-            self.store_back_at.set(time::now());
+            if self.was_silence_observed(now) {
+                self.store_back_at.set(now);
+            }
             log::info!(dependency = "store"; "dependency_regained");
         }
     }
 
+    /// Returns whether this process has run through the time after which a silent store counts as
+    /// unreachable. After a pause the silence is its own, and entries may have changed meanwhile.
+    fn was_silence_observed(&self, now: u64) -> bool {
+        self.continuity.borrow().has_run_for(now, STORE_LOST_AFTER_MS)
+    }
+
     /// Records and logs a failed call of the store, and logs the start of an outage.
     pub(crate) fn store_failed(&self, what: &str, error: &store::Error) {
         self.meter.event("store_call_failed");
@@ -159,12 +182,13 @@
         time::now().saturating_sub(self.registry.borrow().confirmed_at().unwrap_or(0))
     }
 
-    /// Returns whether the workers' entries are too old for new runs although the store answers: a
-    /// worker may have started to drain since.
+    /// Returns whether the workers' entries are too old for new runs: a worker may have started to
+    /// drain since. They do not age during an outage of the store, in which none can change.
     pub(crate) fn is_view_stale(&self, now: u64) -> bool {
         let max_age_ms = self.boot.drain_ms * MAX_VIEW_AGE_PERCENT / 100;
+        let is_outage = !self.is_store_reachable() && self.was_silence_observed(now);
         let registry = self.registry.borrow();
-        self.is_store_reachable() && registry.is_stale(now, self.store_back_at.get(), max_age_ms)
+        !is_outage && registry.is_stale(now, self.store_back_at.get(), max_age_ms)
     }
 
     /// Returns whether this VM needs current workers' entries: it owns or acquires cells, or writes
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -39,6 +39,7 @@
 /// cell is lost or assigned to another VM, or when this VM leaves.
 pub(crate) async fn supervise(node: Rc<Node>) {
     loop {
+        node.observe_running();
         let assigned = if node.leaving.get() {
             Vec::new()
         } else {
@@ -292,7 +293,8 @@
 }
 
 /// Passes events and shared state to the cell and executes its actions, until the cell is lost or
-/// its owner has left it. Returns the head and its revision, or `None` when the cell is lost.
+/// its owner has left it. What has changed in the shared state, the lease and the age of the view
+/// come before an event, which may be the first one after a pause. Returns the head and its revision, or `None` when the cell is lost.
 async fn handle_events(
     executor: &Rc<Executor>,
     mut cell: Cell,
@@ -300,58 +302,28 @@
 ) -> Option<(Head, u64)> {
     let node = &executor.node;
     let wake = node.cells.borrow().get(&executor.cell).cloned().unwrap_or_default();
-    let mut seen_view = None;
-    let mut stale = false;
-    let mut config_version = 0;
-    let mut heads_read_at = 0;
-    let mut leaving_since = None;
+    let mut inputs = Inputs::default();
     loop {
         let event = tokio::select! {
             event = inbox.recv() => event.unwrap_or(Event::Tick),
             () = wake.notified() => Event::Tick,
             () = sleep(TICK_INTERVAL) => Event::Tick,
         };
+        node.observe_running();
         let clock = time::clock();
-        let mut lost = executor.execute_all(cell.handle(clock, event));
-        let config = node.config.borrow().clone();
-        if let Some(config) = config.filter(|config| config.version != config_version) {
-            config_version = config.version;
-            lost |= executor.execute_all(cell.handle(clock, Event::Configured(config)));
-        }
-        let newest_read_at = node.heads_read_at.get();
-        if newest_read_at != heads_read_at {
-            heads_read_at = newest_read_at;
-            let heads = node.heads.borrow().clone();
-            let owners = heads.len();
-            lost |= executor.execute_all(cell.handle(clock, Event::Heads { heads, owners }));
-        }
-        let view = node.view();
-        if seen_view != Some(view) {
-            seen_view = Some(view);
-            match node.assigned_members(executor.cell) {
-                Some(members) => {
-                    executor.update_addresses(&members);
-                    lost |= executor.execute_all(cell.handle(clock, Event::Workers(members)));
-                }
-                None if leaving_since.is_none() => {
-                    leaving_since = Some(clock.now);
-                    lost |= executor.execute_all(cell.handle(clock, Event::Leaving));
-                }
-                None => {}
+        let silent = clock.now > node.lease_confirmed_at.get() + node::OWNER_SILENCE_MS;
+        let mut lost = silent;
+        if !silent {
+            for event in inputs.changes(executor, clock.now).into_iter().chain([event]) {
+                lost |= executor.execute_all(cell.handle(clock, event));
             }
         }
-        if stale != node.is_view_stale(clock.now) {
-            stale = !stale;
-            log::info!(cell = executor.cell, stale; "view_stale");
-            lost |= executor.execute_all(cell.handle(clock, Event::ViewStale(stale)));
-        }
-        let silent = clock.now > node.lease_confirmed_at.get() + node::OWNER_SILENCE_MS;
-        if lost || silent {
+        if lost {
             log::warn!(cell = executor.cell, fence = executor.fence, silent; "cell_lost");
             return None;
         }
         let quiet = cell.is_quiet();
-        if leaving_since.is_some_and(|since| quiet || clock.now > since + LEAVE_TIMEOUT_MS) {
+        if inputs.leaving_since.is_some_and(|since| quiet || clock.now > since + LEAVE_TIMEOUT_MS) {
             break;
         }
     }
