An unanswered start is not repeated at a worker that drains, or may drain

What callers would see: work on a leaving worker up to 0.6 s later than the age of the owner's view allows: 1.6 s + 0.6 s, where 2 s are allowed. Cause: a start without an answer is sent again for 600 ms, whatever the owner has learned since it decided it. Evidence: two tests that failed on the code before: a start sent again 100 ms after the worker was known as draining, and one after the view had become too old. Change: Worker::accepts_runs and the age of the view are asked again before each repeat. Otherwise the stop follows at once that else comes after 600 ms; the task is placed elsewhere when the stop is proven. The tests now wait 3 s instead of 1 s for that proof, which takes up to two polls of 1 s each; the starts that they forbid came in the first 0.1 s.

--- a/crates/fleet/src/cell_orders.rs
+++ b/crates/fleet/src/cell_orders.rs
@@ -10,7 +10,8 @@
 };
 
 /// How long an unanswered start is sent again before a stop order blocks it, in milliseconds: long
-/// enough to recover a lost answer, short compared with a task.
+/// enough to recover a lost answer, short compared with a task. A worker that drains by now, or may
+/// drain, gets the stop at once.
 const START_RETRY_WINDOW_MS: u64 = 600;
 
 impl Cell {
@@ -159,9 +160,11 @@
             .unwrap_or_default();
         let Some(worker) = self.workers.get_mut(id) else { return };
         let lease_until = worker.grant(clock.now, lease_ms);
+        let accepts_runs = worker.accepts_runs();
         let Some(run) = worker.runs.get_mut(&name) else { return };
         let number = run.number;
-        let may_retry = clock.now < run.started + START_RETRY_WINDOW_MS;
+        let may_retry =
+            clock.now < run.started + START_RETRY_WINDOW_MS && accepts_runs && !self.view_stale;
         match (run.phase, spec, lease_until) {
             (Phase::Starting { uncertain, .. }, Some(spec), Some(lease_until)) if may_retry => {
                 run.phase = Phase::Starting { retry_at: None, uncertain };
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -121,10 +121,12 @@
 
     /// Returns whether new runs may be placed on the worker.
     pub fn is_usable(&self, now: u64) -> bool {
-        self.fenced
-            && self.missed_polls == 0
-            && self.paused_until <= now
-            && self.registration.as_ref().is_some_and(|entry| !entry.draining)
+        self.fenced && self.missed_polls == 0 && self.paused_until <= now && self.accepts_runs()
+    }
+
+    /// Returns whether the worker's entry allows new runs.
+    pub fn accepts_runs(&self) -> bool {
+        self.registration.as_ref().is_some_and(|entry| !entry.draining)
     }
 
     /// Adds a run and its reservation.
--- a/crates/fleet/tests/runs.rs
+++ b/crates/fleet/tests/runs.rs
@@ -258,7 +258,7 @@
     world.handle(Event::Workers(members));
     world.worker("w1").unreachable = false;
     world.add_worker("w2");
-    world.advance(1_000);
+    world.advance(3_000);
     let workers: Vec<String> = world.starts(name("1", 0, 0)).into_iter().map(|run| run.0).collect();
     assert_eq!(workers, ["w2"]);
 }
@@ -272,7 +272,7 @@
     world.advance(50);
     world.handle(Event::ViewStale(true));
     world.worker("w1").unreachable = false;
-    world.advance(1_000);
+    world.advance(3_000);
     assert!(world.starts(name("1", 0, 0)).is_empty());
     world.handle(Event::ViewStale(false));
     world.advance(200);
