A worker that was removed from a cell gets no new runs there

What callers would see: work on a leaving worker whose cell doesn't follow it any more. Cause: a worker whose entry is gone for long, cut off from the store though not from our VMs, is removed from the assignment. Its cell keeps it until its runs are over, as ready as it was last, and placed further runs on it, so that it stayed. When it registers again, maybe in another cell, and says that it leaves, the first cell never hears it. Change: Worker::is_member, set with each change of the members, is a condition for new runs.

--- a/crates/fleet/src/cell.rs
+++ b/crates/fleet/src/cell.rs
@@ -316,10 +316,13 @@
                 }
             }
         }
+        for (id, worker) in &mut self.workers {
+            worker.is_member = members.contains_key(id);
+        }
         let removed: Vec<Arc<str>> = self
             .workers
             .iter()
-            .filter(|(id, worker)| !members.contains_key(*id) && worker.runs.is_empty())
+            .filter(|(_, worker)| !worker.is_member && worker.runs.is_empty())
             .map(|(id, _)| id.clone())
             .collect();
         for id in removed {
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -30,6 +30,9 @@
     /// Processed ends that are not recorded yet: number of the end, and the value that
     /// `Cell::durable` reaches once it is recorded.
     pub unrecorded: VecDeque<(u64, u64)>,
+    /// Whether it is assigned to the cell. One that is not stays only until its runs are over, and
+    /// its entry is no longer followed.
+    pub is_member: bool,
     /// Its latest entry in the store; `None` if it has had none.
     pub registration: Option<Registration>,
     /// Runs in its last listing of jobs that this cell does not know.
@@ -76,6 +79,7 @@
             missed_polls: 0,
             processed: 0,
             unrecorded: VecDeque::new(),
+            is_member: true,
             registration,
             unknown_runs: Vec::new(),
             runs: BTreeMap::new(),
@@ -124,9 +128,9 @@
         self.fenced && self.missed_polls == 0 && self.paused_until <= now && self.accepts_runs()
     }
 
-    /// Returns whether the worker's entry allows new runs.
+    /// Returns whether the worker is a member of the cell and its entry allows new runs.
     pub fn accepts_runs(&self) -> bool {
-        self.registration.as_ref().is_some_and(|entry| !entry.draining)
+        self.is_member && self.registration.as_ref().is_some_and(|entry| !entry.draining)
     }
 
     /// Adds a run and its reservation.
