An owner's entry does not outlive its ownership, however that ends

Cause: the next owner waits until the last one's entry is gone. A release removed it on the condition of the head's revision too, and was tried once: with a commit or a write of the head whose answer was still on its way it failed, and the entry stayed for as long as the VM lived. The same in three other ways: a cell given up as lost, though the entry was its own; a cell taken without an answer and assigned elsewhere before the next try; such a transaction carried out seconds later. Ruled out: that the head's revision is needed. Commits and the next owner's first write both depend on the head, so a late commit is made before the takeover and read by it, or not at all; orders are fenced. Change: each end of an ownership removes the entry of its own revision and tries until the store has answered. A VM that doesn't get to own a cell asks for an entry of its own; heads that name it as owner of a cell that it doesn't run make it ask again, once for each revision of the head.

--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -117,26 +117,14 @@
 
 /// Reads the heads of all cells at an interval.
 pub(crate) async fn poll_heads(node: Rc<Node>) {
+    let mut checked = BTreeMap::new();
     loop {
         match node.store.read_all(keys::HEADS).await {
             Ok(page) => {
                 node.store_answered();
                 node.heads_read_at.set(time::now());
-                let mut balancer = node.balancer.borrow_mut();
-                balancer.set_processes(node.vms.borrow().len());
-                let mut heads = Vec::with_capacity(page.items.len());
-                for item in page.items {
-                    let head = item.value.as_deref().map(serde_json::from_slice::<Head>);
-                    match head {
-                        Some(Ok(head)) => {
-                            heads.push((head.clone(), item.revision));
-                            balancer.observe(head, item.revision);
-                        }
-                        Some(Err(error)) => log::error!(error:% = error; "head_unreadable"),
-                        None => {}
-                    }
-                }
-                *node.heads.borrow_mut() = heads;
+                observe_heads(&node, page.items);
+                owner::discard_orphans(&node, &mut checked).await;
             }
             Err(error) => node.store_failed("heads", &error),
         }
@@ -146,6 +134,25 @@
     }
 }
 
+/// Keeps the heads as read, and the cells' load for the choice of a new job's cell.
+fn observe_heads(node: &Node, items: Vec<Item>) {
+    let mut balancer = node.balancer.borrow_mut();
+    balancer.set_processes(node.vms.borrow().len());
+    let mut heads = Vec::with_capacity(items.len());
+    for item in items {
+        let head = item.value.as_deref().map(serde_json::from_slice::<Head>);
+        match head {
+            Some(Ok(head)) => {
+                heads.push((head.clone(), item.revision));
+                balancer.observe(head, item.revision);
+            }
+            Some(Err(error)) => log::error!(error:% = error; "head_unreadable"),
+            None => {}
+        }
+    }
+    *node.heads.borrow_mut() = heads;
+}
+
 /// Returns the interval between reads of the heads in a fleet of this many VMs.
 fn heads_read_interval(vms: u64) -> Duration {
     let interval = HEADS_READ_INTERVAL_MS * vms.max(FULL_RATE_VMS) / FULL_RATE_VMS;
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -8,6 +8,8 @@
 
 /// Delay before another attempt to acquire a cell that another VM still owns, or to load it.
 const RETRY_DELAY: Duration = Duration::from_millis(40);
+/// Delay before another attempt to remove an owner's entry.
+const RELEASE_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// How long a leaving owner waits for its pending orders and commits, in milliseconds.
 const LEAVE_TIMEOUT_MS: u64 = 1_200;
 /// Interval between reads of the other cells' pressure records: about as often as they are written.
@@ -65,31 +67,25 @@
     }
 }
 
-/// Acquires a cell and owns it until it is lost or released.
+/// Acquires a cell and owns it until it is lost or released. However the ownership ends, the owner's
+/// entry is removed if it is still this owner's: the next owner waits for that.
 async fn own(node: &Rc<Node>, cell: u32) {
-    let Some(acquisition) = acquire(node, cell).await else { return };
+    let Some(acquisition) = acquire(node, cell).await else {
+        return discard_own_entry(node, cell).await;
+    };
     log::info!(cell, generation = acquisition.head.generation, fence = acquisition.fence; "cell_taken");
     node.meter.event("cell_taken");
-    let last_head = match load(node, cell, &acquisition).await {
-        Some(snapshot) => run_cell(node, cell, &acquisition, snapshot).await,
-        // The cell was assigned to another VM meanwhile. That VM can acquire the cell only after
-        // this owner's entry is removed.
-        None => Some((acquisition.head.clone(), acquisition.head_revision)),
-    };
-    if let Some((head, revision)) = last_head {
-        release(node, cell, &acquisition, &head, revision).await;
+    // Without a snapshot, the cell was assigned to another VM while it was loaded.
+    if let Some(snapshot) = load(node, cell, &acquisition).await {
+        run_cell(node, cell, &acquisition, snapshot).await;
     }
+    release(node, cell, acquisition.fence).await;
     log::info!(cell, fence = acquisition.fence; "cell_left");
 }
 
 /// Runs a loaded cell, with its watch and its reads of pressure, until it is lost or can be
-/// released. Returns the head and its revision, or `None` when the cell is lost.
-async fn run_cell(
-    node: &Rc<Node>,
-    cell: u32,
-    acquisition: &Acquisition,
-    snapshot: Snapshot,
-) -> Option<(Head, u64)> {
+/// released.
+async fn run_cell(node: &Rc<Node>, cell: u32, acquisition: &Acquisition, snapshot: Snapshot) {
     let Snapshot { cancelled, revision, cell: loaded } = snapshot;
     let (events, inbox) = mpsc::unbounded_channel();
     let executor = Rc::new(Executor::new(node.clone(), cell, acquisition.fence, events));
@@ -100,10 +96,9 @@
         .starting_after(revision);
     let watch_task = spawn_local(watch_keys(executor.clone(), follower));
     let pressure_task = spawn_local(read_pressures(executor.clone()));
-    let last_head = handle_events(&executor, loaded, inbox).await;
+    handle_events(&executor, loaded, inbox).await;
     watch_task.abort();
     pressure_task.abort();
-    last_head
 }
 
 /// Acquires a cell as soon as its last owner's entry is gone. Returns `None` when the cell is no
@@ -172,12 +167,66 @@
     if item.value.as_deref() != Some(node.incarnation.as_bytes()) {
         return Ok(());
     }
+    remove_entry(node, cell, item.revision).await
+}
+
+/// Removes the owner's entry of this revision. Does nothing if the cell has another one, or none.
+///
+/// Does not depend on the head: a commit of this owner that is still on its way is made before the
+/// next owner changes the head, or not at all.
+async fn remove_entry(node: &Rc<Node>, cell: u32, revision: u64) -> Result<(), store::Error> {
     let txn = Txn {
-        expected: vec![(keys::owner(cell), item.revision)],
+        expected: vec![(keys::owner(cell), revision)],
         removed: vec![keys::owner(cell)],
         ..Txn::default()
     };
-    node.store.txn(&txn).await.map(drop)
+    match node.store.txn(&txn).await {
+        Ok(_) | Err(store::Error::Conflict(_)) => Ok(()),
+        Err(error) => Err(error),
+    }
+}
+
+/// Removes an owner's entry that this process may have written for a cell that it does not own,
+/// and tries until the store has answered.
+async fn discard_own_entry(node: &Rc<Node>, cell: u32) {
+    while let Err(error) = remove_own_entry(node, cell).await {
+        node.store_failed("discard", &error);
+        sleep(RELEASE_RETRY_DELAY).await;
+    }
+}
+
+/// Removes owner's entries of this process for cells that it doesn't run: a transaction that takes a
+/// cell may be carried out seconds after its call got no answer. `checked` holds the revision of each
+/// cell's head for which there was no such entry left.
+pub(crate) async fn discard_orphans(node: &Rc<Node>, checked: &mut BTreeMap<u32, u64>) {
+    let heads: Vec<(u32, u64)> = node
+        .heads
+        .borrow()
+        .iter()
+        .filter(|(head, _)| head.owner == node.incarnation)
+        .map(|(head, revision)| (head.cell, *revision))
+        .collect();
+    for (cell, revision) in heads {
+        if node.cells.borrow().contains_key(&cell) || checked.get(&cell) == Some(&revision) {
+            continue;
+        }
+        match discard_orphan(node, cell).await {
+            Ok(()) => drop(checked.insert(cell, revision)),
+            Err(error) => node.store_failed("discard", &error),
+        }
+    }
+}
+
+/// Removes an owner's entry of this process, unless the process acquires the cell or owns it. The
+/// entry is read first: an ownership that begins later has another one.
+async fn discard_orphan(node: &Rc<Node>, cell: u32) -> Result<(), store::Error> {
+    let Some(item) = node.store.get(&keys::owner(cell)).await? else { return Ok(()) };
+    let is_own = item.value.as_deref() == Some(node.incarnation.as_bytes());
+    if !is_own || node.cells.borrow().contains_key(&cell) {
+        return Ok(());
+    }
+    log::warn!(cell, fence = item.revision; "orphan_discarded");
+    remove_entry(node, cell, item.revision).await
 }
 
 /// Loads the jobs, the progress and the pressure record of a cell. Returns `None` when the cell is
@@ -299,7 +348,7 @@
     executor: &Rc<Executor>,
     mut cell: Cell,
     mut inbox: mpsc::UnboundedReceiver<Event>,
-) -> Option<(Head, u64)> {
+) {
     let node = &executor.node;
     let wake = node.cells.borrow().get(&executor.cell).cloned().unwrap_or_default();
     let mut inputs = Inputs::default();
@@ -320,32 +369,21 @@
         }
         if lost {
             log::warn!(cell = executor.cell, fence = executor.fence, silent; "cell_lost");
-            return None;
+            return;
         }
         let quiet = cell.is_quiet();
         if inputs.leaving_since.is_some_and(|since| quiet || clock.now > since + LEAVE_TIMEOUT_MS) {
-            break;
+            log::info!(cell = executor.cell, sequence = cell.head().0.sequence; "cell_handed_over");
+            return;
         }
     }
-    let (head, revision) = cell.head();
-    Some((head.clone(), revision))
 }
 
-/// Removes the owner's entry, so that the next owner does not wait for the lease to expire.
-async fn release(
-    node: &Rc<Node>,
-    cell: u32,
-    acquisition: &Acquisition,
-    head: &Head,
-    revision: u64,
-) {
-    log::info!(cell, sequence = head.sequence; "cell_handed_over");
-    let txn = Txn {
-        expected: vec![(keys::owner(cell), acquisition.fence), (keys::head(cell), revision)],
-        removed: vec![keys::owner(cell)],
-        ..Txn::default()
-    };
-    if let Err(error) = node.store.txn(&txn).await {
+/// Removes the owner's entry, so that the next owner does not wait for the lease to expire, and tries
+/// until the store has answered.
+async fn release(node: &Rc<Node>, cell: u32, fence: u64) {
+    while let Err(error) = remove_entry(node, cell, fence).await {
         node.store_failed("give-up", &error);
+        sleep(RELEASE_RETRY_DELAY).await;
     }
 }
--- a/crates/node/tests/process/mod.rs
+++ b/crates/node/tests/process/mod.rs
@@ -9,6 +9,7 @@
     serde_json::{Value, json},
     std::{
         fs,
+        future::Future,
         net::{Ipv4Addr, SocketAddr},
         path::PathBuf,
         process::{Child, Command, Stdio},
@@ -89,6 +90,12 @@
     }
 }
 
+/// Runs a test whose calls to the process are bound to one thread.
+pub fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, test);
+}
+
 /// Waits until a condition holds, and fails the test after `timeout`.
 pub async fn wait_until(what: &str, timeout: Duration, mut holds: impl FnMut() -> bool) {
     let deadline = Instant::now() + timeout;
--- a/crates/node/tests/stale_view.rs
+++ b/crates/node/tests/stale_view.rs
@@ -6,20 +6,14 @@
 
 use {
     oleanderstage_standin::{UsersLedger, UsersStore, UsersWorker},
-    process::{Process, TIMEOUT, config, step, wait_until},
+    process::{Process, TIMEOUT, config, run, step, wait_until},
     serde_json::{Value, json},
-    std::{future::Future, net::SocketAddr, time::Duration},
+    std::{net::SocketAddr, time::Duration},
 };
 
 /// A time in which an owner would have started waiting tasks, several times over.
 const START_TIME: Duration = Duration::from_millis(800);
 
-/// Runs a test whose calls to the process are bound to one thread.
-fn run(test: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-    tokio::task::LocalSet::new().block_on(&runtime, test);
-}
-
 /// Starts a store with a configuration and a ready worker.
 async fn platform() -> (UsersStore, SocketAddr, UsersLedger, UsersWorker, SocketAddr) {
     let (store, address) = UsersStore::start().await.unwrap();
--- a/crates/node/tests/tenure.rs
+++ b/crates/node/tests/tenure.rs
@@ -2,59 +2,20 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod process;
+
 use {
-    oleanderstage_standin::UsersStore,
+    oleanderstage_standin::{UsersLedger, UsersStore, UsersWorker, users_store::Availability},
+    process::{Process, TIMEOUT, config, step, wait_until},
     serde_json::{Value, json},
-    std::{
-        fs,
-        path::PathBuf,
-        process::{Child, Command, Stdio},
-        time::{Duration, Instant},
-    },
+    std::time::Duration,
 };
 
-/// The time limit for an awaited state.
-const TIMEOUT: Duration = Duration::from_secs(20);
 /// The time limit for the removal of the entry of an owner that has lost its cell. The entry does
 /// not expire by itself, since the process still renews its lease.
 const RELEASE_TIMEOUT: Duration = Duration::from_secs(4);
-
-/// A process that is killed when the test ends.
-struct Vm(Child);
-
-impl Drop for Vm {
-    fn drop(&mut self) {
-        self.0.kill().unwrap();
-        self.0.wait().unwrap();
-    }
-}
-
-fn start(name: &str, store: std::net::SocketAddr) -> Vm {
-    let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
-    let settings = directory.join(format!("tenure-{name}.conf"));
-    let text = format!(
-        "node_name={name}\nzone=z\nip=127.0.0.1\nlisten.front=127.0.0.1:0\n\
-         listen.ready=127.0.0.1:0\nplatform.address={store}\nlimits.cpu_share=0.5\n\
-         limits.cores=1\nbounds.hold_max_ms=6000\nbounds.stop_timeout_ms=400\n\
-         bounds.gang_timeout_ms=3000\nbounds.grace_s=6\nbounds.drain_ms=2000\n"
-    );
-    fs::write(&settings, text).unwrap();
-    let log = fs::File::create(directory.join(format!("tenure-{name}.log"))).unwrap();
-    let mut command = Command::new(env!("CARGO_BIN_EXE_oleanderstage-node"));
-    // Any free port: several runs of the tests share a machine.
-    command.arg("--settings").arg(settings).args(["--metrics-port", "0"]);
-    let child = command.stdin(Stdio::null()).stdout(log).spawn();
-    Vm(child.unwrap())
-}
-
-/// Waits until a condition holds, and fails the test after `timeout`.
-async fn wait_until(what: &str, timeout: Duration, mut holds: impl FnMut() -> bool) {
-    let deadline = Instant::now() + timeout;
-    while !holds() {
-        assert!(Instant::now() < deadline, "timed out waiting for {what}");
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
-}
+/// How long endpoints may get new runs after they drain, in milliseconds.
+const DRAIN_MS: u64 = 2_000;
 
 /// A process must remove its owner's entry when the cell is assigned to another VM while it still
 /// loads the cell. After an outage the first VM acquired every cell, the next assignment gave one
@@ -66,7 +27,7 @@
     store.put("op/config", &json!({"version": 1, "routes": [], "services": [], "limits": {}}));
     store.put("servers/i-1", &worker());
     store.hold_reads(Some("p/"));
-    let _vm = start("vm-b", address);
+    let _vm = Process::start("vm-b", address, DRAIN_MS);
     let owned = || !store.values("c/0/@owner").is_empty();
     wait_until("an owner of the cell", TIMEOUT, owned).await;
     let map = store.values("m/map")[0].1.clone();
@@ -79,6 +40,76 @@
     wait_until("the cell without an owner", RELEASE_TIMEOUT, || !owned()).await;
 }
 
+/// A cell was nobody's for the rest of the day: its owner released it while the answer to its last
+/// commit was still on its way, and made the release depend on what that commit had changed.
+#[test]
+fn a_cell_released_while_a_commit_is_unanswered_is_free_for_its_next_owner() {
+    process::run(async {
+        let (store, address) = UsersStore::start().await.unwrap();
+        store.put("op/config", &config());
+        let ledger = UsersLedger::default();
+        let (worker, worker_address) = UsersWorker::start("i-1", ledger.clone()).await.unwrap();
+        worker.register(&store, worker_address, false);
+        store.put("m/vm/vm-a", &json!({"processors_milli": 500}));
+        store.put("m/map", &json!({"owners": ["vm-releases"], "workers": {"i-1": 0}}));
+        let vm = Process::start("vm-releases", address, DRAIN_MS);
+        vm.submit("000000000000000a", 300, json!([step(1, &[])])).await;
+        wait_until("the run", TIMEOUT, || ledger.tasks().len() == 1).await;
+        store.set_availability(Availability::Mute);
+        let before = store.writes();
+        let task = "000000000000000a.0.0.0";
+        let is_committed = || ledger.entry(task).done == 1 && store.writes() > before;
+        wait_until("the commit of the run's end", TIMEOUT, is_committed).await;
+        store.put("m/map", &json!({"owners": ["vm-a"], "workers": {"i-1": 0}}));
+        let is_free = || store.values("c/0/@owner").is_empty();
+        wait_until("the cell without an owner", RELEASE_TIMEOUT, is_free).await;
+    });
+}
+
+/// A VM took a cell in a transaction whose answer was lost, and the cell was assigned to another VM
+/// before it could ask. Its entry stayed for as long as the VM lived.
+#[test]
+fn a_cell_taken_without_an_answer_is_free_for_its_next_owner() {
+    process::run(async {
+        let (store, address) = UsersStore::start().await.unwrap();
+        store.put("op/config", &config());
+        store.put("servers/i-1", &worker());
+        store.put("m/vm/vm-a", &json!({"processors_milli": 500}));
+        store.put("m/map", &json!({"owners": ["vm-a"], "workers": {"i-1": 0}}));
+        let _vm = Process::start("vm-takes", address, DRAIN_MS);
+        wait_until("the VM", TIMEOUT, || !store.values("m/vm/vm-takes").is_empty()).await;
+        store.set_availability(Availability::Mute);
+        store.put("m/map", &json!({"owners": ["vm-takes"], "workers": {"i-1": 0}}));
+        let is_free = || store.values("c/0/@owner").is_empty();
+        wait_until("the owner's entry", TIMEOUT, || !is_free()).await;
+        store.put("m/map", &json!({"owners": ["vm-a"], "workers": {"i-1": 0}}));
+        wait_until("the cell without an owner", RELEASE_TIMEOUT, is_free).await;
+    });
+}
+
+/// The same, with a transaction that is carried out after its VM has asked and found no entry.
+#[test]
+fn a_cell_taken_after_its_vm_gave_up_is_free_for_its_next_owner() {
+    process::run(async {
+        let (store, address) = UsersStore::start().await.unwrap();
+        store.put("op/config", &config());
+        store.put("servers/i-1", &worker());
+        store.put("m/vm/vm-a", &json!({"processors_milli": 500}));
+        store.put("m/map", &json!({"owners": ["vm-takes-late"], "workers": {"i-1": 0}}));
+        let _vm = Process::start("vm-takes-late", address, DRAIN_MS);
+        let is_free = || store.values("c/0/@owner").is_empty();
+        wait_until("the owner's entry", TIMEOUT, || !is_free()).await;
+        let entry = store.values("c/0/@owner")[0].1.clone();
+        store.put("m/map", &json!({"owners": ["vm-a"], "workers": {"i-1": 0}}));
+        wait_until("the cell without an owner", RELEASE_TIMEOUT, is_free).await;
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        let (key, head) = store.values("h/0").remove(0);
+        store.put_bytes("c/0/@owner", entry);
+        store.put_bytes(&key, head);
+        wait_until("the cell without an owner", RELEASE_TIMEOUT, is_free).await;
+    });
+}
+
 /// Returns a worker's entry.
 fn worker() -> Value {
     json!({
--- a/crates/standin/src/users_store.rs
+++ b/crates/standin/src/users_store.rs
@@ -212,9 +212,14 @@
 
     /// Writes a key without a call, in place of the operator or a worker.
     pub fn put(&self, key: &str, value: &Value) {
+        self.put_bytes(key, value.to_string().into_bytes());
+    }
+
+    /// Writes a key without a call, such as a transaction of a VM that is carried out late.
+    pub fn put_bytes(&self, key: &str, value: Vec<u8>) {
         let mut state = lock(&self.state);
         state.revision += 1;
-        state.put(key, value.to_string().into_bytes(), 0);
+        state.put(key, value, 0);
         drop(state);
         self.changed.notify_waiters();
     }
