--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -46,6 +46,7 @@
     inputs::Inputs,
     node::Node,
     record::decode,
+    wait::Wait,
 };
 
 pub use run::run;
@@ -66,3 +67,4 @@
 mod serve;
 mod session;
 mod time;
+mod wait;
--- a/crates/node/src/meter.rs
+++ b/crates/node/src/meter.rs
@@ -47,6 +47,12 @@
         self.events.with_label_values(&[name]).inc();
     }
 
+    /// Counts a cell that this VM has acquired, and records its wait for the last owner's entry to go.
+    pub(crate) fn cell_taken(&self, waited_ms: u64) {
+        self.event("cell_taken");
+        self.latency.with_label_values(&["take"]).observe(waited_ms as f64);
+    }
+
     /// Counts an answer to a caller and records its latency.
     pub(crate) fn answered(&self, method: &Method, reply: &Reply, took_ms: u64) {
         let name = match reply {
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -74,7 +74,6 @@
         return discard_own_entry(node, cell).await;
     };
     log::info!(cell, generation = acquisition.head.generation, fence = acquisition.fence; "cell_taken");
-    node.meter.event("cell_taken");
     // Without a snapshot, the cell was assigned to another VM while it was loaded.
     if let Some(snapshot) = load(node, cell, &acquisition).await {
         run_cell(node, cell, &acquisition, snapshot).await;
@@ -104,6 +103,7 @@
 /// Acquires a cell as soon as its last owner's entry is gone. Returns `None` when the cell is no
 /// longer assigned to this VM.
 async fn acquire(node: &Rc<Node>, cell: u32) -> Option<Acquisition> {
+    let mut wait = Wait::new(cell, time::now());
     loop {
         node.assigned_members(cell)?;
         let Some(lease) = node.lease.get() else {
@@ -111,20 +111,26 @@
             continue;
         };
         match try_acquire(node, cell, lease).await {
-            Ok(Some(acquisition)) => return Some(acquisition),
-            Ok(None) => {}
+            Ok(Attempt::Acquired(acquisition)) => {
+                node.meter.cell_taken(wait.waited_ms(acquisition.sent_at));
+                return Some(acquisition);
+            }
+            Ok(Attempt::Owned(owner)) => wait.record(time::now(), &owner),
             Err(error) => node.store_failed("take", &error),
         }
         sleep(RETRY_DELAY).await;
     }
 }
 
-/// Tries once to acquire a cell under the VM's lease. Returns `None` when it has an owner.
-async fn try_acquire(
-    node: &Rc<Node>,
-    cell: u32,
-    lease: u64,
-) -> Result<Option<Acquisition>, store::Error> {
+/// The outcome of an attempt to acquire a cell.
+enum Attempt {
+    Acquired(Acquisition),
+    /// The cell has an owner's entry, of this incarnation; none if only its head changed.
+    Owned(String),
+}
+
+/// Tries once to acquire a cell under the VM's lease.
+async fn try_acquire(node: &Rc<Node>, cell: u32, lease: u64) -> Result<Attempt, store::Error> {
     let item = node.store.get(&keys::head(cell)).await?;
     let (old, revision) = match &item {
         Some(item) => (decode::<Head>(item).unwrap_or_default(), item.revision),
@@ -149,11 +155,14 @@
     let sent_at = time::now();
     match node.store.txn(&txn).await {
         Ok(revision) => {
-            Ok(Some(Acquisition { sent_at, fence: revision, head, head_revision: revision }))
+            let fence = revision;
+            Ok(Attempt::Acquired(Acquisition { sent_at, fence, head, head_revision: revision }))
         }
-        Err(store::Error::Conflict(_)) => {
+        Err(store::Error::Conflict(items)) => {
             remove_own_entry(node, cell).await?;
-            Ok(None)
+            let entry = items.iter().find(|item| item.key == keys::owner(cell));
+            let owner = entry.and_then(|item| item.value.as_deref()).unwrap_or_default();
+            Ok(Attempt::Owned(String::from_utf8_lossy(owner).into_owned()))
         }
         Err(error) => Err(error),
     }
