--- a/crates/node/tests/soak.rs
+++ b/crates/node/tests/soak.rs
@@ -1,7 +1,7 @@
 //! Short runs of the soak test. Each seed is a regression test for a fault that it once found.
 
 use {
-    oleanderstage_soak::Plan,
+    oleanderstage_soak::{Disruption, Plan},
     std::{path::PathBuf, time::Duration},
 };
 
@@ -9,9 +9,14 @@
 const FAULT_DURATION: Duration = Duration::from_secs(8);
 
 fn soak(seed: u64) {
+    run(seed, Disruption::Faults);
+}
+
+fn run(seed: u64, disruption: Disruption) {
     let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}"));
     let plan = Plan {
         directory,
+        disruption,
         fault_duration: FAULT_DURATION,
         program: env!("CARGO_BIN_EXE_oleanderstage-node").into(),
         seed,
@@ -29,6 +34,13 @@
     soak(7);
 }
 
+/// Workers leave and VMs restart in series that overlap: no start on a worker that has drained for
+/// longer than allowed, and no request cut off.
+#[test]
+fn invariants_hold_under_planned_work() {
+    run(23, Disruption::Maintenance);
+}
+
 /// A poll and a start in the same millisecond: a task ran twice.
 #[test]
 fn seed_114_keeps_the_invariants() {
--- /dev/null
+++ b/crates/soak/src/disruption.rs
@@ -0,0 +1,10 @@
+//! What a run disturbs the system with.
+
+/// What a run disturbs the system with.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Disruption {
+    /// Random faults, which overlap.
+    Faults,
+    /// Planned work: workers leave and VMs restart, each in a series of its own.
+    Maintenance,
+}
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -8,8 +8,9 @@
     oleanderstage_adapter::{Http, http},
     oleanderstage_proof::tcp_relay::TcpRelay,
     oleanderstage_standin::{
-        UsersLedger, UsersStore, UsersWorker, users_store::Availability,
-        users_worker::CAPACITY_MILLI,
+        UsersLedger, UsersStore, UsersWorker,
+        users_store::Availability,
+        users_worker::{CAPACITY_MILLI, DRAIN_LIMIT},
     },
     rand::{Rng, SeedableRng},
     rand_pcg::Pcg64Mcg,
@@ -32,10 +33,14 @@
     },
 };
 
-pub use {fault::Fault, job::Job, plan::Plan, report::Report, soak::Soak, vm::Vm};
+pub use {
+    disruption::Disruption, fault::Fault, job::Job, plan::Plan, report::Report, soak::Soak, vm::Vm,
+};
 
+mod disruption;
 mod fault;
 mod job;
+mod maintenance;
 mod plan;
 mod report;
 mod soak;
@@ -62,6 +67,9 @@
     /// number of workers
     #[argh(option, default = "8")]
     workers: usize,
+    /// replace workers and restart VMs in turn, instead of random faults
+    #[argh(switch)]
+    maintenance: bool,
     /// directory for the VMs' settings and logs
     #[argh(option)]
     logs: PathBuf,
@@ -70,10 +78,13 @@
 /// Runs the program `oleanderstage-soak`, which prints a report for each seed.
 pub fn main() -> miette::Result<()> {
     let arguments: Arguments = argh::from_env();
+    let disruption =
+        if arguments.maintenance { Disruption::Maintenance } else { Disruption::Faults };
     let mut broken = 0;
     for seed in arguments.seed..arguments.seed + arguments.seeds {
         let plan = Plan {
             directory: arguments.logs.join(seed.to_string()),
+            disruption,
             fault_duration: Duration::from_secs(arguments.seconds),
             program: arguments.program.clone(),
             seed,
--- /dev/null
+++ b/crates/soak/src/maintenance.rs
@@ -0,0 +1,81 @@
+//! Planned work: workers are replaced and VMs restarted in series that overlap, beside a store that
+//! answers late. Nothing fails, so that every guarantee holds without exemption.
+
+use super::*;
+
+/// Delay of the bytes between each VM and the store.
+const STORE_DELAY: Duration = Duration::from_millis(30);
+/// Time between two workers that leave.
+const LEAVE_INTERVAL: Duration = Duration::from_millis(900);
+/// How long a worker goes on after its entry says that it drains.
+const LEAVE_TIME: Duration = Duration::from_millis(3_500);
+/// Time between the end of a worker and the start of the next one under its ID.
+const ABSENCE: Duration = Duration::from_millis(500);
+/// Time between two VMs that are stopped.
+const RESTART_INTERVAL: Duration = Duration::from_millis(3_500);
+/// How often a stopped VM's process is checked for its end.
+const END_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
+impl Soak {
+    /// Replaces half of the workers and restarts the VMs, in turn until `end`.
+    pub(crate) async fn maintain(self: Rc<Self>, end: Instant) {
+        for vm in &self.vms {
+            vm.store_relay.delay(STORE_DELAY);
+        }
+        let mut replacements = Vec::new();
+        let replacing = spawn_local(self.clone().restart_vms(end));
+        for number in (0..self.workers.len()).step_by(2).cycle() {
+            if Instant::now() >= end {
+                break;
+            }
+            replacements.push(spawn_local(self.clone().replace_worker(number)));
+            sleep(LEAVE_INTERVAL).await;
+        }
+        for task in replacements.into_iter().chain([replacing]) {
+            // A panic of the task ends the run.
+            task.await.expect("a finished task");
+        }
+    }
+
+    /// Lets a worker leave, unless it leaves already, and starts another one under its ID.
+    async fn replace_worker(self: Rc<Self>, number: usize) {
+        let (worker, relay) = &self.workers[number];
+        if worker.is_draining() {
+            return;
+        }
+        self.count("worker-leave");
+        worker.register(&self.store, relay.address, true);
+        sleep(LEAVE_TIME).await;
+        self.store.remove(&format!("servers/{}", worker.id));
+        worker.crash();
+        sleep(ABSENCE).await;
+        worker.register(&self.store, relay.address, false);
+    }
+
+    async fn restart_vms(self: Rc<Self>, end: Instant) {
+        let mut restarts = Vec::new();
+        for vm in self.vms.iter().cycle() {
+            if Instant::now() >= end {
+                break;
+            }
+            restarts.push(spawn_local(self.clone().restart_vm(vm.clone())));
+            sleep(RESTART_INTERVAL).await;
+        }
+        for task in restarts {
+            task.await.expect("a finished task");
+        }
+    }
+
+    /// Stops a VM gracefully and starts it again.
+    async fn restart_vm(self: Rc<Self>, vm: Rc<Vm>) {
+        self.count("vm-restart");
+        vm.stop_requested_at.set(Some(Instant::now()));
+        vm.signal(Signal::TERM);
+        while vm.is_running() {
+            sleep(END_CHECK_INTERVAL).await;
+        }
+        if vm.spawn().is_err() {
+            self.ledger.record_violation("an ended VM could not be started again".into());
+        }
+    }
+}
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -7,7 +7,9 @@
 pub struct Plan {
     /// Directory for the VMs' settings and logs.
     pub directory: PathBuf,
-    /// How long jobs are submitted and faults are injected.
+    /// What disturbs the system.
+    pub disruption: Disruption,
+    /// How long jobs are submitted and the system is disturbed.
     pub fault_duration: Duration,
     /// Path of the VMs' program.
     pub program: PathBuf,
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -14,9 +14,9 @@
     pub(crate) http: Http,
     pub(crate) plan: Plan,
     pub(crate) random: RefCell<Pcg64Mcg>,
-    store: UsersStore,
-    vms: Vec<Rc<Vm>>,
-    workers: Vec<(UsersWorker, TcpRelay)>,
+    pub(crate) store: UsersStore,
+    pub(crate) vms: Vec<Rc<Vm>>,
+    pub(crate) workers: Vec<(UsersWorker, TcpRelay)>,
 }
 
 /// How often a task may run before its job fails.
@@ -71,7 +71,10 @@
     async fn execute(self: Rc<Self>) -> miette::Result<Report> {
         self.wait_ready().await?;
         let end = Instant::now() + self.plan.fault_duration;
-        let injecting = spawn_local(self.clone().inject(end));
+        let injecting = match self.plan.disruption {
+            Disruption::Faults => spawn_local(self.clone().inject(end)),
+            Disruption::Maintenance => spawn_local(self.clone().maintain(end)),
+        };
         let mut number = 0;
         while Instant::now() < end {
             number += 1;
@@ -138,12 +141,17 @@
                 let duration = random.random_range(100..3_500);
                 (fault, Duration::from_millis(interval), Duration::from_millis(duration))
             };
-            *self.fault_counts.borrow_mut().entry(fault.name()).or_default() += 1;
+            self.count(fault.name());
             spawn_local(self.clone().apply_fault(fault, duration));
             sleep(interval).await;
         }
     }
 
+    /// Counts a fault, or a planned step, by its name.
+    pub(crate) fn count(&self, name: &'static str) {
+        *self.fault_counts.borrow_mut().entry(name).or_default() += 1;
+    }
+
     /// Applies a fault to a random VM or worker, or to the store; a fault that has to be ended lasts
     /// at most twice `duration`. Starts ended VMs again afterwards.
     async fn apply_fault(self: Rc<Self>, fault: Fault, duration: Duration) {
--- a/crates/standin/src/users_worker.rs
+++ b/crates/standin/src/users_worker.rs
@@ -53,6 +53,8 @@
 #[derive(Debug)]
 struct State {
     incarnation: u64,
+    /// Since when its entry says that it drains.
+    draining_since: Option<Instant>,
     /// Runs that are over and not yet acknowledged: sequence number, task, number of the run and
     /// outcome.
     ended: VecDeque<(u64, String, u32, &'static str)>,
@@ -86,6 +88,8 @@
 
 /// Processors of a worker, in thousandths of a core.
 pub const CAPACITY_MILLI: u64 = 16_000;
+/// How long after its entry says that it drains a worker may get new runs.
+pub const DRAIN_LIMIT: Duration = Duration::from_secs(2);
 /// Maximum length of the lease, in milliseconds.
 pub const MAX_LEASE_MS: u64 = 6_000;
 /// Interval between two checks for runs that are over.
@@ -96,6 +100,7 @@
     fn new(incarnation: u64) -> Self {
         Self {
             incarnation,
+            draining_since: None,
             ended: VecDeque::new(),
             last_sequence: 0,
             fails: false,
@@ -163,7 +168,12 @@
 
     /// Writes the worker's entry to the store, with `address` as its address.
     pub fn register(&self, store: &UsersStore, address: SocketAddr, draining: bool) {
-        let incarnation = lock(&self.state).incarnation;
+        let incarnation = {
+            let mut state = lock(&self.state);
+            state.draining_since =
+                draining.then(|| state.draining_since.unwrap_or_else(Instant::now));
+            state.incarnation
+        };
         let entry = json!({
             "service": "desk", "address": address, "zone": "a", "version": "v1", "slots": 8,
             "state": if draining { "draining" } else { "ready" }, "cold_remaining_ms": 0,
@@ -173,6 +183,11 @@
         store.put(&format!("servers/{}", self.id), &entry);
     }
 
+    /// Returns whether its entry says that it drains.
+    pub fn is_draining(&self) -> bool {
+        lock(&self.state).draining_since.is_some()
+    }
+
     /// Sets whether runs that reach their end from now on fail.
     pub fn set_failing(&self, fails: bool) {
         lock(&self.state).fails = fails;
@@ -290,6 +305,14 @@
                 self.id
             ));
         }
+        let drained_for = state.draining_since.map_or(Duration::ZERO, |since| since.elapsed());
+        if drained_for > DRAIN_LIMIT {
+            self.ledger.record_violation(format!(
+                "task {task} is started on {}, which has drained for {} ms",
+                self.id,
+                drained_for.as_millis()
+            ));
+        }
         self.ledger.change(&task, |entry| {
             entry.running.insert(self.id.clone());
             entry.starts += 1;
