Soak: each cell has the owner that it is assigned to, within 2.2 s

In planned work, where nothing fails: the 1.2 s for which a leaving owner waits, and a second for the next one.

--- a/crates/node/src/inputs.rs
+++ b/crates/node/src/inputs.rs
@@ -11,6 +11,7 @@
     pub(crate) leaving_since: Option<u64>,
     /// Whether the workers' entries were too old for new runs.
     stale: bool,
+    /// The value of [`Node::view`] for the members that the cell has.
     view: Option<(u64, u64, bool)>,
 }
 
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -125,7 +125,8 @@
 /// The outcome of an attempt to acquire a cell.
 enum Attempt {
     Acquired(Acquisition),
-    /// The cell has an owner's entry, of this incarnation; none if only its head changed.
+    /// Another ownership has its entry there. Holds the incarnation of its process; empty if only the
+    /// head has changed meanwhile.
     Owned(String),
 }
 
@@ -351,8 +352,8 @@
 }
 
 /// Passes events and shared state to the cell and executes its actions, until the cell is lost or
-/// its owner has left it. What has changed in the shared state, the lease and the age of the view
-/// come before an event, which may be the first one after a pause. Returns the head and its revision, or `None` when the cell is lost.
+/// its owner has left it. The lease, the age of the view and changes of the shared state are looked
+/// at before an event, since it may be the first one after a pause.
 async fn handle_events(
     executor: &Rc<Executor>,
     mut cell: Cell,
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -41,6 +41,7 @@
 mod fault;
 mod job;
 mod maintenance;
+mod ownership;
 mod plan;
 mod report;
 mod soak;
--- a/crates/soak/src/maintenance.rs
+++ b/crates/soak/src/maintenance.rs
@@ -23,7 +23,10 @@
             vm.store_relay.delay(STORE_DELAY);
         }
         let mut replacements = Vec::new();
-        let replacing = spawn_local(self.clone().restart_vms(end));
+        let others = [
+            spawn_local(self.clone().restart_vms(end)),
+            spawn_local(self.clone().watch_ownership(end)),
+        ];
         for number in (0..self.workers.len()).step_by(2).cycle() {
             if Instant::now() >= end {
                 break;
@@ -31,7 +34,7 @@
             replacements.push(spawn_local(self.clone().replace_worker(number)));
             sleep(LEAVE_INTERVAL).await;
         }
-        for task in replacements.into_iter().chain([replacing]) {
+        for task in replacements.into_iter().chain(others) {
             // A panic of the task ends the run.
             task.await.expect("a finished task");
         }
