--- a/crates/node/src/meter.rs
+++ b/crates/node/src/meter.rs
@@ -86,7 +86,7 @@
             Report::Released { .. } => "run_released",
             Report::Start { after_ms, .. } => {
                 self.latency.with_label_values(&["start"]).observe(*after_ms as f64);
-                self.latency.with_label_values(&["start_view_age"]).observe(view_age_ms as f64);
+                self.latency.with_label_values(&["view-age"]).observe(view_age_ms as f64);
                 "run_started"
             }
             Report::Stop { .. } => "run_stopped",
