--- a/crates/soak/src/maintenance.rs
+++ b/crates/soak/src/maintenance.rs
@@ -50,8 +50,10 @@
         worker.register(&self.store, relay.address, true);
         sleep(LEAVE_TIME).await;
         self.store.remove(&format!("servers/{}", worker.id));
+        relay.cut();
         worker.crash();
         sleep(ABSENCE).await;
+        relay.heal();
         worker.register(&self.store, relay.address, false);
     }
 
