--- a/crates/fleet/src/action.rs
+++ b/crates/fleet/src/action.rs
@@ -161,6 +161,17 @@
         /// Why it is stopped.
         reason: StopReason,
     },
+    /// Workers of an availability zone get no new runs, since it is evacuated, or get them again.
+    Zone {
+        /// The zone.
+        zone: Arc<str>,
+        /// Whether it is being evacuated.
+        evacuated: bool,
+        /// The number of its workers in this cell for which that is new.
+        workers: usize,
+        /// The number of runs that these hold or may hold, which go on.
+        runs: usize,
+    },
     /// The state of a worker changed: it answered this owner for the first time or again after
     /// missed polls, stopped answering, restarted, left or failed its runs.
     Worker {
--- a/crates/fleet/src/assignment.rs
+++ b/crates/fleet/src/assignment.rs
@@ -19,6 +19,16 @@
     pub processors_milli: u64,
 }
 
+/// A worker that can be assigned to a cell.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Member<'a> {
+    /// Processors, in thousandths of a core.
+    pub processors_milli: u64,
+    /// Its availability zone, if zones may be evacuated: each cell then gets workers of all zones,
+    /// so that the evacuation of one leaves room in every cell.
+    pub zone: Option<&'a str>,
+}
+
 /// Processor time of the owner that each worker of its cell takes, in thousandths of a core, at
 /// about three starts per second and worker.
 const OWNER_MILLI_PER_WORKER: u64 = 1;
@@ -32,9 +42,9 @@
 const MIN_OWNER_PERCENT: u64 = 50;
 
 impl Assignment {
-    /// Returns the next assignment for these VMs and workers; `workers` maps each worker's ID to
-    /// its processors. Cells and workers keep their place where possible.
-    pub fn next(&self, vms: &BTreeMap<String, Vm>, workers: &BTreeMap<&str, u64>) -> Self {
+    /// Returns the next assignment for these VMs and workers, by worker ID. Cells and workers keep
+    /// their place where possible.
+    pub fn next(&self, vms: &BTreeMap<String, Vm>, workers: &BTreeMap<&str, Member<'_>>) -> Self {
         let eligible = eligible(vms);
         if eligible.is_empty() {
             return self.clone();
@@ -76,20 +86,27 @@
         }
     }
 
-    /// Assigns each new worker to the cell with the fewest processors.
-    fn assign_workers(&mut self, workers: &BTreeMap<&str, u64>) {
+    /// Assigns each new worker to the cell with the fewest processors in its zone, and among equal
+    /// ones to that with the fewest in all.
+    fn assign_workers(&mut self, workers: &BTreeMap<&str, Member<'_>>) {
         let mut sizes = vec![0_u64; self.owners.len()];
+        let mut zone_sizes: BTreeMap<(Option<&str>, usize), u64> = BTreeMap::new();
         for (id, cell) in &self.workers {
-            if let Some(size) = sizes.get_mut(*cell as usize) {
-                *size += workers.get(id.as_str()).copied().unwrap_or(0);
+            let cell = *cell as usize;
+            if let (Some(size), Some(member)) = (sizes.get_mut(cell), workers.get(id.as_str())) {
+                *size += member.processors_milli;
+                *zone_sizes.entry((member.zone, cell)).or_default() += member.processors_milli;
             }
         }
-        for (id, processors_milli) in workers {
+        for (id, member) in workers {
             if self.workers.contains_key(*id) {
                 continue;
             }
-            let Some(cell) = (0..sizes.len()).min_by_key(|&cell| sizes[cell]) else { return };
-            sizes[cell] += processors_milli;
+            let in_zone = |cell| zone_sizes.get(&(member.zone, cell)).copied().unwrap_or(0);
+            let smallest = (0..sizes.len()).min_by_key(|&cell| (in_zone(cell), sizes[cell]));
+            let Some(cell) = smallest else { return };
+            sizes[cell] += member.processors_milli;
+            *zone_sizes.entry((member.zone, cell)).or_default() += member.processors_milli;
             self.workers.insert((*id).into(), cell as u32);
         }
     }
--- a/crates/fleet/src/cell.rs
+++ b/crates/fleet/src/cell.rs
@@ -44,6 +44,8 @@
     pub(crate) durable: u64,
     /// When `usable_milli` and `pressure` were last computed, in milliseconds.
     pub(crate) estimated_at: u64,
+    /// The zones to be evacuated.
+    pub(crate) evacuated_zones: BTreeSet<Arc<str>>,
     /// Recently removed jobs and the revisions of their removal. A record read at an earlier
     /// revision must not add the job again.
     pub(crate) removed: HashMap<job::Id, u64>,
@@ -103,6 +105,7 @@
             dirty: BTreeSet::new(),
             durable: 0,
             estimated_at: 0,
+            evacuated_zones: BTreeSet::new(),
             rebalanced_at: 0,
             relocated_at: 0,
             pressure_written_at: 0,
@@ -153,6 +156,10 @@
             Event::Commit(outcome) => self.handle_commit(clock, outcome),
             Event::Configured(config) => self.config = config,
             Event::Pressure(others) => self.other_pressure = others,
+            Event::Evacuated(zones) => {
+                self.evacuated_zones = zones;
+                self.mark_evacuated_workers();
+            }
             Event::Leaving => self.leaving = true,
             Event::Lost => self.mark_lost(),
             Event::Poll { worker, sent, answer } => self.handle_poll(clock, &worker, sent, answer),
@@ -329,6 +336,28 @@
             self.workers.remove(&id);
             self.unfenced.remove(&id);
         }
+        self.mark_evacuated_workers();
+    }
+
+    /// Marks the workers whose zone is to be evacuated, and reports each zone of this cell that has
+    /// changed.
+    fn mark_evacuated_workers(&mut self) {
+        let mut changed: BTreeMap<(Arc<str>, bool), (usize, usize)> = BTreeMap::new();
+        for worker in self.workers.values_mut() {
+            let Some(entry) = &worker.registration else { continue };
+            let evacuated = self.evacuated_zones.contains(entry.zone.as_str());
+            if worker.evacuated != evacuated {
+                worker.evacuated = evacuated;
+                let (workers, runs) =
+                    changed.entry((entry.zone.as_str().into(), evacuated)).or_default();
+                *workers += 1;
+                *runs += worker.runs.len();
+            }
+        }
+        self.placement_due |= !changed.is_empty();
+        for ((zone, evacuated), (workers, runs)) in changed {
+            self.report(action::Report::Zone { zone, evacuated, workers, runs });
+        }
     }
 
     /// Stops every run of a job.
--- a/crates/fleet/src/cell_balance.rs
+++ b/crates/fleet/src/cell_balance.rs
@@ -12,6 +12,8 @@
 const MOVE_MARGIN_MS: u64 = 400;
 /// Maximum number of jobs moved, and of jobs split, in one pass.
 const MAX_MOVES: usize = 4;
+/// The same while every zone of the cell is evacuated, when its jobs can only wait here.
+const MAX_MOVES_WITHOUT_ROOM: usize = 64;
 
 impl Cell {
     /// Every `LOAD_INTERVAL_MS`, updates the contention between images and the processors that
@@ -54,12 +56,18 @@
         }
         self.rebalanced_at = clock.now;
         let all_fenced = self.unfenced.is_empty();
+        let without_room =
+            !self.workers.is_empty() && self.workers.values().all(|worker| worker.evacuated);
+        let (max_moves, after_ms) = match without_room {
+            true => (MAX_MOVES_WITHOUT_ROOM, 0),
+            false => (MAX_MOVES, MOVE_AFTER_MS),
+        };
         let mut moves = Vec::new();
         for (_, _, id) in &self.unfinished_jobs {
             let Some(job) = self.jobs.get(id) else { continue };
             let waited = clock.unix.saturating_sub(job.accepted_at_ms);
             let may_move = all_fenced || !job.recovered;
-            if job.begun || job.moving_to.is_some() || !may_move || waited < MOVE_AFTER_MS {
+            if job.begun || job.moving_to.is_some() || !may_move || waited < after_ms {
                 continue;
             }
             if job.record.submission.is_timed() {
@@ -71,7 +79,7 @@
             {
                 moves.push((*id, cell));
             }
-            if moves.len() >= MAX_MOVES {
+            if moves.len() >= max_moves {
                 break;
             }
         }
--- a/crates/fleet/src/cell_record.rs
+++ b/crates/fleet/src/cell_record.rs
@@ -129,9 +129,9 @@
             sequence: self.head.sequence + 1,
             total_milli: 0,
         };
-        for worker in
-            self.workers.values().filter(|worker| worker.fenced && worker.missed_polls == 0)
-        {
+        let counts =
+            |worker: &&Worker| worker.fenced && worker.missed_polls == 0 && !worker.evacuated;
+        for worker in self.workers.values().filter(counts) {
             head.free_milli += worker.unreserved().processors_milli;
             head.total_milli += worker.capacity().processors_milli;
             head.lasting_milli += worker.lasting_milli;
--- a/crates/fleet/src/cell_schedule.rs
+++ b/crates/fleet/src/cell_schedule.rs
@@ -67,8 +67,9 @@
         if !job.is_lasting() || job.may_have_begun() || self.has_spare_capacity() {
             return false;
         }
-        let total: u64 = self.workers.values().map(|w| w.capacity().processors_milli).sum();
-        let lasting: u64 = self.workers.values().map(|worker| worker.lasting_milli).sum();
+        let open = || self.workers.values().filter(|worker| !worker.evacuated);
+        let total: u64 = open().map(|worker| worker.capacity().processors_milli).sum();
+        let lasting: u64 = open().map(|worker| worker.lasting_milli).sum();
         let demand = admission::Demand::new(id, &job.record.submission, &job.queue);
         lasting > 0 && lasting + demand.reserved_milli > admission::lasting_limit(total)
     }
@@ -131,8 +132,9 @@
     /// Returns whether less than `MAX_RESERVED_PERCENT` of the cell's processors is reserved.
     fn has_spare_capacity(&self) -> bool {
         let milli = |resources: Resources| resources.processors_milli;
-        let total: u64 = self.workers.values().map(|worker| milli(worker.capacity())).sum();
-        let reserved: u64 = self.workers.values().map(|worker| milli(worker.reserved)).sum();
+        let open = || self.workers.values().filter(|worker| !worker.evacuated);
+        let total: u64 = open().map(|worker| milli(worker.capacity())).sum();
+        let reserved: u64 = open().map(|worker| milli(worker.reserved)).sum();
         reserved * 100 < total * MAX_RESERVED_PERCENT
     }
 
--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -34,6 +34,8 @@
     Configured(Arc<Config>),
     /// The contention between images that the owners of other cells have measured.
     Pressure(pressure::Pressure),
+    /// The zones to be evacuated changed.
+    Evacuated(BTreeSet<Arc<str>>),
     /// This owner is shutting down: it starts no more runs.
     Leaving,
     /// The store shows another owner, or none.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,10 +15,10 @@
 
 pub use {
     action::Action, assignment::Assignment, cell::Cell, clock::Clock, commit::Commit,
-    config::Config, continuity::Continuity, event::Event, head::Head, job::Job, lateness::Lateness,
-    limits::Limits, listing::Listing, progress::Progress, queue::Queue, registration::Registration,
-    registry::Registry, run::Run, settling::Settling, state::State, step::Step,
-    submission::Submission, ticket::Ticket, worker::Worker,
+    config::Config, continuity::Continuity, evacuation::Evacuation, event::Event, head::Head,
+    job::Job, lateness::Lateness, limits::Limits, listing::Listing, progress::Progress,
+    queue::Queue, registration::Registration, registry::Registry, run::Run, settling::Settling,
+    state::State, step::Step, submission::Submission, ticket::Ticket, worker::Worker,
 };
 
 pub mod action;
@@ -29,6 +29,7 @@
 pub mod commit;
 pub mod config;
 pub mod continuity;
+pub mod evacuation;
 pub mod event;
 pub mod head;
 pub mod job;
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -7,6 +7,8 @@
 pub struct Worker {
     /// Ends up to this number are recorded; the next poll acknowledges them.
     pub acknowledged: u64,
+    /// Whether its zone is being evacuated: it gets no new run.
+    pub evacuated: bool,
     /// When the worker last started, as listed, in milliseconds since 1970; a change
     /// shows a restart.
     pub born: Option<u64>,
@@ -69,6 +71,7 @@
     pub fn new(registration: Option<Registration>) -> Self {
         Self {
             acknowledged: 0,
+            evacuated: false,
             born: None,
             clock: None,
             fenced: false,
@@ -128,9 +131,12 @@
         self.fenced && self.missed_polls == 0 && self.paused_until <= now && self.accepts_runs()
     }
 
-    /// Returns whether the worker is a member of the cell and its entry allows new runs.
+    /// Returns whether the worker is a member of the cell, and its zone and its entry allow new
+    /// runs.
     pub fn accepts_runs(&self) -> bool {
-        self.is_member && self.registration.as_ref().is_some_and(|entry| !entry.draining)
+        self.is_member
+            && !self.evacuated
+            && self.registration.as_ref().is_some_and(|entry| !entry.draining)
     }
 
     /// Adds a run and its reservation.
--- a/crates/fleet/tests/cells.rs
+++ b/crates/fleet/tests/cells.rs
@@ -7,7 +7,7 @@
         Assignment, Event, Head, Queue, Settling, Step, Submission,
         action::Report,
         admission::{Balancer, Demand},
-        assignment::Vm,
+        assignment::{Member, Vm},
         job,
         listing::EndReason,
     },
@@ -26,8 +26,9 @@
     (0..count).map(|number| format!("w{number:03}")).collect()
 }
 
-fn processors(names: &[String]) -> BTreeMap<&str, u64> {
-    names.iter().map(|name| (name.as_str(), 16_000)).collect()
+fn processors(names: &[String]) -> BTreeMap<&str, Member<'_>> {
+    let member = Member { processors_milli: 16_000, zone: None };
+    names.iter().map(|name| (name.as_str(), member)).collect()
 }
 
 fn queue(priority: u32) -> Queue {
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -217,7 +217,7 @@
                     labels: vec!["a".into(), "r1".into()],
                     remaining_ms: None,
                     service: "desk".into(),
-                    zone: "z".into(),
+                    zone: worker.zone.into(),
                 };
                 (Arc::from(id.as_str()), (!worker.gone).then_some(entry))
             })
--- a/crates/fleet/tests/world/worker.rs
+++ b/crates/fleet/tests/world/worker.rs
@@ -40,6 +40,8 @@
     pub replaced: bool,
     /// It has no entry in the store.
     pub gone: bool,
+    /// Its availability zone.
+    pub zone: &'static str,
 }
 
 impl Worker {
--- a/crates/node/src/assigner.rs
+++ b/crates/node/src/assigner.rs
@@ -136,10 +136,15 @@
 ) -> (Assignment, u64) {
     let (assignment, revision) = node.assignment.borrow().clone();
     let registry = node.registry.borrow();
-    let workers: BTreeMap<&str, u64> = registry
+    let spread_zones = node.boot.evacuate_ms.is_some();
+    let workers: BTreeMap<&str, assignment::Member<'_>> = registry
         .iter()
         .filter(|(_, entry)| !entry.draining)
-        .map(|(id, entry)| (&**id, entry.capacity.processors_milli))
+        .map(|(id, entry)| {
+            let processors_milli = entry.capacity.processors_milli;
+            let zone = spread_zones.then_some(entry.zone.as_str());
+            (&**id, assignment::Member { processors_milli, zone })
+        })
         .collect();
     let mut next = assignment.next(&node.vms.borrow(), &workers);
     let removal_after_ms = node.boot.worker_lease_ms + REMOVAL_SLACK_MS;
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -4,6 +4,8 @@
 
 /// Delay before each watch of the workers' entries, which change with each heartbeat.
 const WORKERS_WATCH_DELAY: Duration = Duration::from_millis(350);
+/// Delay before each watch of the requests to evacuate zones, which change seldom.
+const EVACUATIONS_WATCH_DELAY: Duration = Duration::from_millis(20);
 /// Workers' entries older than this are read anew, in milliseconds, and the assignment is not
 /// rewritten from them.
 pub(crate) const WORKERS_MAX_AGE_MS: u64 = 2_500;
@@ -50,6 +52,52 @@
     }
 }
 
+/// Follows the zones to be evacuated while this VM needs the workers' entries.
+pub(crate) async fn follow_evacuations(node: Rc<Node>) {
+    let mut follower =
+        Follower::new(node.clone(), configuration::EVACUATIONS, EVACUATIONS_WATCH_DELAY);
+    loop {
+        if !node.needs_workers() {
+            node.evacuation.borrow_mut().invalidate();
+            let change = node.changed.notified();
+            let acquired = node.cell_acquired.notified();
+            tokio::select! {
+                () = change => {}
+                () = acquired => {}
+                () = sleep(IDLE_CHECK_INTERVAL) => {}
+            }
+            follower.restart();
+            continue;
+        }
+        let changes = match follower.next().await {
+            Update::All { items, sent_at, .. } => {
+                let requests = evacuation_requests(items);
+                let zones = requests.into_iter().map(|request| request.zone).collect();
+                node.evacuation.borrow_mut().replace(sent_at, zones)
+            }
+            Update::Changes { items, confirmed_at, .. } => {
+                node.evacuation.borrow_mut().apply(confirmed_at, evacuation_requests(items))
+            }
+        };
+        for evacuation::Request { zone, evacuated } in &changes {
+            node.meter.event(if *evacuated { "zone_evacuated" } else { "zone_restored" });
+            log::info!(zone = &**zone, evacuated; "zone_changed");
+        }
+        node.meter.zones_evacuated(node.evacuation.borrow().zones().len());
+        if !changes.is_empty() {
+            node.wake();
+        }
+    }
+}
+
+fn evacuation_requests(items: Vec<Item>) -> Vec<evacuation::Request> {
+    let request = |item: Item| {
+        let zone = item.key.strip_prefix(configuration::EVACUATIONS)?.into();
+        Some(evacuation::Request { zone, evacuated: item.value.is_some() })
+    };
+    items.into_iter().filter_map(request).collect()
+}
+
 /// Decodes workers' entries. An unreadable entry is logged and left out.
 fn worker_items(node: &Rc<Node>, items: Vec<Item>) -> Vec<registry::Item> {
     let decode = |item: Item| {
--- a/crates/node/src/executor.rs
+++ b/crates/node/src/executor.rs
@@ -54,11 +54,14 @@
     /// Starts the execution of actions and returns whether one of them reports the cell as lost.
     pub(crate) fn execute_all(self: &Rc<Self>, actions: Vec<Action>) -> bool {
         let mut lost = false;
-        let view_age_ms = self.node.view_age_ms();
+        let ages = meter::ViewAges {
+            workers_ms: self.node.view_age_ms(),
+            zones_ms: self.node.evacuation_age_ms(),
+        };
         for action in actions {
             match action {
                 Action::Lost => lost = true,
-                Action::Report(report) => self.node.meter.report(self.cell, &report, view_age_ms),
+                Action::Report(report) => self.node.meter.report(self.cell, &report, ages),
                 action => {
                     spawn_local(self.clone().execute(action));
                 }
--- a/crates/node/src/inputs.rs
+++ b/crates/node/src/inputs.rs
@@ -2,11 +2,13 @@
 
 use super::*;
 
-/// What was last passed on to a cell of the configuration, the other cells' heads and the workers.
+/// What was last passed on to a cell of the configuration, the other cells' heads, the workers and the zones to be evacuated.
 #[derive(Default)]
 pub(crate) struct Inputs {
     config_version: u64,
     heads_read_at: u64,
+    /// The version of the zones to be evacuated.
+    evacuation_version: u64,
     /// Since when the cell is assigned to another VM, or this VM leaves, in milliseconds.
     pub(crate) leaving_since: Option<u64>,
     /// Whether the workers' entries were too old for new runs.
@@ -42,6 +44,11 @@
             let owners = heads.len();
             events.push(Event::Heads { heads, owners });
         }
+        let evacuation = node.evacuation.borrow();
+        if evacuation.version() != self.evacuation_version {
+            self.evacuation_version = evacuation.version();
+            events.push(Event::Evacuated(evacuation.zones().clone()));
+        }
         let view = node.view();
         if self.view != Some(view) {
             self.view = Some(view);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,9 +13,9 @@
         store::{self, Item, Txn},
     },
     oleanderstage_fleet::{
-        Action, Assignment, Cell, Clock, Commit, Config, Continuity, Event, Head, Limits, Progress,
-        Queue, Registration, Registry, Settling, State, Ticket, action, admission, assignment,
-        cell,
+        Action, Assignment, Cell, Clock, Commit, Config, Continuity, Evacuation, Event, Head,
+        Limits, Progress, Queue, Registration, Registry, Settling, State, Ticket, action,
+        admission, assignment, cell, evacuation,
         event::{Outcome, Refusal},
         job,
         pressure::Pressure,
--- a/crates/node/src/meter.rs
+++ b/crates/node/src/meter.rs
@@ -4,7 +4,7 @@
     super::*,
     action::Report,
     prometheus::{
-        Encoder, HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry, TextEncoder,
+        Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
     },
     requests::Reply,
 };
@@ -15,6 +15,16 @@
     events: IntCounterVec,
     latency: HistogramVec,
     registry: Registry,
+    zones_evacuated: IntGauge,
+}
+
+/// The ages of the views by which a run is started.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ViewAges {
+    /// That of the workers' entries, in milliseconds.
+    pub(crate) workers_ms: u64,
+    /// That of the requests to evacuate zones, in milliseconds, if the settings know them.
+    pub(crate) zones_ms: Option<u64>,
 }
 
 /// Upper bounds of the latency buckets, in milliseconds, from the time of a store call to that of a
@@ -39,7 +49,10 @@
         registry.register(Box::new(answers.clone()))?;
         registry.register(Box::new(events.clone()))?;
         registry.register(Box::new(latency.clone()))?;
-        Ok(Self { answers, events, latency, registry })
+        let zones_evacuated =
+            IntGauge::new("oleanderstage_zones_evacuated", "availability zones without new runs")?;
+        registry.register(Box::new(zones_evacuated.clone()))?;
+        Ok(Self { answers, events, latency, registry, zones_evacuated })
     }
 
     /// Counts an event.
@@ -47,6 +60,11 @@
         self.events.with_label_values(&[name]).inc();
     }
 
+    /// Sets the number of zones to be evacuated.
+    pub(crate) fn zones_evacuated(&self, zones: usize) {
+        self.zones_evacuated.set(zones as i64);
+    }
+
     /// Counts a cell that this VM has acquired, and records its wait for the last owner's entry to go.
     pub(crate) fn cell_taken(&self, waited_ms: u64) {
         self.event("cell_taken");
@@ -67,9 +85,9 @@
         self.latency.with_label_values(&["answer"]).observe(took_ms as f64);
     }
 
-    /// Counts and logs a decision of a cell, with its latency if it has one. `view_age_ms` is the age
-    /// of the workers' entries, in milliseconds; a start is decided by them.
-    pub(crate) fn report(&self, cell: u32, report: &Report, view_age_ms: u64) {
+    /// Counts and logs a decision of a cell, with its latency if it has one. A start is decided by
+    /// views of these ages.
+    pub(crate) fn report(&self, cell: u32, report: &Report, ages: ViewAges) {
         let name = match report {
             Report::End { after_ms, .. } => {
                 self.latency.with_label_values(&["run"]).observe(*after_ms as f64);
@@ -86,15 +104,19 @@
             Report::Released { .. } => "run_released",
             Report::Start { after_ms, .. } => {
                 self.latency.with_label_values(&["start"]).observe(*after_ms as f64);
-                self.latency.with_label_values(&["view-age"]).observe(view_age_ms as f64);
+                self.latency.with_label_values(&["view-age"]).observe(ages.workers_ms as f64);
                 "run_started"
             }
             Report::Stop { .. } => "run_stopped",
             Report::Worker { .. } => "worker_believed",
+            Report::Zone { .. } => "cell_zone_changed",
         };
         self.event(name);
         match report {
-            Report::Start { .. } => log::info!(cell, view_age_ms, detail:serde = report; "{name}"),
+            Report::Start { .. } => {
+                let (view_age_ms, zones_age_ms) = (ages.workers_ms, ages.zones_ms);
+                log::info!(cell, view_age_ms, zones_age_ms, detail:serde = report; "{name}");
+            }
             _ => log::info!(cell, detail:serde = report; "{name}"),
         }
     }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -12,6 +12,8 @@
     pub(crate) config: RefCell<Option<Arc<Config>>>,
     /// The workers' entries.
     pub(crate) registry: RefCell<Registry>,
+    /// The zones that the operator evacuates.
+    pub(crate) evacuation: RefCell<Evacuation>,
     /// The assignment of cells and its revision; revision 0 before one was read.
     pub(crate) assignment: RefCell<(Assignment, u64)>,
     /// The VMs' entries by name.
@@ -59,7 +61,7 @@
 /// reach.
 pub(crate) const OWNER_SILENCE_MS: u64 = 5_500;
 /// Age of the workers' entries above which owners start no runs, in percent of the time for which a
-/// draining worker may still get new ones: longer than a watch without changes takes.
+/// draining worker may still get new ones, and the same for evacuated zones: longer than a watch without changes takes.
 const MAX_VIEW_AGE_PERCENT: u64 = 80;
 /// The worker lease that orders ask for, in milliseconds, unless the settings bound it lower:
 /// longer than a takeover takes, and short compared with the wait for a silent worker.
@@ -75,6 +77,7 @@
             meter: meter::Meter::new().into_diagnostic()?,
             config: RefCell::default(),
             registry: RefCell::default(),
+            evacuation: RefCell::default(),
             assignment: RefCell::default(),
             vms: RefCell::default(),
             balancer: RefCell::default(),
@@ -177,18 +180,29 @@
         (self.assignment.borrow().1, self.registry.borrow().version(), self.leaving.get())
     }
 
+    /// Returns the age of the requests to evacuate zones, in milliseconds; `None` if the settings
+    /// know no evacuation.
+    pub(crate) fn evacuation_age_ms(&self) -> Option<u64> {
+        self.boot.evacuate_ms.map(|_| self.evacuation.borrow().age_ms(time::now()))
+    }
+
     /// Returns the age of the workers' entries, in milliseconds.
     pub(crate) fn view_age_ms(&self) -> u64 {
         time::now().saturating_sub(self.registry.borrow().confirmed_at().unwrap_or(0))
     }
 
-    /// Returns whether the workers' entries are too old for new runs: a worker may have started to
-    /// drain since. They do not age during an outage of the store, in which none can change.
+    /// Returns whether the workers' entries, or the requests to evacuate zones, are too old for new
+    /// runs: a worker may have started to drain since, or its zone to be evacuated. They do not age during an outage of the store, in which none can change.
     pub(crate) fn is_view_stale(&self, now: u64) -> bool {
-        let max_age_ms = self.boot.drain_ms * MAX_VIEW_AGE_PERCENT / 100;
         let is_outage = !self.is_store_reachable() && self.was_silence_observed(now);
-        let registry = self.registry.borrow();
-        !is_outage && registry.is_stale(now, self.store_back_at.get(), max_age_ms)
+        let back_at = self.store_back_at.get();
+        let max_age_ms = |bound_ms: u64| bound_ms * MAX_VIEW_AGE_PERCENT / 100;
+        let workers_stale =
+            self.registry.borrow().is_stale(now, back_at, max_age_ms(self.boot.drain_ms));
+        let zones_stale = self.boot.evacuate_ms.is_some_and(|bound_ms| {
+            self.evacuation.borrow().is_stale(now, back_at, max_age_ms(bound_ms))
+        });
+        !is_outage && (workers_stale || zones_stale)
     }
 
     /// Returns whether this VM needs current workers' entries: it owns or acquires cells, or writes
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -69,6 +69,9 @@
     spawn_essential("session", session::maintain(node.clone()));
     spawn_essential("config", discovery::follow_config(node.clone()));
     spawn_essential("workers", discovery::follow_workers(node.clone()));
+    if node.boot.evacuate_ms.is_some() {
+        spawn_essential("evacuations", discovery::follow_evacuations(node.clone()));
+    }
     spawn_essential("heads", discovery::poll_heads(node.clone()));
     spawn_essential("fleet", assigner::follow(node.clone()));
     spawn_essential("map", assigner::maintain(node.clone()));
--- a/crates/node/tests/process/mod.rs
+++ b/crates/node/tests/process/mod.rs
@@ -38,6 +38,11 @@
 impl Process {
     /// Starts a VM's process, whose endpoints may get new runs for `drain_ms` after they drain.
     pub fn start(name: &str, store: SocketAddr, drain_ms: u64) -> Self {
+        Self::start_with(name, store, drain_ms, "")
+    }
+
+    /// Starts a VM's process with further lines in its settings.
+    pub fn start_with(name: &str, store: SocketAddr, drain_ms: u64, lines: &str) -> Self {
         let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
         let settings = directory.join(format!("process-{name}.conf"));
         // Several runs of the tests share a machine.
@@ -49,7 +54,7 @@
             "node_name={name}\nzone=z\nip={ip}\nlisten.front={ip}:{FRONT_PORT}\n\
              listen.ready={ip}:0\nplatform.address={store}\nlimits.cpu_share=0.5\n\
              limits.cores=1\nbounds.hold_max_ms=6000\nbounds.stop_timeout_ms=400\n\
-             bounds.gang_timeout_ms=3000\nbounds.grace_s=6\nbounds.drain_ms={drain_ms}\n"
+             bounds.gang_timeout_ms=3000\nbounds.grace_s=6\nbounds.drain_ms={drain_ms}\n{lines}"
         );
         fs::write(&settings, text).unwrap();
         let log = fs::File::create(directory.join(format!("process-{name}.log"))).unwrap();
