--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -49,10 +49,6 @@
 /// Expected wait of a lasting job without room for any of its tasks, in milliseconds: other lasting
 /// tasks hold the processors, for minutes.
 const LASTING_WAIT_MS: u64 = 20_000;
-/// Share of a cell's processors that lasting jobs may hold when another one starts, in percent.
-/// Lasting tasks keep their room for minutes; the rest is for bursts of urgent short tasks, and for
-/// filling tasks that would harm a lasting one.
-const MAX_LASTING_PERCENT: u64 = 70;
 /// From this many processes on, jobs are spread over cells in proportion to their room.
 const MANY_PROCESSES: usize = 11;
 
@@ -63,12 +59,6 @@
 /// reserved share.
 const WAIT_RESOLUTION_MS: u64 = 100;
 
-/// Returns the processors that lasting jobs may hold when another one starts in a cell with `total`
-/// processors, both in thousandths of a core.
-pub(crate) fn lasting_limit(total: u64) -> u64 {
-    total * MAX_LASTING_PERCENT / 100
-}
-
 impl<'a> Demand<'a> {
     /// Returns the demand of a job that was submitted to a queue.
     pub fn new(id: job::Id, submission: &'a Submission, queue: &Queue) -> Self {
@@ -229,7 +219,9 @@
         let free = self.head.total_milli.saturating_sub(self.reserved_milli());
         if demand.lasting {
             let lasting = self.head.lasting_milli + self.sent_milli;
-            return free.min(lasting_limit(self.head.total_milli).saturating_sub(lasting));
+            let base = self.head.total_milli * headroom::BASE_PERCENT / 100;
+            let limit = self.head.lasting_limit_milli.max(base);
+            return free.min(limit.saturating_sub(lasting));
         }
         free
     }
--- a/crates/fleet/src/cell.rs
+++ b/crates/fleet/src/cell.rs
@@ -52,12 +52,16 @@
     /// The same jobs, oldest first.
     pub(crate) removed_order: VecDeque<job::Id>,
     pub(crate) head: Head,
+    /// How much lasting jobs may hold.
+    pub(crate) headroom: Headroom,
     pub(crate) head_revision: u64,
     pub(crate) jobs: HashMap<job::Id, Job>,
     /// The contention between images measured by the owners of other cells.
     pub(crate) other_pressure: pressure::Pressure,
     pub(crate) leaving: bool,
     pub(crate) limits: Limits,
+    /// The loads of serving jobs.
+    pub(crate) loads: HashMap<job::Id, Load>,
     /// Unknown jobs whose tickets are being read.
     pub(crate) lookups: BTreeSet<job::Id>,
     pub(crate) lost: bool,
@@ -114,11 +118,13 @@
             removed: HashMap::new(),
             removed_order: VecDeque::new(),
             head: start.head,
+            headroom: Headroom::default(),
             head_revision: start.head_revision,
             jobs: HashMap::new(),
             other_pressure: pressure::Pressure::default(),
             leaving: false,
             limits: start.limits,
+            loads: HashMap::new(),
             lookups: BTreeSet::new(),
             lost: false,
             unfinished_jobs: BTreeSet::new(),
--- a/crates/fleet/src/cell_balance.rs
+++ b/crates/fleet/src/cell_balance.rs
@@ -23,6 +23,8 @@
             return;
         }
         self.estimated_at = clock.now;
+        self.observe_short_work(clock);
+        self.loads.retain(|job, _| self.jobs.contains_key(job));
         // What filling tasks may use beside serving tasks changes with the serving load.
         self.placement_due = true;
         self.own_pressure.decay(LOAD_INTERVAL_MS as f64 / 1_000.0);
@@ -49,6 +51,25 @@
         self.usable_milli.extend(usable);
     }
 
+    /// Updates how much of the cell lasting jobs may hold, by the short work that runs and waits.
+    fn observe_short_work(&mut self, clock: Clock) {
+        let mut demand = headroom::Demand::default();
+        let open = || self.workers.values().filter(|worker| !worker.evacuated);
+        for run in open().flat_map(|worker| worker.runs.values()).filter(|run| !run.step.lasting) {
+            demand.add(&run.step, 1);
+        }
+        for (_, _, id) in &self.unfinished_jobs {
+            let Some(job) = self.jobs.get(id).filter(|job| !job.is_lasting()) else { continue };
+            for (occurrence, number, step) in cell_schedule::ready_stages(job, clock.unix) {
+                let waiting = job.stage(occurrence, number).map_or(0, |stage| stage.waiting.len());
+                demand.waiting_milli += waiting as u64 * step.resources.processors_milli;
+                demand.add(&step, waiting as u64);
+            }
+        }
+        let total_milli = open().map(|worker| worker.capacity().processors_milli).sum();
+        self.headroom.observe(clock.now, demand, total_milli);
+    }
+
     /// Moves jobs that have not begun to cells that serve them sooner.
     pub(crate) fn move_jobs(&mut self, clock: Clock) {
         if self.leaving || clock.now < self.rebalanced_at + REBALANCE_INTERVAL_MS {
--- a/crates/fleet/src/cell_polls.rs
+++ b/crates/fleet/src/cell_polls.rs
@@ -389,8 +389,12 @@
     /// Updates the paces of a worker's filling tasks from the tail latencies of its serving tasks.
     fn update_paces(&mut self, clock: Clock, id: &Arc<str>) {
         let Some(worker) = self.workers.get_mut(id) else { return };
-        let worst_tail_ratio =
-            worker.observe_tails(clock.now, &self.pressure, &mut self.own_pressure);
+        let worst_tail_ratio = worker.observe_tails(
+            clock.now,
+            &self.pressure,
+            &mut self.own_pressure,
+            &mut self.loads,
+        );
         self.order_paces(clock, id, worst_tail_ratio);
     }
 
@@ -417,7 +421,6 @@
             // Raise in steps: measurements reflect a new pace only half a second later.
             let next = run.pace.map_or(pace, |old| pace.min(old + MAX_PACE_RISE));
             run.pace = Some(next);
-            worker.paced_at = clock.now;
             orders.push((*name, run.number, next));
         }
         let tail_percent = (worst_tail_ratio * 100.0) as u32;
--- a/crates/fleet/src/cell_record.rs
+++ b/crates/fleet/src/cell_record.rs
@@ -122,6 +122,7 @@
             free_milli: 0,
             generation: self.head.generation,
             largest_milli: 0,
+            lasting_limit_milli: 0,
             lasting_milli: 0,
             owner: self.head.owner.clone(),
             pending: BTreeMap::new(),
@@ -139,6 +140,7 @@
                 head.largest_milli = head.largest_milli.max(worker.unreserved().processors_milli);
             }
         }
+        head.lasting_limit_milli = self.headroom.lasting_limit(head.total_milli);
         for job in self.jobs.values().filter(|job| job.final_state.is_none()) {
             *head.backlog.entry(job.queue.priority).or_default() += job.work_left();
             if !job.begun {
--- a/crates/fleet/src/cell_schedule.rs
+++ b/crates/fleet/src/cell_schedule.rs
@@ -71,7 +71,7 @@
         let total: u64 = open().map(|worker| worker.capacity().processors_milli).sum();
         let lasting: u64 = open().map(|worker| worker.lasting_milli).sum();
         let demand = admission::Demand::new(id, &job.record.submission, &job.queue);
-        lasting > 0 && lasting + demand.reserved_milli > admission::lasting_limit(total)
+        lasting > 0 && lasting + demand.reserved_milli > self.headroom.lasting_limit(total)
     }
 
     /// Returns the jobs in the order in which their tasks are placed: by queue priority, then by
@@ -195,7 +195,7 @@
 
 /// Returns the steps of a job with waiting tasks that may start now: occurrence, step number and
 /// step.
-fn ready_stages(job: &Job, unix: u64) -> Vec<(u32, u16, Arc<Step>)> {
+pub(crate) fn ready_stages(job: &Job, unix: u64) -> Vec<(u32, u16, Arc<Step>)> {
     let mut open = Vec::new();
     for (number, occurrence) in (0..).zip(&job.occurrences) {
         if occurrence.due_at_ms > unix {
--- a/crates/fleet/src/head.rs
+++ b/crates/fleet/src/head.rs
@@ -16,6 +16,10 @@
     /// Processors reserved by lasting tasks, which keep them for minutes, in thousandths of a core.
     #[serde(default)]
     pub lasting_milli: u64,
+    /// Processors that lasting tasks may hold when another job of them starts, in thousandths of a
+    /// core; 0 if unknown.
+    #[serde(default)]
+    pub lasting_limit_milli: u64,
     /// Processors of all workers that answer, in thousandths of a core.
     #[serde(default)]
     pub total_milli: u64,
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,9 +16,10 @@
 pub use {
     action::Action, assignment::Assignment, cell::Cell, clock::Clock, commit::Commit,
     config::Config, continuity::Continuity, evacuation::Evacuation, event::Event, head::Head,
-    job::Job, lateness::Lateness, limits::Limits, listing::Listing, progress::Progress,
-    queue::Queue, registration::Registration, registry::Registry, run::Run, settling::Settling,
-    state::State, step::Step, submission::Submission, ticket::Ticket, worker::Worker,
+    headroom::Headroom, job::Job, lateness::Lateness, limits::Limits, listing::Listing, load::Load,
+    progress::Progress, queue::Queue, registration::Registration, registry::Registry, run::Run,
+    settling::Settling, state::State, step::Step, submission::Submission, ticket::Ticket,
+    worker::Worker,
 };
 
 pub mod action;
@@ -32,10 +33,12 @@
 pub mod evacuation;
 pub mod event;
 pub mod head;
+pub mod headroom;
 pub mod job;
 pub mod lateness;
 pub mod limits;
 pub mod listing;
+pub mod load;
 pub mod pace;
 pub mod placement;
 pub mod pressure;
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -23,7 +23,7 @@
 }
 
 /// Share of its reserved processors that a serving task is assumed to use, in percent.
-const SERVING_USE_PERCENT: u64 = 60;
+pub(crate) const SERVING_USE_PERCENT: u64 = 60;
 
 /// Returns the worker with the highest score for the task, if it fits on any.
 pub fn choose<'a>(
--- a/crates/fleet/src/pressure.rs
+++ b/crates/fleet/src/pressure.rs
@@ -8,9 +8,7 @@
 use super::*;
 
 /// The contention that filling images add to serving images, estimated from measured tail
-/// latencies. A serving task's own load is only known as a range, so each measurement gives a lower
-/// and an upper bound on the contention that filling tasks add. Estimates move only towards a
-/// violated bound, so that pacing by the same measurements does not bias them.
+/// latencies less the load of the serving task's job.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Pressure {
     /// By serving image, then by filling image.
@@ -22,43 +20,32 @@
 struct Pair {
     /// The contention added when the filling image uses all processors of a worker; above zero.
     level: f64,
-    /// The amount of evidence, as the inverse of the level's variance, with decay. Measurements that
-    /// agree with any level within the bounds are none.
+    /// The amount of evidence, as the inverse of the level's variance, with decay.
     weight: f64,
 }
 
-/// A serving image and its latency target.
-#[derive(Clone, Copy, Debug)]
-pub struct ServingImage<'a> {
-    /// The image.
-    pub image: &'a str,
-    /// The target for its tail latency, in milliseconds.
-    pub target_ms: u64,
-}
-
 /// Tail latency without load relative to the target: targets are 4.5 times the idle latency.
 const IDLE_TAIL: f64 = 1.0 / 4.5;
 /// Contention at which a tail latency is at its target.
 pub(crate) const TARGET_CONTENTION: f64 = 1.0 - IDLE_TAIL;
 /// Mean contention caused by a serving task's own load.
 pub(crate) const MEAN_LOAD: f64 = 0.42;
-/// Range of the contention caused by a serving task's own load, including measurement noise.
-pub(crate) const LOAD_RANGE: (f64, f64) = (0.18, 0.66);
+/// The highest contention by a serving task's own load.
+pub(crate) const MAX_LOAD: f64 = 0.66;
 /// Level assumed for a pair without measurements: between harmless and very harmful pairs.
 const DEFAULT_LEVEL: f64 = 0.5;
 /// Weight of the assumed level: it may be off by two.
 const DEFAULT_WEIGHT: f64 = 0.25;
-/// Variance of the change of contention between two measurements without a change in what fills:
-/// from their noise, and from the serving task's own load.
-const CHANGE_VARIANCE: f64 = 0.01;
 /// Contention from which tail latencies saturate and give only a lower bound.
 pub(crate) const SATURATION: f64 = 0.9;
-/// Learning rate: the exponent applied to the ratio between a violated bound and the estimate.
-const LEARNING_RATE: f64 = 0.4;
 /// Range of levels: below it all pairs are harmless, above it all are equally harmful.
 const LEVEL_RANGE: (f64, f64) = (0.02, 6.0);
-/// Smallest share of a worker used by filling tasks at which a measurement counts.
+/// Smallest share of a worker used by an image at which a measurement counts for it: less is lost in
+/// the noise.
 const MIN_SHARE: f64 = 0.02;
+/// The most evidence kept for a pair: levels change within seconds, and the errors of measurements
+/// have a common part.
+const MAX_WEIGHT: f64 = 25.0;
 /// Factor by which weights decay per second, since pairs change over time.
 const WEIGHT_DECAY_PER_S: f64 = 0.96;
 /// Levels and weights are stored with a precision of one thousandth.
@@ -71,63 +58,42 @@
 }
 
 impl Pressure {
-    /// Updates the estimates from the tail latency of a serving task while filling images use these
-    /// shares of the worker's processors.
-    pub fn observe(&mut self, serving: ServingImage, tail_ms: f64, shares: &[(&str, f64)]) {
-        let in_use: f64 = shares.iter().map(|(_, share)| share).sum();
-        if in_use < MIN_SHARE || serving.target_ms == 0 {
-            return;
-        }
-        let measured = contention(tail_ms / serving.target_ms as f64);
-        let lower_bound = measured - LOAD_RANGE.1;
-        let upper_bound =
-            if measured < SATURATION { measured - LOAD_RANGE.0 } else { f64::INFINITY };
-        let pairs = self.pairs.entry(serving.image.into()).or_default();
-        for (image, _) in shares {
-            pairs.entry((*image).into()).or_default();
-        }
-        let added = |(image, share): &(&str, f64)| pairs[*image].level * share;
-        let sum: f64 = shares.iter().map(added).sum();
-        let violated_bound = if sum < lower_bound {
-            lower_bound
-        } else if sum > upper_bound {
-            upper_bound
-        } else {
+    /// Updates the estimates from the contention that filling images add for a serving image while
+    /// they use these shares of the worker's processors. Images that are less well known take more of
+    /// the error.
+    pub fn observe(&mut self, serving: &str, added: load::Added, shares: &[(&str, f64)]) {
+        if shares.is_empty() {
             return;
-        };
-        let ratio = violated_bound.max(MIN_SHARE * LEVEL_RANGE.0) / sum;
-        for (image, share) in shares {
-            let Some(pair) = pairs.get_mut(*image) else { continue };
-            let part = pair.level * share / sum;
-            pair.weight += share;
-            pair.level =
-                (pair.level * ratio.powf(LEARNING_RATE * part)).clamp(LEVEL_RANGE.0, LEVEL_RANGE.1);
         }
-    }
-
-    /// Updates the estimates from a change of the contention of a serving task between two
-    /// measurements, while the filling images' shares of the worker's processors changed by these
-    /// amounts because runs began or ended. The task's own load hardly changes in between, so one
-    /// start shows a very harmful pair before its load peaks. Changes of pace must be left out: they
-    /// follow the load.
-    pub fn observe_change(&mut self, serving: &str, change: f64, share_changes: &[(&str, f64)]) {
         let pairs = self.pairs.entry(serving.into()).or_default();
         let mut expected = 0.0;
-        let mut variance = CHANGE_VARIANCE;
-        for (image, share) in share_changes {
+        let mut total_variance = added.variance;
+        for (image, share) in shares {
             let pair = pairs.entry((*image).into()).or_default();
             expected += pair.level * share;
-            variance += share * share / pair.weight.max(DEFAULT_WEIGHT);
+            total_variance += share * share * pair.variance();
         }
-        let error = change - expected;
-        for (image, share) in share_changes {
+        let error = added.level - expected;
+        for (image, share) in shares.iter().filter(|(_, share)| share.abs() >= MIN_SHARE) {
             let Some(pair) = pairs.get_mut(*image) else { continue };
-            let gain = share / pair.weight.max(DEFAULT_WEIGHT) / variance;
+            let gain = share * pair.variance() / total_variance;
             pair.level = (pair.level + gain * error).clamp(LEVEL_RANGE.0, LEVEL_RANGE.1);
-            pair.weight += share * share / CHANGE_VARIANCE;
+            pair.weight = (pair.weight + share * share / added.variance).min(MAX_WEIGHT);
         }
     }
 
+    /// Returns the contention that filling images are expected to add for a serving image while they
+    /// use these shares of the worker's processors, and its variance.
+    pub fn added(&self, serving: &str, shares: &[(&str, f64)]) -> (f64, f64) {
+        let pairs = self.pairs.get(serving);
+        let of =
+            |image: &str| pairs.and_then(|pairs| pairs.get(image)).copied().unwrap_or_default();
+        shares.iter().fold((0.0, 0.0), |(added, variance), (image, share)| {
+            let pair = of(image);
+            (added + pair.level * share, variance + share * share * pair.variance())
+        })
+    }
+
     /// Decays the weight of the evidence by `seconds`.
     pub fn decay(&mut self, seconds: f64) {
         let kept = WEIGHT_DECAY_PER_S.powf(seconds);
@@ -187,6 +153,11 @@
 }
 
 impl Pair {
+    /// Returns the variance of the level.
+    fn variance(&self) -> f64 {
+        1.0 / self.weight.max(DEFAULT_WEIGHT)
+    }
+
     /// Merges another owner's estimate of the pair: the mean by weight.
     fn merge(&mut self, other: &Self) {
         let weight = self.weight + other.weight;
--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -30,9 +30,8 @@
 /// A run that a worker holds or may hold.
 #[derive(Clone, Debug)]
 pub struct Run {
-    /// Estimated contention caused by a serving task's own load, from 0 to 1, updated from its
-    /// measured tail latency.
-    pub load: f64,
+    /// The load of a serving task's job at the last observation of its worker.
+    pub load: Load,
     /// Measurement in the last listing: the tail latency in milliseconds for a serving task,
     /// processors in use in thousandths of a core for any other.
     pub measurement: Option<f64>,
@@ -55,8 +54,6 @@
     /// The smoothed contention that a serving task's tail latency shows, from 0 to 1; `None` before
     /// the first measurement.
     pub contention: Option<f64>,
-    /// The contention that a serving task's last observed tail latency showed.
-    pub last_contention: Option<f64>,
     /// Since when the smoothed tail latency of a serving task has been over its target, in
     /// milliseconds.
     pub over_target_since: Option<u64>,
@@ -66,7 +63,7 @@
     /// Returns a run whose start was ordered at `now`.
     pub(crate) fn new(now: u64, number: u32, step: Arc<Step>) -> Self {
         Self {
-            load: pressure::MEAN_LOAD,
+            load: Load::default(),
             measurement: None,
             idle_since: None,
             number,
@@ -76,7 +73,6 @@
             started: now,
             step,
             contention: None,
-            last_contention: None,
             over_target_since: None,
         }
     }
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -51,10 +51,6 @@
     pub serving_milli: u64,
     /// When loads and contention were last estimated from its measurements, in milliseconds.
     pub observed_at: u64,
-    /// When a pace was last ordered, in milliseconds.
-    pub paced_at: u64,
-    /// The share of its processors that each filling image used at `observed_at`.
-    pub observed_shares: BTreeMap<String, f64>,
     /// Recently ended filling runs: time of the end in milliseconds, image, and cores used.
     pub ended_filling: Vec<(u64, String, f64)>,
     /// Consecutive failed runs.
@@ -91,8 +87,6 @@
             lasting_milli: 0,
             serving_milli: 0,
             observed_at: 0,
-            paced_at: 0,
-            observed_shares: BTreeMap::new(),
             ended_filling: Vec::new(),
             failures: 0,
             missing_since: None,
--- a/crates/fleet/tests/sharing.rs
+++ b/crates/fleet/tests/sharing.rs
@@ -8,7 +8,8 @@
     oleanderstage_fleet::{
         Event, Step,
         action::{Report, StopReason},
-        pressure::{Pressure, ServingImage},
+        load::{Added, Load},
+        pressure::Pressure,
     },
     std::collections::BTreeSet,
     world::{QUEUE, TARGET_MS, World, filling, name, serving, step},
@@ -22,17 +23,26 @@
 /// left, half of it for noise.
 const HARMFUL_LEVEL: f64 = 8.0 * 0.148 / 2.0;
 
+/// Variance of a measurement of added contention.
+const VARIANCE: f64 = 0.01;
+
+/// Returns a measurement of added contention.
+fn measured(level: f64) -> Added {
+    Added { level, variance: VARIANCE }
+}
+
 /// Returns the tail latency of a queue at this load plus added contention, in milliseconds.
 fn tail(load: f64, added: f64) -> f64 {
     4.0 / (1.0 - load - added).max(0.005)
 }
 
 /// Feeds measurements of workers with a mix of filling images, of which only `loud` raises the tail
-/// much, while the serving task's own load oscillates. `pace` scales the use of the filling images
-/// by the load.
+/// much, while the serving task's own load oscillates. Every other measurement is of a worker without
+/// filling tasks. `pace` scales the use of the filling images by the load.
 fn observe_paced_polls(pressure: &mut Pressure, polls: usize, pace: impl Fn(f64) -> f64) {
+    let mut own = Load::default();
     for poll in 0..polls {
-        let load = 0.42 + 0.21 * (poll as f64 * 0.7).sin();
+        let load = 0.42 + 0.21 * (poll as f64 * 0.07).sin();
         let uses: Vec<(&str, f64)> = ADDED_CONTENTION
             .iter()
             .enumerate()
@@ -44,14 +54,24 @@
         let adds =
             |wanted: &str| ADDED_CONTENTION.iter().find(|(image, _)| *image == wanted).unwrap().1;
         let added: f64 = uses.iter().map(|(image, share)| adds(image) * share).sum();
-        let served = ServingImage { image: "feed", target_ms: TARGET_MS };
-        pressure.observe(served, tail(load, added), &uses);
+        let now = 1_000 + 100 * poll as u64;
+        observe(pressure, &mut own, now, tail(load, added), &uses);
+        observe(pressure, &mut own, now, tail(load, 0.0), &[]);
         if poll % 10 == 9 {
             pressure.decay(0.5);
         }
     }
 }
 
+/// Feeds one measurement of a tail latency in milliseconds.
+fn observe(pressure: &mut Pressure, load: &mut Load, now: u64, tail_ms: f64, uses: &[(&str, f64)]) {
+    let contention = 1.0 - TARGET_MS as f64 / 4.5 / tail_ms.max(TARGET_MS as f64 / 4.5);
+    let (added, variance) = pressure.added("feed", uses);
+    if let Some(added) = load.observe(now, contention, added, variance) {
+        pressure.observe("feed", added, uses);
+    }
+}
+
 fn observe_polls(pressure: &mut Pressure, polls: usize) {
     observe_paced_polls(pressure, polls, |_| 1.0);
 }
@@ -99,9 +119,9 @@
     let mut pressure = Pressure::default();
     observe_polls(&mut pressure, 60);
     let known = pressure.level("feed", "loud");
-    for _ in 0..40 {
-        let served = ServingImage { image: "feed", target_ms: TARGET_MS };
-        pressure.observe(served, 400.0, &[("loud", 0.9)]);
+    let mut load = Load::default();
+    for poll in 0..40 {
+        observe(&mut pressure, &mut load, 100 * poll, 400.0, &[("loud", 0.9)]);
     }
     assert!(pressure.level("feed", "loud") > known * 0.95);
 }
@@ -113,8 +133,7 @@
     let mut other = Pressure::default();
     observe_polls(&mut other, 60);
     let mut own = Pressure::default();
-    let served = ServingImage { image: "feed", target_ms: TARGET_MS };
-    own.observe(served, 8.0, &[("late", 0.1), ("quiet", 0.1)]);
+    own.observe("feed", measured(0.05), &[("late", 0.1), ("quiet", 0.1)]);
     let mut known = own.clone();
     known.merge(&other);
     assert_told_apart(&known);
@@ -356,8 +375,8 @@
     let mut pressure = Pressure::default();
     for start in 0..8 {
         let noise = if start % 2 == 0 { 0.04 } else { -0.04 };
-        pressure.observe_change("feed", 0.1 * 2.5 + noise, &[("loud", 0.1)]);
-        pressure.observe_change("feed", -0.1 * 0.1 + noise, &[("calm", -0.1)]);
+        pressure.observe("feed", measured(0.1 * 2.5 + noise), &[("loud", 0.1)]);
+        pressure.observe("feed", measured(-0.1 * 0.1 + noise), &[("calm", -0.1)]);
     }
     let levels = ["loud", "calm"].map(|image| pressure.level("feed", image));
     assert!((1.8..3.0).contains(&levels[0]), "{levels:?}");
@@ -369,28 +388,27 @@
 fn a_harmful_pair_is_found_beside_a_known_one() {
     let mut pressure = Pressure::default();
     for _ in 0..20 {
-        pressure.observe_change("feed", 0.1 * 0.2, &[("quiet", 0.1)]);
+        pressure.observe("feed", measured(0.1 * 0.2), &[("quiet", 0.1)]);
     }
     for _ in 0..6 {
-        pressure.observe_change("feed", 0.1 * 2.7, &[("quiet", 0.1), ("loud", 0.1)]);
+        pressure.observe("feed", measured(0.1 * 2.7), &[("quiet", 0.1), ("loud", 0.1)]);
     }
     assert!(pressure.level("feed", "loud") > 1.8, "{}", pressure.level("feed", "loud"));
     assert!(pressure.level("feed", "quiet") < 0.5, "{}", pressure.level("feed", "quiet"));
 }
 
-/// Fifteen cells that had seen a harmful pair only at low loads outweighed the one that had seen its
+/// Fifteen cells that had hardly seen a harmful pair outweighed the one that had seen its
 /// harm, and the image went on beside that serving image everywhere.
 #[test]
 fn cells_without_evidence_do_not_outweigh_the_one_that_has_it() {
-    let served = ServingImage { image: "feed", target_ms: TARGET_MS };
     let mut known = Pressure::default();
     for _ in 0..8 {
-        known.observe_change("feed", 0.25, &[("loud", 0.1)]);
+        known.observe("feed", measured(0.25), &[("loud", 0.1)]);
     }
     for _ in 0..15 {
         let mut other = Pressure::default();
         for _ in 0..200 {
-            other.observe(served, tail(0.42, 0.05), &[("loud", 0.1)]);
+            other.observe("feed", measured(0.0), &[("loud", 0.002)]);
         }
         known.merge(&other);
     }
@@ -405,7 +423,7 @@
     world.advance(300);
     let mut pressure = Pressure::default();
     for _ in 0..40 {
-        pressure.observe_change("feed", 0.125 * 0.9, &[("middling", 0.125)]);
+        pressure.observe("feed", measured(0.125 * 0.9), &[("middling", 0.125)]);
     }
     world.handle(Event::Pressure(pressure));
     world.worker("w1").measurements.insert(name("1", 0, 0), 10.0);
--- a/crates/fleet/tests/waiting.rs
+++ b/crates/fleet/tests/waiting.rs
@@ -3,11 +3,8 @@
 mod world;
 
 use {
-    oleanderstage_fleet::{
-        Event, Step,
-        pressure::{Pressure, ServingImage},
-    },
-    world::{QUEUE, TARGET_MS, World, filling, name, serving, step},
+    oleanderstage_fleet::{Event, Step, load::Added, pressure::Pressure},
+    world::{QUEUE, World, filling, name, serving, step},
 };
 
 /// More jobs than the misses after which a placement pass ends.
@@ -17,8 +14,7 @@
 fn send_harmful_estimates(world: &mut World, image: &str) {
     let mut pressure = Pressure::default();
     for _ in 0..20 {
-        let served = ServingImage { image: "feed", target_ms: TARGET_MS };
-        pressure.observe(served, 90.0, &[(image, 0.1)]);
+        pressure.observe("feed", Added { level: 0.3, variance: 0.01 }, &[(image, 0.1)]);
     }
     world.handle(Event::Pressure(pressure));
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -10,7 +10,7 @@
     oleanderstage_standin::{
         UsersLedger, UsersStore, UsersWorker,
         users_store::Availability,
-        users_worker::{CAPACITY_MILLI, DRAIN_LIMIT},
+        users_worker::{CAPACITY_MILLI, DRAIN_LIMIT, EVACUATION_LIMIT},
     },
     rand::{Rng, SeedableRng},
     rand_pcg::Pcg64Mcg,
--- a/crates/soak/src/maintenance.rs
+++ b/crates/soak/src/maintenance.rs
@@ -1,7 +1,7 @@
-//! Planned work: workers are replaced and VMs restarted in series that overlap, beside a store that
-//! answers late. Nothing fails, so that every guarantee holds without exemption.
+//! Planned work: workers are replaced, zones evacuated and VMs restarted in series that overlap, beside
+//! a store that answers late. Nothing fails, so that every guarantee holds without exemption.
 
-use super::*;
+use {super::*, soak::ZONES};
 
 /// Delay of the bytes between each VM and the store.
 const STORE_DELAY: Duration = Duration::from_millis(30);
@@ -11,6 +11,8 @@
 const LEAVE_TIME: Duration = Duration::from_millis(3_500);
 /// Time between the end of a worker and the start of the next one under its ID.
 const ABSENCE: Duration = Duration::from_millis(500);
+/// How long a zone stays evacuated: its workers must get no new runs for half of it.
+const EVACUATION_TIME: Duration = Duration::from_millis(4_000);
 /// Time between two VMs that are stopped.
 const RESTART_INTERVAL: Duration = Duration::from_millis(3_500);
 /// How often a stopped VM's process is checked for its end.
@@ -26,6 +28,7 @@
         let others = [
             spawn_local(self.clone().restart_vms(end)),
             spawn_local(self.clone().watch_ownership(end)),
+            spawn_local(self.clone().evacuate_zones(end)),
         ];
         for number in (0..self.workers.len()).step_by(2).cycle() {
             if Instant::now() >= end {
@@ -57,6 +60,28 @@
         worker.register(&self.store, relay.address, false);
     }
 
+    /// Evacuates the zones in turn. Their workers go on.
+    async fn evacuate_zones(self: Rc<Self>, end: Instant) {
+        for zone in ZONES.into_iter().cycle() {
+            if Instant::now() >= end {
+                break;
+            }
+            self.count("zone-evacuate");
+            let key = format!("op/evacuate/{zone}");
+            self.store.put(&key, &json!({}));
+            self.set_evacuated(zone, true);
+            sleep(EVACUATION_TIME).await;
+            self.set_evacuated(zone, false);
+            self.store.remove(&key);
+            sleep(ABSENCE).await;
+        }
+    }
+
+    fn set_evacuated(&self, zone: &str, evacuated: bool) {
+        let workers = self.workers.iter().filter(|(worker, _)| worker.zone == zone);
+        workers.for_each(|(worker, _)| worker.set_evacuated(evacuated));
+    }
+
     async fn restart_vms(self: Rc<Self>, end: Instant) {
         let mut restarts = Vec::new();
         for vm in self.vms.iter().cycle() {
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -26,6 +26,8 @@
 /// How long accepted jobs may take to end once all faults are healed: the longest wait for a worker
 /// that a new owner cannot reach, plus the run time of the tasks.
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(40);
+/// The availability zones of the workers.
+pub(crate) const ZONES: [&str; 2] = ["a", "b"];
 /// Time between submissions of new jobs.
 const SUBMIT_INTERVAL: Duration = Duration::from_millis(70);
 /// Shortest time between injected faults, in milliseconds; the longest is four times that.
@@ -42,6 +44,7 @@
         for number in 0..plan.workers {
             let started = UsersWorker::start(&format!("i-{number:04}"), ledger.clone()).await;
             let (worker, target) = started.into_diagnostic()?;
+            let worker = worker.in_zone(ZONES[number % ZONES.len()]);
             let relay = TcpRelay::start(([127, 0, 0, 1], 0).into(), target).await;
             let relay = relay.into_diagnostic()?;
             worker.register(&store, relay.address, false);
--- a/crates/soak/src/vm.rs
+++ b/crates/soak/src/vm.rs
@@ -54,9 +54,10 @@
              listen.ready={ip}:{READY_PORT}\nplatform.address={}\nplatform.ttl_min_ms=1000\n\
              limits.cpu_share=0.5\nlimits.cores=1\nbounds.hold_max_ms=6000\n\
              bounds.stop_timeout_ms=400\nbounds.gang_timeout_ms=3000\nbounds.grace_s={GRACE_S}\nbounds.drain_ms={}\n\
-             heartbeat_ms=1500\n",
+             bounds.evacuate_ms={}\nheartbeat_ms=1500\n",
             store_relay.address,
-            DRAIN_LIMIT.as_millis()
+            DRAIN_LIMIT.as_millis(),
+            EVACUATION_LIMIT.as_millis()
         );
         let path = plan.directory.join(format!("vm-{number}.conf"));
         fs::write(&path, settings).into_diagnostic()?;
--- a/crates/standin/src/users_worker.rs
+++ b/crates/standin/src/users_worker.rs
@@ -18,6 +18,8 @@
 pub struct UsersWorker {
     /// Its id.
     pub id: String,
+    /// Its availability zone.
+    pub zone: &'static str,
     ledger: UsersLedger,
     /// Wakes the polls when a run ends.
     changed: Arc<tokio::sync::Notify>,
@@ -55,6 +57,8 @@
     incarnation: u64,
     /// Since when its entry says that it drains.
     draining_since: Option<Instant>,
+    /// Since when its zone is evacuated.
+    evacuated_since: Option<Instant>,
     /// Runs that are over and not yet acknowledged: sequence number, task, number of the run and
     /// outcome.
     ended: VecDeque<(u64, String, u32, &'static str)>,
@@ -90,6 +94,8 @@
 pub const CAPACITY_MILLI: u64 = 16_000;
 /// How long after its entry says that it drains a worker may get new runs.
 pub const DRAIN_LIMIT: Duration = Duration::from_secs(2);
+/// How long after its zone is evacuated a worker may get new runs.
+pub const EVACUATION_LIMIT: Duration = Duration::from_secs(2);
 /// Maximum length of the lease, in milliseconds.
 pub const MAX_LEASE_MS: u64 = 6_000;
 /// Interval between two checks for runs that are over.
@@ -101,6 +107,7 @@
         Self {
             incarnation,
             draining_since: None,
+            evacuated_since: None,
             ended: VecDeque::new(),
             last_sequence: 0,
             fails: false,
@@ -147,6 +154,7 @@
         let address = listener.local_addr()?;
         let worker = Self {
             id: id.into(),
+            zone: "a",
             ledger,
             changed: Arc::default(),
             state: Arc::new(Mutex::new(State::new(1))),
@@ -175,7 +183,7 @@
             state.incarnation
         };
         let entry = json!({
-            "service": "desk", "address": address, "zone": "a", "version": "v1", "slots": 8,
+            "service": "desk", "address": address, "zone": self.zone, "version": "v1", "slots": 8,
             "state": if draining { "draining" } else { "ready" }, "cold_remaining_ms": 0,
             "capacity": {"cpu": CAPACITY_MILLI, "mem_mb": 65_536, "gpu": 0},
             "labels": ["a", "r1"], "seq": 1, "born": incarnation,
@@ -183,6 +191,17 @@
         store.put(&format!("servers/{}", self.id), &entry);
     }
 
+    /// Sets the worker's zone, before it registers.
+    pub fn in_zone(mut self, zone: &'static str) -> Self {
+        self.zone = zone;
+        self
+    }
+
+    /// Sets whether the worker's zone is evacuated.
+    pub fn set_evacuated(&self, evacuated: bool) {
+        lock(&self.state).evacuated_since = evacuated.then(Instant::now);
+    }
+
     /// Returns whether its entry says that it drains.
     pub fn is_draining(&self) -> bool {
         lock(&self.state).draining_since.is_some()
@@ -201,7 +220,8 @@
                 entry.running.remove(&self.id);
             });
         }
-        *state = State::new(state.incarnation + 1);
+        let evacuated_since = state.evacuated_since;
+        *state = State { evacuated_since, ..State::new(state.incarnation + 1) };
     }
 
     /// Ends the runs that are over: all if the lease has expired, else those whose work is done.
@@ -313,6 +333,15 @@
                 drained_for.as_millis()
             ));
         }
+        let evacuated_for = state.evacuated_since.map_or(Duration::ZERO, |since| since.elapsed());
+        if evacuated_for > EVACUATION_LIMIT {
+            self.ledger.record_violation(format!(
+                "task {task} is started on {}, whose zone {} has been evacuated for {} ms",
+                self.id,
+                self.zone,
+                evacuated_for.as_millis()
+            ));
+        }
         self.ledger.change(&task, |entry| {
             entry.running.insert(self.id.clone());
             entry.starts += 1;
