--- a/crates/fleet/src/action.rs
+++ b/crates/fleet/src/action.rs
@@ -128,6 +128,15 @@
         /// Why it was not carried out.
         reason: Refusal,
     },
+    /// A worker's room is held for a task that fits nowhere now.
+    Reserved {
+        /// The job of the task.
+        job: job::Id,
+        /// The worker's ID.
+        worker: Arc<str>,
+        /// The time until it is expected to have room, in milliseconds.
+        ready_ms: u64,
+    },
     /// A run is known to be over although the worker listed no end.
     Released {
         /// The task.
--- a/crates/fleet/src/cell.rs
+++ b/crates/fleet/src/cell.rs
@@ -46,11 +46,15 @@
     pub(crate) estimated_at: u64,
     /// The zones to be evacuated.
     pub(crate) evacuated_zones: BTreeSet<Arc<str>>,
+    /// The jobs for which workers' room was held in the last placement pass.
+    pub(crate) reserved: BTreeMap<Arc<str>, job::Id>,
     /// Recently removed jobs and the revisions of their removal. A record read at an earlier
     /// revision must not add the job again.
     pub(crate) removed: HashMap<job::Id, u64>,
     /// The same jobs, oldest first.
     pub(crate) removed_order: VecDeque<job::Id>,
+    /// How long runs take compared with their estimates.
+    pub(crate) forecast: Forecast,
     pub(crate) head: Head,
     /// How much lasting jobs may hold.
     pub(crate) headroom: Headroom,
@@ -115,8 +119,10 @@
             pressure_written_at: 0,
             evacuated_at: 0,
             usable_milli: BTreeMap::new(),
+            reserved: BTreeMap::new(),
             removed: HashMap::new(),
             removed_order: VecDeque::new(),
+            forecast: Forecast::default(),
             head: start.head,
             headroom: Headroom::default(),
             head_revision: start.head_revision,
--- a/crates/fleet/src/cell_polls.rs
+++ b/crates/fleet/src/cell_polls.rs
@@ -120,6 +120,9 @@
             let (task, run, how) = (name, end.run, end.reason);
             self.report(Report::End { task, run, worker: id.clone(), how, after_ms });
         }
+        if let Some(run) = run.as_ref().filter(|_| end.reason == EndReason::Done) {
+            self.observe_duration(name.job, &run.step, after_ms);
+        }
         self.count_failure(clock, id, end);
         match end.reason {
             EndReason::Done => self.apply_done(id, end),
@@ -135,6 +138,16 @@
         }
     }
 
+    /// Records how long a run took. Filling tasks are left out, since their pace varies.
+    fn observe_duration(&mut self, id: job::Id, step: &Step, took_ms: u64) {
+        if step.fills || step.lasting {
+            return;
+        }
+        if let Some(job) = self.jobs.get(&id) {
+            self.forecast.observe(&job.queue.name, step.estimate_ms, took_ms);
+        }
+    }
+
     /// Counts a worker's consecutive failed runs and pauses it at `FAILURES_TO_PAUSE`.
     fn count_failure(&mut self, clock: Clock, id: &Arc<str>, end: &listing::End) {
         let Some(worker) = self.workers.get_mut(id) else { return };
--- a/crates/fleet/src/cell_relocate.rs
+++ b/crates/fleet/src/cell_relocate.rs
@@ -85,6 +85,8 @@
             pressure: &self.pressure,
             min_pace: MIN_NEW_PACE,
             placed: &BTreeMap::new(),
+            reservations: &reservation::Book::default(),
+            duration_ms: None,
         };
         placement::choose(&self.workers, &criteria).is_some_and(|chosen| chosen != here)
     }
--- a/crates/fleet/src/cell_schedule.rs
+++ b/crates/fleet/src/cell_schedule.rs
@@ -30,8 +30,10 @@
             return;
         }
         self.placement_due = false;
+        self.reserved.retain(|_, job| self.jobs.contains_key(job));
         let all_fenced = self.unfenced.is_empty();
         let mut misses = 0;
+        let mut reservations = reservation::Book::default();
         // The smallest request of each filling image that found no worker, in thousandths of a
         // core.
         let mut smallest_missed: BTreeMap<String, u64> = BTreeMap::new();
@@ -45,7 +47,8 @@
                 let milli = step.resources.processors_milli;
                 let cannot_fit =
                     smallest_missed.get(&step.image).is_some_and(|&least| milli >= least);
-                if step.fills && cannot_fit || self.place_stage(clock, id, occurrence, step_number)
+                if step.fills && cannot_fit
+                    || self.place_stage(clock, id, occurrence, step_number, &mut reservations)
                 {
                     continue;
                 }
@@ -53,6 +56,7 @@
                     smallest_missed.insert(step.image.clone(), milli);
                     continue;
                 }
+                self.reserve(clock, id, occurrence, step_number, &mut reservations);
                 misses += 1;
                 if misses >= MAX_MISSES {
                     return;
@@ -93,10 +97,15 @@
         id: job::Id,
         occurrence: u32,
         step_number: u16,
+        reservations: &mut reservation::Book,
     ) -> bool {
         let Some(job) = self.jobs.get(&id) else { return true };
         let Some(stage) = job.stage(occurrence, step_number) else { return true };
         let step = stage.step.clone();
+        let duration_ms = self.duration_ms(job, &step);
+        // Lasting tasks that have ended restart at once, also in reserved room.
+        let restarts = job.is_lasting() && job.may_have_begun();
+        let none = reservation::Book::default();
         let service = job.queue.service.clone();
         let recovered = job.recovered;
         let waited = clock.unix.saturating_sub(job.accepted_at_ms);
@@ -105,7 +114,7 @@
         let mut placed = tasks_per_worker(stage);
         let waiting: Vec<u16> = stage.waiting.iter().copied().collect();
         if step.gang {
-            return self.place_gang(clock, id, occurrence, step_number);
+            return self.place_gang(clock, id, occurrence, step_number, reservations);
         }
         for index in waiting {
             let name = task::Name { job: id, occurrence, step: step_number, index };
@@ -118,10 +127,13 @@
                 pressure: &self.pressure,
                 min_pace,
                 placed: &placed,
+                reservations: if restarts { &none } else { reservations },
+                duration_ms,
             };
             let Some(worker) = placement::choose(&self.workers, &criteria).cloned() else {
                 return false;
             };
+            reservations.take(&worker, clock.now, &step, duration_ms);
             let run = self.next_run(task.last_run, recovered);
             *placed.entry(worker.clone()).or_default() += 1;
             self.start(clock, &worker, name, run);
@@ -129,6 +141,69 @@
         true
     }
 
+    /// Reserves a worker for each waiting task of a step that fits nowhere now, as far as the pass
+    /// allows. Lasting tasks and gangs reserve nothing: they would hold room for too long.
+    fn reserve(
+        &mut self,
+        clock: Clock,
+        id: job::Id,
+        occurrence: u32,
+        step_number: u16,
+        reservations: &mut reservation::Book,
+    ) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let Some(stage) = job.stage(occurrence, step_number) else { return };
+        let step = &stage.step;
+        if step.lasting || step.gang {
+            return;
+        }
+        let placed = tasks_per_worker(stage);
+        let mut reserved: Vec<(Arc<str>, u64)> = Vec::new();
+        for _ in &stage.waiting {
+            if reservations.is_full() {
+                break;
+            }
+            let criteria = placement::Criteria {
+                now: clock.now,
+                service: &job.queue.service,
+                step,
+                avoid: None,
+                pressure: &self.pressure,
+                min_pace: 0,
+                placed: &placed,
+                reservations,
+                duration_ms: self.duration_ms(job, step),
+            };
+            let ends = |worker: &Worker| self.expected_ends(clock.now, worker);
+            let found = placement::reserve(&self.workers, &criteria, ends);
+            let Some((worker, reservation)) = found else { break };
+            reserved.push((worker.clone(), reservation.ready_at));
+            reservations.insert(worker, reservation);
+        }
+        for (worker, ready_at) in reserved {
+            // Reported once, not in each pass.
+            if self.reserved.insert(worker.clone(), id) != Some(id) {
+                let ready_ms = ready_at.saturating_sub(clock.now);
+                self.report(action::Report::Reserved { job: id, worker, ready_ms });
+            }
+        }
+    }
+
+    /// Returns the expected ends of a worker's runs that reserve resources, with what each frees.
+    fn expected_ends(&self, now: u64, worker: &Worker) -> Vec<(u64, Resources)> {
+        let end = |(name, run): (&task::Name, &Run)| {
+            let queue = &self.jobs.get(&name.job)?.queue.name;
+            Some((self.forecast.end(now, queue, run)?, run.step.reserved()))
+        };
+        worker.runs.iter().filter(|(_, run)| !run.step.fills).filter_map(end).collect()
+    }
+
+    /// Returns how long a task of a step is expected to run, in milliseconds; `None` if it lasts.
+    fn duration_ms(&self, job: &Job, step: &Step) -> Option<u64> {
+        let expected = || self.forecast.duration_ms(&job.queue.name, step.estimate_ms);
+        (!step.lasting).then(expected)
+    }
+
     /// Returns whether less than `MAX_RESERVED_PERCENT` of the cell's processors is reserved.
     fn has_spare_capacity(&self) -> bool {
         let milli = |resources: Resources| resources.processors_milli;
@@ -139,13 +214,21 @@
     }
 
     /// Places all members of a gang, or none; returns whether no member is left to place.
-    fn place_gang(&mut self, clock: Clock, id: job::Id, occurrence: u32, step_number: u16) -> bool {
+    fn place_gang(
+        &mut self,
+        clock: Clock,
+        id: job::Id,
+        occurrence: u32,
+        step_number: u16,
+        reservations: &reservation::Book,
+    ) -> bool {
         let Some(job) = self.jobs.get(&id) else { return true };
         let Some(stage) = job.stage(occurrence, step_number) else { return true };
         if stage.waiting.len() < stage.tasks.len() {
             return true;
         }
         let step = stage.step.clone();
+        let duration_ms = self.duration_ms(job, &step);
         let service = job.queue.service.clone();
         let last = stage.tasks.iter().map(|task| task.last_run).max().unwrap_or(0);
         let run = self.next_run(last, job.recovered);
@@ -161,6 +244,8 @@
                 pressure: &self.pressure,
                 min_pace: 0,
                 placed: &placed,
+                reservations,
+                duration_ms,
             };
             let Some(worker) = placement::choose(&self.workers, &criteria).cloned() else { break };
             // Reserves the resources, so that the next member finds them taken.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,9 +15,10 @@
 
 pub use {
     action::Action, assignment::Assignment, cell::Cell, clock::Clock, commit::Commit,
-    config::Config, continuity::Continuity, evacuation::Evacuation, event::Event, head::Head,
-    headroom::Headroom, job::Job, lateness::Lateness, limits::Limits, listing::Listing, load::Load,
-    progress::Progress, queue::Queue, registration::Registration, registry::Registry, run::Run,
+    config::Config, continuity::Continuity, evacuation::Evacuation, event::Event,
+    forecast::Forecast, head::Head, headroom::Headroom, job::Job, lateness::Lateness,
+    limits::Limits, listing::Listing, load::Load, progress::Progress, queue::Queue,
+    registration::Registration, registry::Registry, reservation::Reservation, run::Run,
     settling::Settling, state::State, step::Step, submission::Submission, ticket::Ticket,
     worker::Worker,
 };
@@ -32,6 +33,7 @@
 pub mod continuity;
 pub mod evacuation;
 pub mod event;
+pub mod forecast;
 pub mod head;
 pub mod headroom;
 pub mod job;
@@ -46,6 +48,7 @@
 pub mod queue;
 pub mod registration;
 pub mod registry;
+pub mod reservation;
 pub mod run;
 pub mod settling;
 pub mod state;
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -20,6 +20,10 @@
     pub min_pace: u32,
     /// The number of the step's tasks on each worker, if `per_worker` sets a limit.
     pub placed: &'a BTreeMap<Arc<str>, u16>,
+    /// Room that is held for other tasks.
+    pub reservations: &'a reservation::Book,
+    /// How long the task is expected to run, in milliseconds; `None` if it lasts.
+    pub duration_ms: Option<u64>,
 }
 
 /// Share of its reserved processors that a serving task is assumed to use, in percent.
@@ -43,13 +47,43 @@
     best.map(|(_, id)| id)
 }
 
+/// Returns the reservation of the worker that has room for the task first, leaving out workers that
+/// have one already. `ends` returns the expected ends of a worker's runs.
+pub fn reserve(
+    workers: &BTreeMap<Arc<str>, Worker>,
+    criteria: &Criteria,
+    ends: impl Fn(&Worker) -> Vec<(u64, Resources)>,
+) -> Option<(Arc<str>, Reservation)> {
+    let needed = criteria.step.reserved();
+    workers
+        .iter()
+        .filter(|(id, worker)| {
+            criteria.reservations.get(id).is_none()
+                && is_suitable(id, worker, criteria)
+                && needed.fits(&worker.capacity())
+        })
+        .filter_map(|(id, worker)| {
+            let free = worker.unreserved();
+            let found = Reservation::find(criteria.now, free, needed, ends(worker))?;
+            Some((id.clone(), found))
+        })
+        .min_by_key(|(_, found)| found.ready_at)
+}
+
 /// Returns whether the task may run at the worker and fits there.
 fn is_eligible(id: &Arc<str>, worker: &Worker, criteria: &Criteria) -> bool {
+    let step = criteria.step;
+    is_suitable(id, worker, criteria)
+        && step.reserved().fits(&worker.unreserved())
+        && criteria.reservations.allows(id, criteria.now, step, criteria.duration_ms)
+}
+
+/// Returns whether the task may run at the worker once it has room.
+fn is_suitable(id: &Arc<str>, worker: &Worker, criteria: &Criteria) -> bool {
     let Some(entry) = &worker.registration else { return false };
     let step = criteria.step;
     worker.is_usable(criteria.now)
         && entry.service == criteria.service
-        && step.reserved().fits(&worker.unreserved())
         && step.label.as_ref().is_none_or(|label| worker.has_label(label))
         && (step.per_worker == 0 || criteria.placed.get(id).copied().unwrap_or(0) < step.per_worker)
 }
--- /dev/null
+++ b/crates/fleet/tests/reservation.rs
@@ -0,0 +1,189 @@
+//! Placement that looks at what will end soon: small tasks beside large ones.
+
+mod world;
+
+use {
+    oleanderstage_core::resources::Resources,
+    oleanderstage_fleet::{Forecast, Reservation, Step, action::Report, reservation::Book},
+    world::{QUEUE, World, filling, name, serving, step},
+};
+
+fn cores(cores: u64) -> Resources {
+    Resources { processors_milli: cores * 1_000, ..Resources::default() }
+}
+
+/// Returns a step of one task with an estimate.
+fn task(milli: u64, estimate_ms: u64) -> Step {
+    let mut task = step(1, 1);
+    task.resources.processors_milli = milli;
+    Step { estimate_ms, ..task }
+}
+
+/// Keeps small tasks of four cores coming, each for a second, while a task of a whole worker waits.
+/// Returns how long it waits, in milliseconds.
+fn wait_beside_small_tasks(small_estimate_ms: u64) -> u64 {
+    let mut world = World::new(&["w1", "w2"]);
+    world.run_ms = 1_000;
+    let mut job = 0;
+    let mut submitted_at = 0;
+    for tenth in 0..150 {
+        if tenth == 30 {
+            world.submit("f", QUEUE, vec![task(16_000, 1_000)]);
+            submitted_at = world.now;
+        }
+        // Eight of ten tasks that would keep both workers full.
+        if tenth % 5 != 4 {
+            world.submit(&format!("{job}"), QUEUE, vec![task(4_000, small_estimate_ms)]);
+            job += 1;
+        }
+        world.advance(100);
+        if let Some((at, ..)) = world
+            .workers
+            .values()
+            .flat_map(|worker| &worker.starts)
+            .find(|(_, task, _)| *task == name("f", 0, 0))
+        {
+            return at - submitted_at;
+        }
+    }
+    u64::MAX
+}
+
+/// Small tasks took each gap, and a task of a whole worker waited for as long as they came.
+#[test]
+fn a_large_task_starts_although_small_ones_keep_coming() {
+    let waited = wait_beside_small_tasks(1_000);
+    assert!(waited <= 2_000, "{waited}");
+}
+
+/// Estimates are off by half and more; the ratio of each queue is learned.
+#[test]
+fn wrong_estimates_do_not_starve_a_large_task() {
+    for estimate_ms in [300, 3_000] {
+        let waited = wait_beside_small_tasks(estimate_ms);
+        assert!(waited <= 3_000, "estimate {estimate_ms}: {waited}");
+    }
+}
+
+#[test]
+fn small_tasks_fill_the_time_before_a_reservation() {
+    let mut world = World::new(&["w1"]);
+    world.run_ms = 3_000;
+    world.submit("1", QUEUE, vec![task(12_000, 3_000)]);
+    world.advance(100);
+    world.submit("2", QUEUE, vec![task(16_000, 500)]);
+    world.advance(100);
+    world.run_ms = 500;
+    world.submit("3", QUEUE, vec![task(4_000, 500)]);
+    world.submit("4", QUEUE, vec![task(4_000, 9_000)]);
+    world.submit("5", "render", vec![filling(1, "quiet")]);
+    world.advance(200);
+    assert_eq!(world.starts(name("3", 0, 0)).len(), 1, "it ends in time");
+    assert!(world.starts(name("4", 0, 0)).is_empty(), "it would end too late");
+    assert_eq!(world.starts(name("5", 0, 0)).len(), 1, "filling tasks give way");
+    world.advance(3_000);
+    assert_eq!(world.starts(name("2", 0, 0)).len(), 1);
+    world.advance(1_000);
+    assert_eq!(world.starts(name("4", 0, 0)).len(), 1);
+    let reserved = world.reports.iter().filter(|report| matches!(report, Report::Reserved { .. }));
+    assert_eq!(reserved.count(), 1, "reported once");
+}
+
+/// An urgent burst in the middle of a reservation has its own rank, and goes first.
+#[test]
+fn an_earlier_ranked_task_is_not_held_back() {
+    let mut world = World::new(&["w1"]);
+    world.run_ms = 2_000;
+    world.submit("1", QUEUE, vec![task(12_000, 2_000)]);
+    world.advance(100);
+    world.submit("2", "render", vec![task(16_000, 500)]);
+    world.advance(100);
+    world.submit("3", QUEUE, vec![task(4_000, 9_000)]);
+    world.advance(100);
+    assert_eq!(world.starts(name("3", 0, 0)).len(), 1);
+}
+
+#[test]
+fn a_lost_worker_holds_no_room() {
+    let mut world = World::new(&["w1", "w2"]);
+    world.run_ms = 2_000;
+    world.submit("1", QUEUE, vec![task(16_000, 2_000)]);
+    world.submit("2", QUEUE, vec![task(16_000, 3_500)]);
+    world.advance(100);
+    world.submit("3", QUEUE, vec![task(16_000, 500)]);
+    world.advance(100);
+    let first = world.starts(name("1", 0, 0))[0].0.clone();
+    world.worker(&first).draining = true;
+    world.worker(&first).unreachable = true;
+    let members = world.members();
+    world.handle(oleanderstage_fleet::Event::Workers(members));
+    world.advance(2_500);
+    let starts = world.starts(name("3", 0, 0));
+    assert!(starts.len() == 1 && starts[0].0 != first, "{starts:?}");
+}
+
+#[test]
+fn lasting_tasks_reserve_nothing_and_take_no_reserved_room() {
+    let mut world = World::new(&["w1"]);
+    world.run_ms = 2_000;
+    world.submit("1", QUEUE, vec![task(12_000, 2_000)]);
+    world.advance(100);
+    world.submit("2", QUEUE, vec![task(16_000, 3_000)]);
+    world.submit("3", QUEUE, vec![serving(1, "feed")]);
+    world.advance(500);
+    assert!(world.starts(name("3", 0, 0)).is_empty());
+    world.advance(2_500);
+    assert_eq!(world.starts(name("2", 0, 0)).len(), 1);
+}
+
+/// The callers of a lasting task wait while it is away, whatever else waits for room.
+#[test]
+fn a_lasting_task_restarts_in_reserved_room() {
+    let mut world = World::new(&["w1"]);
+    world.run_ms = 1_000;
+    world.submit("1", QUEUE, vec![serving(1, "feed")]);
+    world.run_ms = 3_000;
+    world.submit("2", QUEUE, vec![task(8_000, 3_000)]);
+    world.advance(100);
+    world.submit("3", QUEUE, vec![task(16_000, 9_000)]);
+    world.advance(4_500);
+    let starts = world.starts(name("1", 0, 0));
+    assert!(starts.len() >= 2, "{starts:?}");
+    assert!(world.running(name("1", 0, 0)).len() == 1);
+}
+
+#[test]
+fn room_is_reserved_at_the_earliest_end_that_suffices() {
+    let ends = vec![(3_000, cores(8)), (1_500, cores(4)), (2_000, cores(2))];
+    let found = Reservation::find(1_000, cores(1), cores(6), ends.clone());
+    assert_eq!(found, Some(Reservation { ready_at: 2_000, spare: cores(1) }));
+    assert_eq!(Reservation::find(1_000, cores(1), cores(16), ends), None, "never enough");
+    let late = vec![(9_000, cores(8))];
+    assert_eq!(Reservation::find(1_000, cores(1), cores(6), late), None, "too far ahead");
+}
+
+/// What may run beyond the reserved time takes from the spare room.
+#[test]
+fn spare_room_is_used_once() {
+    let mut book = Book::default();
+    let long = task(1_000, 9_000);
+    book.insert(
+        "w1".into(),
+        Reservation { ready_at: 2_000, spare: Resources { memory_mib: 8_192, ..cores(1) } },
+    );
+    assert!(book.allows("w1", 1_000, &long, Some(9_000)));
+    book.take("w1", 1_000, &long, Some(9_000));
+    assert!(!book.allows("w1", 1_000, &long, Some(9_000)));
+    assert!(book.allows("w1", 1_000, &long, Some(700)), "it ends before");
+    assert!(book.allows("w2", 1_000, &long, None), "nothing is held there");
+}
+
+#[test]
+fn durations_are_learned_by_queue() {
+    let mut forecast = Forecast::default();
+    (0..80).for_each(|_| forecast.observe("q", 1_000, 1_900));
+    assert!((1_850..=1_900).contains(&forecast.duration_ms("q", 1_000)));
+    assert_eq!(forecast.duration_ms("other", 1_000), 1_000);
+    forecast.observe("q", 1_000, 600_000);
+    assert!(forecast.duration_ms("q", 1_000) < 2_100, "one stuck run says little");
+}
--- a/crates/node/src/meter.rs
+++ b/crates/node/src/meter.rs
@@ -102,6 +102,7 @@
             Report::Pace { .. } => "pace",
             Report::Refused { .. } => "order_refused",
             Report::Released { .. } => "run_released",
+            Report::Reserved { .. } => "room_reserved",
             Report::Start { after_ms, .. } => {
                 self.latency.with_label_values(&["start"]).observe(*after_ms as f64);
                 self.latency.with_label_values(&["view-age"]).observe(ages.workers_ms as f64);
