--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -16,6 +16,8 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand)]
 pub enum Command {
+    /// Checks a configuration of job queues.
+    Audit(audit::Options),
     /// Cancels a job.
     Cancel(cancel::Options),
     /// Checks a configuration.
@@ -44,6 +46,7 @@
     /// Runs the command and returns the text to print to standard output.
     pub async fn run(&self) -> Result<String, Error> {
         match self {
+            Self::Audit(options) => audit::run(options),
             Self::Cancel(options) => cancel::run(options).await,
             Self::Check(options) => check::run(options),
             Self::Demo(options) => demo::run(options).await,
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -32,6 +32,7 @@
 
 pub use {command::Command, error::Error, run::run};
 
+pub mod audit;
 pub mod cancel;
 pub mod check;
 pub mod command;
