--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -63,9 +63,11 @@
     /// Returns the demand of a job that was submitted to a queue.
     pub fn new(id: job::Id, submission: &'a Submission, queue: &Queue) -> Self {
         let work = |step: &Step| {
-            u64::from(step.count) * step.estimate_ms * step.resources.processors_milli / 1_000
+            let milli = step.resources.processors_milli;
+            (u64::from(step.count) * step.estimate_ms).saturating_mul(milli) / 1_000
         };
-        let reserved = |step: &Step| u64::from(step.count) * step.reserved().processors_milli;
+        let reserved =
+            |step: &Step| u64::from(step.count).saturating_mul(step.reserved().processors_milli);
         let filling = submission.steps.iter().filter(|step| step.fills).max_by_key(|s| work(s));
         let task = |step: &Step| step.reserved().processors_milli;
         Self {
--- a/crates/fleet/src/cell.rs
+++ b/crates/fleet/src/cell.rs
@@ -78,7 +78,7 @@
     /// When jobs to move to other cells were last searched for, in milliseconds.
     pub(crate) rebalanced_at: u64,
     /// When draining workers were last checked for tasks to move, in milliseconds.
-    pub(crate) evacuated_at: u64,
+    pub(crate) vacated_at: u64,
     /// When the contention between images was last written to the store, in milliseconds.
     pub(crate) pressure_written_at: u64,
     /// When slowed filling tasks to move were last searched for, in milliseconds.
@@ -117,7 +117,7 @@
             rebalanced_at: 0,
             relocated_at: 0,
             pressure_written_at: 0,
-            evacuated_at: 0,
+            vacated_at: 0,
             usable_milli: BTreeMap::new(),
             reserved: BTreeMap::new(),
             removed: HashMap::new(),
@@ -198,7 +198,7 @@
         self.release_expired(clock);
         self.resend_orders(clock);
         self.relocate_filling_tasks(clock);
-        self.evacuate_draining_workers(clock);
+        self.vacate_draining_workers(clock);
         self.place_tasks(clock);
         self.update_estimates(clock);
         self.move_jobs(clock);
--- a/crates/fleet/src/cell_balance.rs
+++ b/crates/fleet/src/cell_balance.rs
@@ -62,8 +62,7 @@
             let Some(job) = self.jobs.get(id).filter(|job| !job.is_lasting()) else { continue };
             for (occurrence, number, step) in cell_schedule::ready_stages(job, clock.unix) {
                 let waiting = job.stage(occurrence, number).map_or(0, |stage| stage.waiting.len());
-                demand.waiting_milli += waiting as u64 * step.resources.processors_milli;
-                demand.add(&step, waiting as u64);
+                demand.add_waiting(&step, waiting as u64);
             }
         }
         let total_milli = open().map(|worker| worker.capacity().processors_milli).sum();
--- a/crates/fleet/src/cell_relocate.rs
+++ b/crates/fleet/src/cell_relocate.rs
@@ -47,11 +47,11 @@
 
     /// Stops lasting tasks on draining workers if they fit elsewhere, at most one task of each step
     /// per worker and pass.
-    pub(crate) fn evacuate_draining_workers(&mut self, clock: Clock) {
-        if self.leaving || clock.now < self.evacuated_at + RELOCATE_INTERVAL_MS {
+    pub(crate) fn vacate_draining_workers(&mut self, clock: Clock) {
+        if self.leaving || clock.now < self.vacated_at + RELOCATE_INTERVAL_MS {
             return;
         }
-        self.evacuated_at = clock.now;
+        self.vacated_at = clock.now;
         let mut stops: Vec<(Arc<str>, task::Name)> = Vec::new();
         for (id, worker) in &self.workers {
             let Some(entry) = worker.registration.as_ref().filter(|entry| entry.draining) else {
--- a/crates/fleet/src/headroom.rs
+++ b/crates/fleet/src/headroom.rs
@@ -66,10 +66,18 @@
 impl Demand {
     /// Adds tasks of a step that run or could start now.
     pub(crate) fn add(&mut self, step: &Step, tasks: u64) {
-        match step.fills {
-            true => self.filling_milli += tasks * step.resources.processors_milli,
-            false => self.urgent_milli += tasks * step.resources.processors_milli,
-        }
+        let asked = match step.fills {
+            true => &mut self.filling_milli,
+            false => &mut self.urgent_milli,
+        };
+        *asked = asked.saturating_add(tasks.saturating_mul(step.resources.processors_milli));
+    }
+
+    /// Adds tasks of a step that could start now and wait.
+    pub(crate) fn add_waiting(&mut self, step: &Step, tasks: u64) {
+        let asked = tasks.saturating_mul(step.resources.processors_milli);
+        self.waiting_milli = self.waiting_milli.saturating_add(asked);
+        self.add(step, tasks);
     }
 }
 
@@ -81,7 +89,7 @@
         let kept = PEAK_DECAY_PER_S.powf(elapsed_s);
         self.urgent_peak_milli = (self.urgent_peak_milli * kept).max(demand.urgent_milli as f64);
         self.filling_peak_milli = (self.filling_peak_milli * kept).max(demand.filling_milli as f64);
-        if demand.waiting_milli * 100 > total_milli * WAITING_PERCENT {
+        if demand.waiting_milli > total_milli * WAITING_PERCENT / 100 {
             self.calm_since = None;
             self.percent = BASE_PERCENT as f64;
             return;
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -336,9 +336,8 @@
             .flat_map(|occurrence| &occurrence.stages)
             .filter(|stage| !stage.step.lasting)
             .map(|stage| {
-                let task_work =
-                    stage.step.estimate_ms * stage.step.resources.processors_milli / 1_000;
-                stage.remaining as u64 * task_work
+                let milli = stage.step.resources.processors_milli;
+                (stage.remaining as u64 * stage.step.estimate_ms).saturating_mul(milli) / 1_000
             })
             .sum()
     }
--- a/crates/fleet/tests/runs.rs
+++ b/crates/fleet/tests/runs.rs
@@ -334,3 +334,17 @@
         "60 ms after the second of its two steps of 0.5 s"
     );
 }
+
+/// One job with absurd figures must not stop its cell.
+#[test]
+fn a_job_that_asks_for_more_than_can_be_counted_waits_and_others_run() {
+    let mut world = World::new(&["w1"]);
+    let mut absurd = step(20_000, 1);
+    absurd.resources.processors_milli = u64::MAX;
+    absurd.estimate_ms = 86_400_000;
+    world.submit("1", QUEUE, vec![absurd]);
+    world.submit("2", QUEUE, vec![step(1, 1)]);
+    world.advance(2_000);
+    assert_eq!(world.state("2"), State::Completed);
+    assert!(world.starts(name("1", 0, 0)).is_empty());
+}
