--- a/crates/node/src/inputs.rs
+++ b/crates/node/src/inputs.rs
@@ -32,6 +32,11 @@
         if stale_changed && stale {
             events.push(Event::ViewStale(true));
         }
+        let evacuation = node.evacuation.borrow();
+        if evacuation.version() != self.evacuation_version {
+            self.evacuation_version = evacuation.version();
+            events.push(Event::Evacuated(evacuation.zones().clone()));
+        }
         let config = node.config.borrow().clone();
         if let Some(config) = config.filter(|config| config.version != self.config_version) {
             self.config_version = config.version;
@@ -44,11 +49,6 @@
             let owners = heads.len();
             events.push(Event::Heads { heads, owners });
         }
-        let evacuation = node.evacuation.borrow();
-        if evacuation.version() != self.evacuation_version {
-            self.evacuation_version = evacuation.version();
-            events.push(Event::Evacuated(evacuation.zones().clone()));
-        }
         let view = node.view();
         if self.view != Some(view) {
             self.view = Some(view);
