--- a/crates/fleet/src/cell_relocate.rs
+++ b/crates/fleet/src/cell_relocate.rs
@@ -64,7 +64,8 @@
                 }
                 let fits = self.fits_elsewhere(clock, &entry.service, id, run);
                 let step = (name.job, name.occurrence, name.step);
-                if run.step.lasting && fits && steps.insert(step) {
+                let may_restart = self.may_restart(name.job);
+                if run.step.lasting && may_restart && fits && steps.insert(step) {
                     stops.push((id.clone(), *name));
                 }
             }
@@ -74,6 +75,12 @@
         }
     }
 
+    /// Returns whether a task of the job may start elsewhere now: jobs that this owner found wait until
+    /// every worker has answered it.
+    fn may_restart(&self, id: job::Id) -> bool {
+        self.unfenced.is_empty() || self.jobs.get(&id).is_some_and(|job| !job.recovered)
+    }
+
     /// Returns whether another worker has room for the task, at `MIN_NEW_PACE` or more for a
     /// filling task.
     fn fits_elsewhere(&self, clock: Clock, service: &str, here: &Arc<str>, run: &Run) -> bool {
--- a/crates/fleet/tests/takeover.rs
+++ b/crates/fleet/tests/takeover.rs
@@ -4,7 +4,7 @@
 
 use {
     oleanderstage_fleet::{Event, Head, State, action::Report},
-    world::{QUEUE, Store, World, id, name, step},
+    world::{QUEUE, Store, World, id, name, serving, step},
 };
 
 #[test]
@@ -154,3 +154,24 @@
     assert_eq!(world.starts(name("1", 0, 0)).len(), 1);
     assert_eq!(world.cell.job_count(), 0);
 }
+
+/// LOST on kvmu-thumbs-grown: a new owner stopped lasting tasks at a worker that drained, and could not
+/// start them elsewhere for ten seconds, since another worker did not answer it.
+#[test]
+fn a_new_owner_leaves_lasting_tasks_at_a_draining_worker_until_they_may_restart() {
+    let mut world = World::new(&["w1", "w2", "w3"]);
+    world.run_ms = 60_000;
+    world.submit("1", QUEUE, vec![serving(1, "feed")]);
+    world.advance(300);
+    let holder = world.starts(name("1", 0, 0))[0].0.clone();
+    let silent = ["w1", "w2", "w3"].into_iter().find(|id| *id != holder).unwrap();
+    world.worker(silent).unreachable = true;
+    world.take_over();
+    world.worker(&holder).draining = true;
+    let members = world.members();
+    world.handle(Event::Workers(members));
+    world.advance(3_000);
+    assert_eq!(world.running(name("1", 0, 0)), [holder.as_str()], "it can't start elsewhere yet");
+    world.advance(8_000);
+    assert_ne!(world.running(name("1", 0, 0)), [holder.as_str()]);
+}
