run_released tells how long the run had lived

The line now has survived_ms, from the polls that listed the run, and silent_ms, from the first poll that the worker missed. Both are bounds: a paused owner only widens them, and a run that an earlier owner ordered has no upper one.

--- a/crates/fleet/src/action.rs
+++ b/crates/fleet/src/action.rs
@@ -147,6 +147,9 @@
         worker: Arc<str>,
         /// The evidence.
         proof: Proof,
+        /// How long it is known to have lived.
+        #[serde(flatten)]
+        lifetime: Lifetime,
     },
     /// A run was ordered.
     Start {
--- a/crates/fleet/src/cell_orders.rs
+++ b/crates/fleet/src/cell_orders.rs
@@ -274,13 +274,12 @@
 
     /// Removes a run that is known to be over from its worker and makes its task wait again.
     pub(crate) fn release(&mut self, id: &Arc<str>, name: task::Name, proof: Proof) {
-        let Some(run) = self.workers.get_mut(id).and_then(|worker| worker.remove(&name)) else {
-            return;
-        };
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        let Some(run) = worker.remove(&name) else { return };
+        let (lifetime, number, worker) = (worker.lifetime(&run), run.number, id.clone());
         self.placement_due = true;
-        let report = Report::Released { task: name, run: run.number, worker: id.clone(), proof };
-        self.report(report);
-        self.requeue(name, id, run.number);
+        self.report(Report::Released { task: name, run: number, worker, proof, lifetime });
+        self.requeue(name, id, number);
     }
 
     /// Makes a task wait again if `run` at the worker is its active run.
--- a/crates/fleet/src/cell_polls.rs
+++ b/crates/fleet/src/cell_polls.rs
@@ -44,6 +44,7 @@
             Err(Refusal::Reborn) => self.handle_replacement(clock, id),
             Err(_) => {
                 worker.missed_polls += 1;
+                worker.silent_since.get_or_insert(clock.now);
                 let runs = worker.runs.len();
                 if worker.missed_polls == 1 {
                     let state = WorkerState::Silent;
@@ -57,6 +58,7 @@
     fn handle_replacement(&mut self, clock: Clock, id: &Arc<str>) {
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.missed_polls += 1;
+        worker.silent_since.get_or_insert(clock.now);
         worker.poll_at = clock.now + REPLACED_POLL_MS;
         let runs = worker.runs.len();
         self.unfenced.remove(id);
@@ -83,6 +85,11 @@
         worker.clock = Some((listing.clock_ms, clock.now));
         worker.fenced = true;
         worker.missed_polls = 0;
+        if restarted {
+            worker.silent_since.get_or_insert(clock.now);
+        } else {
+            worker.silent_since = None;
+        }
         if restarted || answers_again {
             self.placement_due = true;
             let state = if restarted { WorkerState::Reborn } else { WorkerState::Fenced };
@@ -93,9 +100,12 @@
             self.apply_end(clock, id, end);
         }
         for row in &listing.running {
-            self.apply_running(clock, id, row);
+            self.apply_running(clock, id, sent, row);
         }
         self.release_unlisted(id, sent, &listing);
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.silent_since = None;
+        }
         self.update_paces(clock, id);
     }
 
@@ -248,7 +258,7 @@
     }
 
     /// Updates a run that the worker lists as running, and stops it if it hangs.
-    fn apply_running(&mut self, clock: Clock, id: &Arc<str>, row: &listing::Running) {
+    fn apply_running(&mut self, clock: Clock, id: &Arc<str>, sent: u64, row: &listing::Running) {
         let name = row.task;
         let Some(worker) = self.workers.get_mut(id) else { return };
         let Some(run) = worker.run_mut(&name, row.run) else {
@@ -257,6 +267,7 @@
         if matches!(run.phase, Phase::Starting { .. }) {
             run.phase = Phase::Confirmed { since: clock.now };
         }
+        run.seen_at = run.seen_at.max(Some(sent));
         run.progress = row.progress;
         run.measurement = Some(row.measurement);
         let warmed_up = clock.now >= run.started + WARM_UP_MS;
@@ -299,6 +310,7 @@
         }
         let mut run = Run::new(clock.now, row.run, step);
         run.phase = Phase::Confirmed { since: clock.now };
+        run.adopted = true;
         run.pace = None;
         run.progress = row.progress;
         worker.insert(name, run);
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -17,9 +17,9 @@
     action::Action, assignment::Assignment, cell::Cell, clock::Clock, commit::Commit,
     config::Config, continuity::Continuity, evacuation::Evacuation, event::Event,
     forecast::Forecast, head::Head, headroom::Headroom, job::Job, lateness::Lateness,
-    limits::Limits, listing::Listing, load::Load, progress::Progress, queue::Queue,
-    registration::Registration, registry::Registry, reservation::Reservation, run::Run,
-    settling::Settling, state::State, step::Step, submission::Submission, ticket::Ticket,
+    lifetime::Lifetime, limits::Limits, listing::Listing, load::Load, progress::Progress,
+    queue::Queue, registration::Registration, registry::Registry, reservation::Reservation,
+    run::Run, settling::Settling, state::State, step::Step, submission::Submission, ticket::Ticket,
     worker::Worker,
 };
 
@@ -38,6 +38,7 @@
 pub mod headroom;
 pub mod job;
 pub mod lateness;
+pub mod lifetime;
 pub mod limits;
 pub mod listing;
 pub mod load;
--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -32,6 +32,8 @@
 pub struct Run {
     /// The load of a serving task's job at the last observation of its worker.
     pub load: Load,
+    /// Whether an earlier owner ordered the start, so that its time is not known.
+    pub adopted: bool,
     /// Measurement in the last listing: the tail latency in milliseconds for a serving task,
     /// processors in use in thousandths of a core for any other.
     pub measurement: Option<f64>,
@@ -47,7 +49,9 @@
     pub progress: u32,
     /// The phase of the run.
     pub phase: Phase,
-    /// When the start was ordered, in milliseconds.
+    /// When a poll was sent whose answer listed it as running, in milliseconds.
+    pub seen_at: Option<u64>,
+    /// When the start was ordered, in milliseconds; for an adopted run, when it was adopted.
     pub started: u64,
     /// The step of the task.
     pub step: Arc<Step>,
@@ -64,12 +68,14 @@
     pub(crate) fn new(now: u64, number: u32, step: Arc<Step>) -> Self {
         Self {
             load: Load::default(),
+            adopted: false,
             measurement: None,
             idle_since: None,
             number,
             pace: Some(100),
             phase: Phase::Starting { retry_at: None, uncertain: false },
             progress: 0,
+            seen_at: None,
             started: now,
             step,
             contention: None,
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -27,6 +27,8 @@
     pub poll_at: u64,
     /// Consecutive polls without an answer.
     pub missed_polls: u32,
+    /// Since when it has not answered, in milliseconds; `None` while it answers.
+    pub silent_since: Option<u64>,
     /// The highest number of an end that was processed.
     pub processed: u64,
     /// Processed ends that are not recorded yet: number of the end, and the value that
@@ -76,6 +78,7 @@
             polling: false,
             poll_at: 0,
             missed_polls: 0,
+            silent_since: None,
             processed: 0,
             unrecorded: VecDeque::new(),
             is_member: true,
@@ -149,6 +152,15 @@
         self.runs.insert(name, run);
     }
 
+    /// Returns how long a run of this worker is known to have lived.
+    pub fn lifetime(&self, run: &Run) -> Lifetime {
+        let since_start = |at: u64| at.saturating_sub(run.started);
+        Lifetime {
+            survived_ms: run.seen_at.map_or(0, since_start),
+            silent_ms: self.silent_since.filter(|_| !run.adopted).map(since_start),
+        }
+    }
+
     /// Returns the run of a task with this number.
     pub fn run_mut(&mut self, name: &task::Name, number: u32) -> Option<&mut Run> {
         self.runs.get_mut(name).filter(|run| run.number == number)
