--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -52,8 +52,17 @@
     /// Polls in flight: time sent in milliseconds, worker, and time of the answer at the latest.
     polls: Vec<(u64, Arc<str>, u64)>,
     sent: BTreeMap<task::Name, job::Id>,
+    /// Tasks that crash the worker that runs them, with the age at which they do so in milliseconds.
+    pub deadly: BTreeMap<task::Name, u64>,
+    /// Whether a crashed worker comes back under another ID.
+    pub replaces_crashed: bool,
+    /// All crashes by a task: time in milliseconds, task.
+    pub crashes: Vec<(u64, task::Name)>,
 }
 
+/// How long a crashed worker is down, in milliseconds.
+const DOWN_MS: u64 = 3_000;
+
 pub const QUEUE: &str = "stitch";
 /// The time since 1970 at the start of the virtual time, in milliseconds.
 const START_UNIX_MS: u64 = 1_700_000_000_000;
@@ -155,6 +164,9 @@
             polls_sent: 0,
             polls: Vec::new(),
             sent: BTreeMap::new(),
+            deadly: BTreeMap::new(),
+            replaces_crashed: false,
+            crashes: Vec::new(),
         };
         world.take_over();
         world
@@ -208,13 +220,13 @@
                 let entry = Registration {
                     address: "10.0.0.1:1".into(),
                     born: Some(worker.born),
-                    capacity: Resources {
+                    capacity: worker.capacity.unwrap_or(Resources {
                         accelerators: 0,
                         memory_mib: 65_536,
                         processors_milli: self.cores * 1_000,
-                    },
+                    }),
                     draining: worker.draining,
-                    labels: vec!["a".into(), "r1".into()],
+                    labels: vec!["a".into(), format!("r{}", worker.rack + 1)],
                     remaining_ms: None,
                     service: "desk".into(),
                     zone: worker.zone.into(),
@@ -302,12 +314,51 @@
     pub fn advance(&mut self, ms: u64) {
         for _ in 0..ms / 10 {
             self.now += 10;
+            self.crash_workers();
             self.run_tasks();
             self.answer_polls();
             self.handle(Event::Tick);
         }
     }
 
+    /// Crashes the workers that have run a deadly task for long enough.
+    fn crash_workers(&mut self) {
+        let now = self.now;
+        let due = |worker: &Worker| {
+            let ran_ms = |name: &task::Name| {
+                let starts = worker.starts.iter().rev();
+                starts.clone().find(|(_, task, _)| task == name).map_or(0, |(at, ..)| now - at)
+            };
+            let deadly = |name: &&task::Name| {
+                self.deadly.get(*name).is_some_and(|fuse_ms| ran_ms(name) >= *fuse_ms)
+            };
+            worker.held.keys().find(deadly).copied()
+        };
+        let crashed: Vec<(String, task::Name)> = self
+            .workers
+            .iter()
+            .filter_map(|(id, worker)| Some((id.clone(), due(worker)?)))
+            .collect();
+        for (id, task) in crashed {
+            self.crashes.push((now, task));
+            self.crash(&id);
+        }
+    }
+
+    /// Crashes a worker for `DOWN_MS`.
+    pub fn crash(&mut self, id: &str) {
+        let (until, replaced) = (self.now + DOWN_MS, self.replaces_crashed);
+        self.worker(id).crash(until, replaced);
+        if replaced {
+            let (zone, rack) = (self.worker(id).zone, self.worker(id).rack);
+            self.worker(id).gone = true;
+            let successor = Worker { down_until: until, zone, rack, ..Worker::default() };
+            self.workers.insert(format!("{id}'"), successor);
+        }
+        let members = self.members();
+        self.handle(Event::Workers(members));
+    }
+
     fn run_tasks(&mut self) {
         let now = self.now;
         for worker in self.workers.values_mut() {
@@ -343,7 +394,9 @@
         for (sent, id, due) in polls {
             let worker = &self.workers[&*id];
             let has_new_end = worker.ended.iter().any(|end| end.number > worker.acknowledged);
-            let answer = if worker.replaced {
+            let answer = if worker.is_down(now) {
+                Err(Refusal::Unknown)
+            } else if worker.replaced {
                 Err(Refusal::Reborn)
             } else if worker.unreachable {
                 if now < sent + 1_400 {
@@ -366,7 +419,7 @@
         match action {
             Action::Poll { worker, acknowledged, lease_until, wait_ms } => {
                 let fake = self.workers.get_mut(&*worker).expect("a worker");
-                if !fake.unreachable && !fake.replaced {
+                if !fake.unreachable && !fake.replaced && !fake.is_down(self.now) {
                     fake.fence = fake.fence.max(fence);
                     fake.acknowledged = fake.acknowledged.max(acknowledged);
                     fake.ended.retain(|end| end.number > acknowledged);
@@ -383,7 +436,7 @@
             }
             Action::Stop { worker, task, run } => {
                 let fake = self.workers.get_mut(&*worker).expect("a worker");
-                let answer = fake.stop(task, run);
+                let answer = fake.stop(self.now, task, run);
                 self.handle(Event::Stop { worker, task, run, answer });
             }
             Action::Pace { worker, task, percent, .. } => {
--- a/crates/fleet/tests/world/worker.rs
+++ b/crates/fleet/tests/world/worker.rs
@@ -1,6 +1,7 @@
 //! A fake worker with injectable faults.
 
 use {
+    oleanderstage_core::resources::Resources,
     oleanderstage_fleet::{Listing, event::Refusal, listing, listing::EndReason, task},
     std::collections::BTreeMap,
 };
@@ -40,8 +41,14 @@
     pub replaced: bool,
     /// It has no entry in the store.
     pub gone: bool,
+    /// It has crashed, and refuses connections until it is up again at this time, in milliseconds.
+    pub down_until: u64,
+    /// Memory and processors that it says it has; `None` for those of all workers.
+    pub capacity: Option<Resources>,
     /// Its availability zone.
     pub zone: &'static str,
+    /// Its rack.
+    pub rack: u32,
 }
 
 impl Worker {
@@ -61,7 +68,7 @@
         run_ms: u64,
         checkpoint: String,
     ) -> Result<(), Refusal> {
-        if self.unreachable {
+        if self.is_down(now) || self.unreachable {
             return Err(Refusal::Unknown);
         }
         if self.replaced {
@@ -79,8 +86,8 @@
         if self.loses_answers { Err(Refusal::Unknown) } else { Ok(()) }
     }
 
-    pub fn stop(&mut self, task: task::Name, run: u32) -> Result<(), Refusal> {
-        if self.unreachable {
+    pub fn stop(&mut self, now: u64, task: task::Name, run: u32) -> Result<(), Refusal> {
+        if self.is_down(now) || self.unreachable {
             return Err(Refusal::Unknown);
         }
         let last = self.last_ended.entry(task).or_default();
@@ -106,11 +113,24 @@
         Listing { born: Some(self.born), clock_ms: now, ended: self.ended.clone(), running }
     }
 
+    pub fn is_down(&self, now: u64) -> bool {
+        now < self.down_until
+    }
+
+    /// Crashes the worker, which is up again at `until`, under the same ID or under another.
+    pub fn crash(&mut self, until: u64, replaced: bool) {
+        self.restart();
+        self.down_until = until;
+        self.replaced = replaced;
+    }
+
     /// Restarts the worker under the same ID.
     pub fn restart(&mut self) {
         *self = Self {
             born: self.born + 1,
             starts: std::mem::take(&mut self.starts),
+            zone: self.zone,
+            rack: self.rack,
             ..Self::default()
         };
     }
