A task that crashes its workers is told from its neighbours, and its job given up

Cause: a run that is over without a listed end made its task wait again, and nothing was noted. The class: work that kills its executor leaves no failure behind, so that it is retried for ever.

Change: the owner notes a crash against every run that the worker held, keeps suspects apart so that the next crash decides, tries a task with several crashes where few runs are at stake, and gives it up after three, of which two single it out.

--- a/crates/fleet/src/action.rs
+++ b/crates/fleet/src/action.rs
@@ -66,6 +66,24 @@
 #[derive(Clone, Debug, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case", tag = "event")]
 pub enum Report {
+    /// A worker crashed, or may have: its runs are suspect.
+    Crash {
+        /// The worker's ID.
+        worker: Arc<str>,
+        /// Whether it is known to have crashed, rather than silent for its whole lease.
+        confirmed: bool,
+        /// The number of runs that may have crashed it.
+        runs: usize,
+        /// Whether the cause is likely none of them: much of its rack fell silent with it.
+        excused: bool,
+    },
+    /// A job was failed because one of its tasks crashes workers.
+    GivenUp {
+        /// The task.
+        task: task::Name,
+        /// The number of crashes under it.
+        crashes: usize,
+    },
     /// The end of a run was processed.
     End {
         /// The task.
@@ -208,6 +226,8 @@
     Left,
     /// A poll sent after the start was confirmed does not list it.
     NotListed,
+    /// Its start was planned, but not ordered.
+    NotOrdered,
     /// The order was refused.
     Refused,
     /// Another worker answers at the worker's address.
--- a/crates/fleet/src/cell.rs
+++ b/crates/fleet/src/cell.rs
@@ -46,6 +46,10 @@
     pub(crate) estimated_at: u64,
     /// The zones to be evacuated.
     pub(crate) evacuated_zones: BTreeSet<Arc<str>>,
+    /// Runs whose start is planned, by worker.
+    pub(crate) planned: BTreeSet<(Arc<str>, task::Name)>,
+    /// Workers that fell silent lately, oldest first.
+    pub(crate) silences: VecDeque<cell_crashes::Silence>,
     /// The jobs for which workers' room was held in the last placement pass.
     pub(crate) reserved: BTreeMap<Arc<str>, job::Id>,
     /// Recently removed jobs and the revisions of their removal. A record read at an earlier
@@ -119,6 +123,8 @@
             pressure_written_at: 0,
             vacated_at: 0,
             usable_milli: BTreeMap::new(),
+            planned: BTreeSet::new(),
+            silences: VecDeque::new(),
             reserved: BTreeMap::new(),
             removed: HashMap::new(),
             removed_order: VecDeque::new(),
@@ -195,6 +201,7 @@
 
     /// Runs every periodic and pending duty that is due.
     fn run_due_work(&mut self, clock: Clock) {
+        self.forget_lapsed(clock);
         self.release_expired(clock);
         self.resend_orders(clock);
         self.relocate_filling_tasks(clock);
@@ -203,6 +210,7 @@
         self.update_estimates(clock);
         self.move_jobs(clock);
         self.commit_changes(clock);
+        self.order_planned(clock);
         self.poll_workers(clock);
     }
 
@@ -342,6 +350,8 @@
             .workers
             .iter()
             .filter(|(_, worker)| !worker.is_member && worker.runs.is_empty())
+            // Whether it has crashed is still to be learned.
+            .filter(|(_, worker)| worker.lapsed_runs.is_empty() || worker.missing_since.is_none())
             .map(|(id, _)| id.clone())
             .collect();
         for id in removed {
--- a/crates/fleet/src/cell_orders.rs
+++ b/crates/fleet/src/cell_orders.rs
@@ -18,19 +18,47 @@
     /// Orders the start of a run of a waiting task.
     pub(crate) fn start(&mut self, clock: Clock, id: &Arc<str>, name: task::Name, run: u32) {
         let Some(job) = self.jobs.get_mut(&name.job) else { return };
-        let spec = job.spec.clone();
-        let accepted = job.accepted_at_ms;
+        let recovered = job.recovered;
         let first_start = !std::mem::replace(&mut job.begun, true);
         let Some(stage) = job.stage_mut(name.occurrence, name.step) else { return };
         let step = stage.step.clone();
         stage.waiting.remove(&name.index);
+        // The members of a gang start together, so that one waits for the record of another.
+        let suspects = stage.tasks.iter().map(|task| task.suspicion.level());
+        let gang_level = suspects.max().filter(|_| step.gang).unwrap_or(0);
         let Some(task) = stage.tasks.get_mut(usize::from(name.index)) else { return };
         let Some(worker) = self.workers.get_mut(id) else { return };
-        let Some(lease_until) = worker.grant(clock.now, self.limits.lease_ms) else { return };
         task.last_run = run;
         task.status = Status::Active { worker: id.clone(), run };
-        let checkpoint = task.checkpoint.clone();
-        worker.insert(name, Run::new(clock.now, run, step));
+        let suspicion = task.suspicion.level();
+        let level = suspicion.max(gang_level);
+        let traced = recovered || level > 0;
+        let born = worker.born;
+        task.trace = traced.then(|| Trace { born, run, worker: (**id).into() });
+        worker.insert(name, Run { suspicion, ..Run::new(clock.now, run, step) });
+        if first_start || traced {
+            self.mark_dirty(name.job);
+        }
+        if !traced {
+            return self.order_start(clock, id, name);
+        }
+        let change = self.changes;
+        let run = self.workers.get_mut(id).and_then(|worker| worker.runs.get_mut(&name));
+        if let Some(run) = run {
+            run.phase = Phase::Planned { change, at: clock.now, level };
+            self.planned.insert((id.clone(), name));
+        }
+    }
+
+    /// Sends the first start order of a run.
+    pub(crate) fn order_start(&mut self, clock: Clock, id: &Arc<str>, name: task::Name) {
+        let Some(job) = self.jobs.get(&name.job) else { return };
+        let Some(task) = job.task(&name) else { return };
+        let (spec, checkpoint) = (job.spec.clone(), task.checkpoint.clone());
+        let after_ms = clock.unix.saturating_sub(job.accepted_at_ms);
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        let Some(lease_until) = worker.grant(clock.now, self.limits.lease_ms) else { return };
+        let Some(run) = worker.runs.get(&name).map(|run| run.number) else { return };
         self.actions.push(Action::Start {
             worker: id.clone(),
             task: name,
@@ -39,19 +67,17 @@
             lease_until,
             checkpoint,
         });
-        let after_ms = clock.unix.saturating_sub(accepted);
         self.report(Report::Start { task: name, run, worker: id.clone(), after_ms });
-        if first_start {
-            self.mark_dirty(name.job);
-        }
     }
 
     /// Orders the stop of the task's run at the worker, unless a stop is already ordered.
     pub(crate) fn stop(&mut self, id: &Arc<str>, name: task::Name, reason: StopReason) {
         let Some(worker) = self.workers.get_mut(id) else { return };
         let Some(run) = worker.runs.get_mut(&name) else { return };
-        if matches!(run.phase, Phase::Stopping { .. }) {
-            return;
+        match run.phase {
+            Phase::Planned { .. } => return self.release(id, name, Proof::NotOrdered),
+            Phase::Stopping { .. } => return,
+            _ => {}
         }
         run.phase = Phase::Stopping { retry_at: None, confirmed: None };
         let number = run.number;
@@ -96,6 +122,11 @@
             }
             // No earlier order can take effect: it went to the worker before its restart, or
             // carried an earlier deadline.
+            Refusal::Reborn if uncertain => {
+                self.note_silence(clock, id);
+                self.suspect_runs(id, true);
+                self.release(id, name, Proof::Refused);
+            }
             Refusal::Reborn | Refusal::Late => self.release(id, name, Proof::Refused),
             _ if uncertain => {
                 let retry_at = Some(clock.now + limits::ORDER_RETRY_DELAY_MS);
@@ -257,6 +288,7 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in lapsed {
+            self.suspect_lapsed(&id);
             self.release_all(&id, WorkerState::Lapsed, Proof::Lapsed);
         }
     }
@@ -293,6 +325,7 @@
             return;
         }
         task.status = Status::Waiting;
+        task.trace = None;
         if !over {
             stage.waiting.insert(name.index);
         }
--- a/crates/fleet/src/cell_polls.rs
+++ b/crates/fleet/src/cell_polls.rs
@@ -44,9 +44,9 @@
             Err(Refusal::Reborn) => self.handle_replacement(clock, id),
             Err(_) => {
                 worker.missed_polls += 1;
-                worker.silent_since.get_or_insert(clock.now);
-                let runs = worker.runs.len();
-                if worker.missed_polls == 1 {
+                let (missed, runs) = (worker.missed_polls, worker.runs.len());
+                self.note_silence(clock, id);
+                if missed == 1 {
                     let state = WorkerState::Silent;
                     self.report(Report::Worker { worker: id.clone(), state, runs });
                 }
@@ -58,10 +58,11 @@
     fn handle_replacement(&mut self, clock: Clock, id: &Arc<str>) {
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.missed_polls += 1;
-        worker.silent_since.get_or_insert(clock.now);
         worker.poll_at = clock.now + REPLACED_POLL_MS;
         let runs = worker.runs.len();
+        self.note_silence(clock, id);
         self.unfenced.remove(id);
+        self.suspect_runs(id, true);
         if runs > 0 {
             self.release_all(id, WorkerState::Reborn, Proof::Replaced);
         }
@@ -85,17 +86,21 @@
         worker.clock = Some((listing.clock_ms, clock.now));
         worker.fenced = true;
         worker.missed_polls = 0;
-        if restarted {
-            worker.silent_since.get_or_insert(clock.now);
-        } else {
-            worker.silent_since = None;
-        }
         if restarted || answers_again {
             self.placement_due = true;
             let state = if restarted { WorkerState::Reborn } else { WorkerState::Fenced };
             self.report(Report::Worker { worker: id.clone(), state, runs });
         }
         self.unfenced.remove(id);
+        if restarted {
+            self.note_silence(clock, id);
+            self.suspect_runs(id, true);
+        } else {
+            self.retract_lapsed(id);
+        }
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.silent_since = None;
+        }
         for end in &listing.ended {
             self.apply_end(clock, id, end);
         }
@@ -103,9 +108,6 @@
             self.apply_running(clock, id, sent, row);
         }
         self.release_unlisted(id, sent, &listing);
-        if let Some(worker) = self.workers.get_mut(id) {
-            worker.silent_since = None;
-        }
         self.update_paces(clock, id);
     }
 
@@ -181,6 +183,10 @@
         let Some(job) = self.jobs.get_mut(&name.job) else { return };
         let Some(stage) = job.stage_mut(name.occurrence, name.step) else { return };
         if stage.step.lasting {
+            if let Some(task) = stage.tasks.get_mut(usize::from(name.index)) {
+                // It ran to its end, and its worker lives.
+                task.suspicion = Suspicion::default();
+            }
             return self.requeue(name, id, end.run);
         }
         let members: Vec<u16> =
@@ -279,6 +285,7 @@
         }
         let hangs = run.idle_since.is_some_and(|since| clock.now >= since + HANG_MS);
         self.set_checkpoint(name, &row.checkpoint);
+        self.clear_survivor(id, name);
         if hangs {
             if let Some(worker) = self.workers.get_mut(id) {
                 worker.failures += 1;
@@ -302,6 +309,7 @@
         let Some(stage) = job.stage_mut(name.occurrence, name.step) else { return };
         let step = stage.step.clone();
         let Some(task) = stage.tasks.get_mut(usize::from(name.index)) else { return };
+        let suspicion = task.suspicion.level();
         let wanted = !over && task.status == Status::Waiting;
         task.last_run = task.last_run.max(row.run);
         let Some(worker) = self.workers.get_mut(id) else { return };
@@ -311,10 +319,13 @@
         let mut run = Run::new(clock.now, row.run, step);
         run.phase = Phase::Confirmed { since: clock.now };
         run.adopted = true;
+        run.suspicion = suspicion;
         run.pace = None;
         run.progress = row.progress;
+        let trace = Trace { born: worker.born, run: row.run, worker: (**id).into() };
         worker.insert(name, run);
         if wanted {
+            task.trace = Some(trace);
             stage.waiting.remove(&name.index);
             task.status = Status::Active { worker: id.clone(), run: row.run };
             self.set_checkpoint(name, &row.checkpoint);
--- a/crates/fleet/src/cell_record.rs
+++ b/crates/fleet/src/cell_record.rs
@@ -64,7 +64,9 @@
         let urgent = |job: &Job| {
             job.final_state.is_some() || job.moving_to.is_some() || job.splitting.is_some()
         };
-        self.leaving || self.dirty.iter().any(|id| self.jobs.get(id).is_none_or(urgent))
+        self.leaving
+            || !self.planned.is_empty()
+            || self.dirty.iter().any(|id| self.jobs.get(id).is_none_or(urgent))
     }
 
     /// Returns whether two heads publish the same processors, backlog and pending jobs.
@@ -80,6 +82,7 @@
     /// Builds a commit with as many changed jobs as fit and returns whether it holds all of them.
     fn build_commit(&mut self, now: u64) -> (Commit, bool) {
         let mut commit = Commit {
+            cancelled: Vec::new(),
             expected: Vec::new(),
             head: self.next_head(),
             head_revision: self.head_revision,
@@ -202,6 +205,11 @@
                 }
             }
         }
+        for (id, _) in &commit.progress {
+            if let Some(job) = self.jobs.get_mut(id) {
+                job.progress_stored = true;
+            }
+        }
         for report in split_reports {
             self.report(report);
         }
@@ -249,7 +257,8 @@
         let queue = job.queue.name.clone();
         let ticket = Ticket { also: Vec::new(), cell, queue, state: State::Queued };
         commit.tickets.push((id, ticket));
-        let record = job::Record { begun: job.may_have_begun(), ..(*job.record).clone() };
+        let crashes = job.crashes(|_| true);
+        let record = job::Record { begun: job.may_have_begun(), crashes, ..(*job.record).clone() };
         commit.records.push((id, cell, Arc::new(record)));
         commit.removed.push(id);
         return;
@@ -261,14 +270,20 @@
     let state = job.final_state.unwrap_or(if job.begun { State::Running } else { State::Queued });
     if state != job.ticket_state {
         commit.expected.push((id, job.ticket_revision));
-        commit.tickets.push((id, job.ticket_as(cell, state)));
+        let ticket = job.ticket_as(cell, state);
+        if state == State::Failed {
+            // Other cells that run tasks of the job learn of it as of a cancellation.
+            let cells = ticket.also.iter().copied().chain([ticket.cell]);
+            commit.cancelled.extend(cells.filter(|&other| other != cell).map(|other| (id, other)));
+        }
+        commit.tickets.push((id, ticket));
     }
     if job.final_state.is_some() {
         commit.removed.push(id);
         return;
     }
     let progress = job.progress();
-    if progress != Progress::default() {
+    if progress != Progress::default() || job.progress_stored {
         commit.progress.push((id, progress));
     }
 }
@@ -280,6 +295,7 @@
     ticket.also.push(split.to);
     let record = |tasks: BTreeSet<(u16, u16)>| {
         Arc::new(job::Record {
+            crashes: job.crashes(|task| tasks.contains(&task)),
             tasks: Some(tasks),
             ticket: Some(ticket.clone()),
             ..(*job.record).clone()
--- a/crates/fleet/src/cell_relocate.rs
+++ b/crates/fleet/src/cell_relocate.rs
@@ -85,6 +85,7 @@
     /// filling task.
     fn fits_elsewhere(&self, clock: Clock, service: &str, here: &Arc<str>, run: &Run) -> bool {
         let criteria = placement::Criteria {
+            suspicion: &Suspicion::default(),
             now: clock.now,
             service,
             step: &run.step,
--- a/crates/fleet/src/cell_schedule.rs
+++ b/crates/fleet/src/cell_schedule.rs
@@ -118,8 +118,16 @@
         }
         for index in waiting {
             let name = task::Name { job: id, occurrence, step: step_number, index };
-            let Some(task) = self.jobs.get(&id).and_then(|job| job.task(&name)) else { continue };
+            self.resolve_trace(&name);
+            if self.waits_for_trial(&name) {
+                continue;
+            }
+            let Some(job) = self.jobs.get(&id).filter(|job| job.final_state.is_none()) else {
+                return true;
+            };
+            let Some(task) = job.task(&name) else { continue };
             let criteria = placement::Criteria {
+                suspicion: &task.suspicion,
                 now: clock.now,
                 service: &service,
                 step: &step,
@@ -158,12 +166,14 @@
             return;
         }
         let placed = tasks_per_worker(stage);
+        let none = Suspicion::default();
         let mut reserved: Vec<(Arc<str>, u64)> = Vec::new();
         for _ in &stage.waiting {
             if reservations.is_full() {
                 break;
             }
             let criteria = placement::Criteria {
+                suspicion: &none,
                 now: clock.now,
                 service: &job.queue.service,
                 step,
@@ -222,11 +232,19 @@
         step_number: u16,
         reservations: &reservation::Book,
     ) -> bool {
-        let Some(job) = self.jobs.get(&id) else { return true };
+        let count = self.jobs.get(&id).and_then(|job| job.stage(occurrence, step_number));
+        for index in 0..count.map_or(0, |stage| stage.step.count) {
+            self.resolve_trace(&task::Name { job: id, occurrence, step: step_number, index });
+        }
+        let Some(job) = self.jobs.get(&id).filter(|job| job.final_state.is_none()) else {
+            return true;
+        };
         let Some(stage) = job.stage(occurrence, step_number) else { return true };
         if stage.waiting.len() < stage.tasks.len() {
             return true;
         }
+        let suspicions: Vec<Suspicion> =
+            stage.tasks.iter().map(|task| task.suspicion.clone()).collect();
         let step = stage.step.clone();
         let duration_ms = self.duration_ms(job, &step);
         let service = job.queue.service.clone();
@@ -234,9 +252,10 @@
         let run = self.next_run(last, job.recovered);
         let mut placed = BTreeMap::new();
         let mut chosen: Vec<(Arc<str>, task::Name)> = Vec::new();
-        for index in 0..step.count {
+        for (index, suspicion) in (0..step.count).zip(&suspicions) {
             let name = task::Name { job: id, occurrence, step: step_number, index };
             let criteria = placement::Criteria {
+                suspicion,
                 now: clock.now,
                 service: &service,
                 step: &step,
@@ -250,7 +269,8 @@
             let Some(worker) = placement::choose(&self.workers, &criteria).cloned() else { break };
             // Reserves the resources, so that the next member finds them taken.
             if let Some(entry) = self.workers.get_mut(&worker) {
-                entry.insert(name, Run::new(clock.now, run, step.clone()));
+                let suspicion = suspicion.level();
+                entry.insert(name, Run { suspicion, ..Run::new(clock.now, run, step.clone()) });
             }
             *placed.entry(worker.clone()).or_default() += 1;
             chosen.push((worker, name));
--- a/crates/fleet/src/commit.rs
+++ b/crates/fleet/src/commit.rs
@@ -8,6 +8,8 @@
 pub struct Commit {
     /// Jobs and the revisions that their tickets must still have.
     pub expected: Vec<(job::Id, u64)>,
+    /// Jobs to end in other cells that run tasks of them: job and cell.
+    pub cancelled: Vec<(job::Id, u32)>,
     /// The new head.
     pub head: Head,
     /// The revision that the head must still have.
@@ -29,6 +31,7 @@
     /// `expected` count once as a condition and once as a write.
     pub fn entries(&self) -> usize {
         2 + usize::from(self.pressure.is_some())
+            + self.cancelled.len()
             + self.expected.len()
             + self.records.len()
             + self.progress.len()
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -24,6 +24,10 @@
     /// Whether its tasks may have run in the cell that it was moved from.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub begun: bool,
+    /// Crashes under its tasks in the cell that it was moved from, as occurrence, step, task index and
+    /// crash.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub crashes: Vec<(u32, u16, u16, Crash)>,
     /// The name of its queue.
     pub queue: String,
     /// The submission by its caller.
@@ -76,6 +80,8 @@
     pub begun: bool,
     /// Whether its caller cancelled it.
     pub cancelled: bool,
+    /// Whether the store may hold its progress.
+    pub progress_stored: bool,
     /// The job's occurrences, at least one.
     pub occurrences: Vec<Occurrence>,
     /// The queue, as configured when this owner loaded the job.
@@ -181,6 +187,7 @@
             accepted_at_ms: record.accepted_at_ms,
             begun: false,
             cancelled: false,
+            progress_stored: *progress != Progress::default(),
             occurrences,
             queue,
             home: record.ticket.as_ref().map(|ticket| ticket.cell),
@@ -211,15 +218,25 @@
             }
         }
         for &(occurrence, step, index, run) in &progress.failed {
-            let task = self
-                .stage_mut(occurrence, step)
-                .and_then(|stage| stage.tasks.get_mut(usize::from(index)));
-            if let Some(task) = task {
+            if let Some(task) = self.indexed_task_mut(occurrence, step, index) {
                 task.failed_runs.push(run);
                 task.last_run = task.last_run.max(run);
             }
         }
-        self.begun = !progress.done.is_empty() || !progress.failed.is_empty();
+        let moved = self.record.clone();
+        for (occurrence, step, index, crash) in moved.crashes.iter().chain(&progress.crashes) {
+            if let Some(task) = self.indexed_task_mut(*occurrence, *step, *index) {
+                task.suspicion.add(crash.clone(), &[]);
+                task.last_run = task.last_run.max(crash.run);
+            }
+        }
+        for (occurrence, step, index, trace) in &progress.traces {
+            if let Some(task) = self.indexed_task_mut(*occurrence, *step, *index) {
+                task.last_run = task.last_run.max(trace.run);
+                task.trace = Some(trace.clone());
+            }
+        }
+        self.begun = *progress != Progress::default();
     }
 
     /// Marks the waiting tasks (step, index) for which `elsewhere` holds as run by other cells.
@@ -273,7 +290,25 @@
         self.record.submission.steps.iter().any(|step| step.lasting)
     }
 
-    /// Returns the progress to record: done tasks, and failed runs of tasks that are not lasting.
+    /// Returns the crashes under tasks (step, index) for which `included` holds, as occurrence, step,
+    /// task index and crash.
+    pub fn crashes(&self, included: impl Fn((u16, u16)) -> bool) -> Vec<(u32, u16, u16, Crash)> {
+        let mut crashes = Vec::new();
+        for (number, occurrence) in (0..).zip(&self.occurrences) {
+            for (step, stage) in (0..).zip(&occurrence.stages) {
+                for (index, task) in (0..).zip(&stage.tasks) {
+                    if included((step, index)) {
+                        let own = task.suspicion.crashes().iter().cloned();
+                        crashes.extend(own.map(|crash| (number, step, index, crash)));
+                    }
+                }
+            }
+        }
+        crashes
+    }
+
+    /// Returns the progress to record: done tasks, failed runs of tasks that are not lasting, and
+    /// crashes and traces of tasks that are not done.
     pub fn progress(&self) -> Progress {
         let mut progress = Progress::default();
         for (number, occurrence) in (0..).zip(&self.occurrences) {
@@ -287,6 +322,15 @@
                     progress.done.push((number, step, done));
                 }
                 for (index, task) in (0..).zip(&stage.tasks) {
+                    let open =
+                        matches!(task.status, task::Status::Active { .. } | task::Status::Waiting);
+                    if open {
+                        let crashes = task.suspicion.crashes().iter().cloned();
+                        let crashes = crashes.map(|crash| (number, step, index, crash));
+                        progress.crashes.extend(crashes);
+                        let trace = task.trace.clone().map(|trace| (number, step, index, trace));
+                        progress.traces.extend(trace);
+                    }
                     if stage.step.lasting {
                         continue;
                     }
@@ -308,6 +352,15 @@
         self.occurrences.get_mut(occurrence as usize)?.stages.get_mut(usize::from(step))
     }
 
+    fn indexed_task_mut(
+        &mut self,
+        occurrence: u32,
+        step: u16,
+        index: u16,
+    ) -> Option<&mut task::Task> {
+        self.stage_mut(occurrence, step)?.tasks.get_mut(usize::from(index))
+    }
+
     /// Returns whether a task may have run, here or in a cell that the job was moved from.
     pub fn may_have_begun(&self) -> bool {
         self.begun || self.recovered || self.record.begun || self.record.tasks.is_some()
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,12 +15,12 @@
 
 pub use {
     action::Action, assignment::Assignment, cell::Cell, clock::Clock, commit::Commit,
-    config::Config, continuity::Continuity, evacuation::Evacuation, event::Event,
+    config::Config, continuity::Continuity, crash::Crash, evacuation::Evacuation, event::Event,
     forecast::Forecast, head::Head, headroom::Headroom, job::Job, lateness::Lateness,
     lifetime::Lifetime, limits::Limits, listing::Listing, load::Load, progress::Progress,
     queue::Queue, registration::Registration, registry::Registry, reservation::Reservation,
-    run::Run, settling::Settling, state::State, step::Step, submission::Submission, ticket::Ticket,
-    worker::Worker,
+    run::Run, settling::Settling, state::State, step::Step, submission::Submission,
+    suspicion::Suspicion, ticket::Ticket, trace::Trace, worker::Worker,
 };
 
 pub mod action;
@@ -31,6 +31,7 @@
 pub mod commit;
 pub mod config;
 pub mod continuity;
+pub mod crash;
 pub mod evacuation;
 pub mod event;
 pub mod forecast;
@@ -55,11 +56,14 @@
 pub mod state;
 pub mod step;
 pub mod submission;
+pub mod suspicion;
 pub mod task;
 pub mod ticket;
+pub mod trace;
 pub mod worker;
 
 mod cell_balance;
+mod cell_crashes;
 mod cell_orders;
 mod cell_polls;
 mod cell_record;
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -14,6 +14,8 @@
     pub step: &'a Step,
     /// The worker to avoid: that of the task's last failed run, or the one that it is to leave.
     pub avoid: Option<&'a str>,
+    /// The crashes of workers that the task may have caused.
+    pub suspicion: &'a Suspicion,
     /// The contention that filling images add to serving ones.
     pub pressure: &'a pressure::Pressure,
     /// Lowest pace at which a filling task is placed, in percent.
@@ -35,8 +37,10 @@
     criteria: &Criteria,
 ) -> Option<&'a Arc<str>> {
     let mut best: Option<(i64, &Arc<str>)> = None;
+    let busy_racks = busy_racks(workers, criteria);
     for (id, worker) in workers {
-        if !is_eligible(id, worker, criteria) {
+        let rack_is_busy = !busy_racks.is_empty() && busy_racks.contains(labels(worker));
+        if rack_is_busy || !is_eligible(id, worker, criteria) {
             continue;
         }
         let Some(score) = score(id, worker, criteria) else { continue };
@@ -83,6 +87,7 @@
     let Some(entry) = &worker.registration else { return false };
     let step = criteria.step;
     worker.is_usable(criteria.now)
+        && (step.gang || may_share(worker.suspicion(), criteria.suspicion.level()))
         && entry.service == criteria.service
         && step.label.as_ref().is_none_or(|label| worker.has_label(label))
         && (step.per_worker == 0 || criteria.placed.get(id).copied().unwrap_or(0) < step.per_worker)
@@ -117,15 +122,66 @@
         score
             - if remote_data { REMOTE_DATA_COST } else { 0 }
             - if avoided { AVOIDED_WORKER_COST } else { 0 }
-            - i64::from(worker.failures) * FAILURE_COST,
+            - i64::from(worker.failures) * FAILURE_COST
+            - trial_cost(worker, criteria.suspicion),
     )
 }
 
+/// Returns the racks, by their workers' labels, in which no further task under which several workers
+/// have crashed may start now: more crashes at a time would look like a failure of the rack.
+fn busy_racks<'a>(
+    workers: &'a BTreeMap<Arc<str>, Worker>,
+    criteria: &Criteria,
+) -> BTreeSet<&'a [String]> {
+    let mut trials: BTreeMap<&[String], usize> = BTreeMap::new();
+    if criteria.suspicion.level() > 1 && !criteria.step.gang {
+        let recent = |run: &Run| criteria.now <= run.started + suspicion::COMMON_CAUSE_MS;
+        let on_trial =
+            |worker: &&Worker| worker.runs.values().any(|run| run.suspicion > 1 && recent(run));
+        for worker in workers.values().filter(on_trial) {
+            *trials.entry(labels(worker)).or_default() += 1;
+        }
+    }
+    trials.retain(|_, count| *count + 1 >= suspicion::MIN_COMMON_WORKERS);
+    trials.into_keys().collect()
+}
+
+fn labels(worker: &Worker) -> &[String] {
+    worker.registration.as_ref().map_or(&[], |entry| &entry.labels)
+}
+
+/// Returns whether a task under which `level` workers have crashed may run beside one under which
+/// `beside` have. Where both are suspect, and one of them more than once, a crash would not tell which
+/// of them caused it.
+fn may_share(beside: usize, level: usize) -> bool {
+    beside == 0 || level == 0 || beside.max(level) == 1
+}
+
+/// Returns the penalty by which suspects are kept apart, so that the next crash decides among them, and
+/// by which a task under which several workers have crashed is tried where few runs are at stake, and
+/// where a failing rack can't be taken for its work. Others stay away from the worker of such a task.
+fn trial_cost(worker: &Worker, suspicion: &Suspicion) -> i64 {
+    let level = suspicion.level();
+    let beside = worker.suspicion();
+    let apart = if level > 0 && beside > 0 || beside > 1 { SUSPECT_COST } else { 0 };
+    if level <= 1 {
+        return apart;
+    }
+    let shared = suspicion.shared_labels(labels(worker)) as i64;
+    apart + worker.runs.len() as i64 * STAKE_COST + shared * SHARED_LABEL_COST
+}
+
 /// Penalty for a worker outside the rack of the data, where a task takes several times as long: the
 /// whole range of the score for free processors.
 const REMOTE_DATA_COST: i64 = 1_000;
 /// Penalty for the worker to avoid: more than all other parts of the score together.
 const AVOIDED_WORKER_COST: i64 = 10_000;
+/// Penalty for a worker with a suspect: more than the scores of workers differ otherwise.
+const SUSPECT_COST: i64 = 3_000;
+/// Penalty for each run of a worker, for a task that may crash it.
+const STAKE_COST: i64 = 100;
+/// Penalty for each label that a worker shares with those that crashed, for a task that may crash it.
+const SHARED_LABEL_COST: i64 = 500;
 /// Penalty for each consecutive failed run at a worker: a fifth of the range for free processors.
 const FAILURE_COST: i64 = 200;
 /// Weight of affinity relative to free processors.
--- a/crates/fleet/src/progress.rs
+++ b/crates/fleet/src/progress.rs
@@ -11,4 +11,10 @@
     /// Failed runs, as occurrence, step, task index and run number.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub failed: Vec<(u32, u16, u16, u32)>,
+    /// Crashes of workers, as occurrence, step, task index and crash.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub crashes: Vec<(u32, u16, u16, Crash)>,
+    /// Runs that may crash their worker unseen, as occurrence, step, task index and trace.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub traces: Vec<(u32, u16, u16, Trace)>,
 }
--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -5,6 +5,16 @@
 /// The phase of a run, as its cell's owner knows it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Phase {
+    /// The start is ordered once the store has recorded it, so that a new owner knows of the run even
+    /// if it crashes its worker.
+    Planned {
+        /// The value of `Cell::durable` at which it is recorded.
+        change: u64,
+        /// When it was planned, in milliseconds.
+        at: u64,
+        /// The number of crashes under the task, or the most under one of its gang.
+        level: usize,
+    },
     /// The start was ordered but not confirmed.
     Starting {
         /// When the start is sent again, in milliseconds; `None` while an answer is pending.
@@ -55,6 +65,8 @@
     pub started: u64,
     /// The step of the task.
     pub step: Arc<Step>,
+    /// The number of crashes under the task, while this run is watched for another.
+    pub suspicion: usize,
     /// The smoothed contention that a serving task's tail latency shows, from 0 to 1; `None` before
     /// the first measurement.
     pub contention: Option<f64>,
@@ -78,6 +90,7 @@
             seen_at: None,
             started: now,
             step,
+            suspicion: 0,
             contention: None,
             over_target_since: None,
         }
--- a/crates/fleet/src/task.rs
+++ b/crates/fleet/src/task.rs
@@ -52,6 +52,10 @@
     pub last_failed_worker: Option<Arc<str>>,
     /// The highest run number used.
     pub last_run: u32,
+    /// Crashes of workers that the task may have caused.
+    pub suspicion: Suspicion,
+    /// Where its newest run was ordered, if that has to be recorded.
+    pub trace: Option<Trace>,
     /// The status of the task.
     pub status: Status,
 }
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -27,6 +27,8 @@
     pub poll_at: u64,
     /// Consecutive polls without an answer.
     pub missed_polls: u32,
+    /// Runs that it held when its lease ran out, while it is unknown whether it has crashed.
+    pub lapsed_runs: Vec<(task::Name, u32)>,
     /// Since when it has not answered, in milliseconds; `None` while it answers.
     pub silent_since: Option<u64>,
     /// The highest number of an end that was processed.
@@ -78,6 +80,7 @@
             polling: false,
             poll_at: 0,
             missed_polls: 0,
+            lapsed_runs: Vec::new(),
             silent_since: None,
             processed: 0,
             unrecorded: VecDeque::new(),
@@ -196,6 +199,11 @@
         self.filling_milli > 0 && self.serving_milli > 0
     }
 
+    /// Returns the most crashes under the task of a run that is watched for another.
+    pub fn suspicion(&self) -> usize {
+        self.runs.values().map(|run| run.suspicion).max().unwrap_or(0)
+    }
+
     /// Returns whether it carries a label.
     pub fn has_label(&self, label: &str) -> bool {
         self.registration.as_ref().is_some_and(|entry| entry.labels.iter().any(|l| l == label))
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -54,6 +54,10 @@
     sent: BTreeMap<task::Name, job::Id>,
     /// Tasks that crash the worker that runs them, with the age at which they do so in milliseconds.
     pub deadly: BTreeMap<task::Name, u64>,
+    /// When the owner or the store last failed, in milliseconds.
+    pub disturbed: Vec<u64>,
+    /// Marks by which other cells learn that a job is over.
+    pub marks: BTreeSet<(u32, job::Id)>,
     /// Whether a crashed worker comes back under another ID.
     pub replaces_crashed: bool,
     /// All crashes by a task: time in milliseconds, task.
@@ -165,6 +169,8 @@
             polls: Vec::new(),
             sent: BTreeMap::new(),
             deadly: BTreeMap::new(),
+            disturbed: Vec::new(),
+            marks: BTreeSet::new(),
             replaces_crashed: false,
             crashes: Vec::new(),
         };
@@ -174,6 +180,7 @@
 
     /// Replaces the owner by a new one that starts from the state in the store.
     pub fn take_over(&mut self) {
+        self.disturbed.push(self.now);
         self.revision += 1;
         let head = Head {
             generation: self.head.0.generation + 1,
@@ -241,6 +248,7 @@
         let record = job::Record {
             accepted_at_ms: START_UNIX_MS + self.now,
             begun: false,
+            crashes: Vec::new(),
             queue: queue.into(),
             submission: Submission { spec: "work".into(), steps, ..Submission::default() },
             tasks: None,
@@ -485,6 +493,9 @@
         if let Some(pressure) = &commit.pressure {
             self.stored_pressure = pressure.clone();
         }
+        for (id, cell) in &commit.cancelled {
+            self.marks.insert((*cell, *id));
+        }
         for (id, cell, record) in &commit.records {
             self.records.insert((*cell, *id), (**record).clone());
         }
--- a/crates/node/src/executor.rs
+++ b/crates/node/src/executor.rs
@@ -138,6 +138,9 @@
         for (id, ticket) in &commit.tickets {
             txn.writes.push((keys::ticket(*id), record::encode(ticket), 0));
         }
+        for (id, other) in &commit.cancelled {
+            txn.writes.push((keys::cancelled(*other, *id), Vec::new(), 0));
+        }
         if let Some(pressure) = &commit.pressure {
             txn.writes.push((keys::pressure(cell), record::encode(pressure), 0));
         }
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -62,6 +62,7 @@
                 Err(error) => return error_response(StatusCode::BAD_REQUEST, &error.to_string()),
             };
             let record = job::Record {
+                crashes: Vec::new(),
                 accepted_at_ms: received.unix,
                 begun: false,
                 queue: queue.name.clone(),
--- a/crates/node/src/meter.rs
+++ b/crates/node/src/meter.rs
@@ -93,6 +93,8 @@
                 self.latency.with_label_values(&["run"]).observe(*after_ms as f64);
                 "run_ended"
             }
+            Report::Crash { .. } => "worker_crashed",
+            Report::GivenUp { .. } => "job_given_up",
             Report::JobOver { after_ms, .. } => {
                 self.latency.with_label_values(&["job"]).observe(*after_ms as f64);
                 "job_over"
