A planned start is dropped when its worker has shrunk meanwhile

A worker that doesn't guard its capacity may say that it has less of it. Before, such starts did not exist, so that no caller has seen it.

--- a/crates/fleet/src/cell_crashes.rs
+++ b/crates/fleet/src/cell_crashes.rs
@@ -212,7 +212,9 @@
     pub(crate) fn order_planned(&mut self, clock: Clock) {
         for (id, name) in std::mem::take(&mut self.planned) {
             let Some(worker) = self.workers.get_mut(&id) else { continue };
-            let accepts_runs = worker.accepts_runs() && worker.missed_polls == 0;
+            // Its capacity may have shrunk since.
+            let fits = worker.reserved.fits(&worker.capacity());
+            let accepts_runs = worker.accepts_runs() && worker.missed_polls == 0 && fits;
             let Some(run) = worker.runs.get_mut(&name) else { continue };
             let Phase::Planned { change, at, level } = run.phase else { continue };
             if self.leaving || self.view_stale || !accepts_runs {
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -54,6 +54,10 @@
     sent: BTreeMap<task::Name, job::Id>,
     /// Tasks that crash the worker that runs them, with the age at which they do so in milliseconds.
     pub deadly: BTreeMap<task::Name, u64>,
+    /// The steps of all submitted jobs.
+    steps: BTreeMap<(job::Id, u16), Step>,
+    /// Starts that brought a worker over its capacity.
+    pub overloads: Vec<String>,
     /// When the owner or the store last failed, in milliseconds.
     pub disturbed: Vec<u64>,
     /// Marks by which other cells learn that a job is over.
@@ -170,6 +174,8 @@
             sent: BTreeMap::new(),
             deadly: BTreeMap::new(),
             disturbed: Vec::new(),
+            overloads: Vec::new(),
+            steps: BTreeMap::new(),
             marks: BTreeSet::new(),
             replaces_crashed: false,
             crashes: Vec::new(),
@@ -258,6 +264,9 @@
     }
 
     pub fn accept(&mut self, id: job::Id, record: job::Record) {
+        for (number, step) in (0..).zip(&record.submission.steps) {
+            self.steps.insert((id, number), step.clone());
+        }
         self.revision += 1;
         let queue = record.queue.clone();
         let state = oleanderstage_fleet::State::Queued;
@@ -439,7 +448,12 @@
             Action::Start { worker, task, run, lease_until, checkpoint, .. } => {
                 let (now, run_ms) = (self.now, self.run_ms);
                 let fake = self.workers.get_mut(&*worker).expect("a worker");
+                let starts = fake.starts.len();
                 let answer = fake.start(now, task, run, lease_until, run_ms, checkpoint);
+                let started = fake.starts.len() > starts;
+                if started {
+                    self.check_capacity(&worker, task);
+                }
                 self.handle(Event::Start { worker, task, run, answer });
             }
             Action::Stop { worker, task, run } => {
@@ -466,6 +480,21 @@
         }
     }
 
+    /// Notes a start by which a worker holds more than its capacity.
+    fn check_capacity(&mut self, worker: &str, task: task::Name) {
+        let fake = &self.workers[worker];
+        let capacity = fake.capacity.map_or(self.cores * 1_000, |own| own.processors_milli);
+        let milli = |name: &task::Name| {
+            let step = self.steps.get(&(name.job, name.step));
+            step.map_or(0, |step| step.reserved().processors_milli)
+        };
+        let held: u64 = fake.held.keys().map(milli).sum();
+        if held > capacity {
+            let now = self.now;
+            self.overloads.push(format!("{now}: {task} at {worker}, {held} of {capacity}"));
+        }
+    }
+
     fn commit(&mut self, commit: &Commit) -> Outcome {
         assert!(commit.entries() <= 32, "a transaction takes 32 entries");
         if self.store == Store::Down {
--- a/crates/fleet/tests/world/worker.rs
+++ b/crates/fleet/tests/world/worker.rs
@@ -41,6 +41,8 @@
     pub replaced: bool,
     /// It has no entry in the store.
     pub gone: bool,
+    /// Its runs go on for a while after a stop is confirmed.
+    pub stops_slowly: bool,
     /// It has crashed, and refuses connections until it is up again at this time, in milliseconds.
     pub down_until: u64,
     /// Memory and processors that it says it has; `None` for those of all workers.
@@ -92,6 +94,9 @@
         }
         let last = self.last_ended.entry(task).or_default();
         *last = (*last).max(run);
+        if self.stops_slowly {
+            return Ok(());
+        }
         if let Some(held) = self.held.remove(&task) {
             self.end(task, held.run, EndReason::Stopped, held.checkpoint);
         }
