A worker with runs of unknown size gets no new ones

A new owner finds runs of jobs that are over, looks their tickets up and stops them. It does not know what they hold: they counted as nothing, and their room was given away before they had ended.

Such a worker is not usable until the runs are over, a poll or two later. Test that failed first: a_worker_with_runs_of_unknown_size_gets_no_task (a task of two cores started beside 16 of 16 in use).

--- a/crates/fleet/src/cell_polls.rs
+++ b/crates/fleet/src/cell_polls.rs
@@ -366,6 +366,7 @@
             let step = Arc::new(Step { count: 1, ..Step::default() });
             let mut run = Run::new(clock.now, number, step);
             run.phase = Phase::Confirmed { since: clock.now };
+            run.foreign = true;
             worker.insert(name, run);
             self.stop(id, name, StopReason::Unwanted);
         }
--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -44,6 +44,8 @@
     pub load: Load,
     /// Whether an earlier owner ordered the start, so that its time is not known.
     pub adopted: bool,
+    /// Whether its job is unknown to the cell, and with it what the run holds.
+    pub foreign: bool,
     /// Measurement in the last listing: the tail latency in milliseconds for a serving task,
     /// processors in use in thousandths of a core for any other.
     pub measurement: Option<f64>,
@@ -81,6 +83,7 @@
         Self {
             load: Load::default(),
             adopted: false,
+            foreign: false,
             measurement: None,
             idle_since: None,
             number,
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -128,7 +128,16 @@
 
     /// Returns whether new runs may be placed on the worker.
     pub fn is_usable(&self, now: u64) -> bool {
-        self.fenced && self.missed_polls == 0 && self.paused_until <= now && self.accepts_runs()
+        self.fenced
+            && self.missed_polls == 0
+            && self.paused_until <= now
+            && self.accepts_runs()
+            && !self.holds_unknown_runs()
+    }
+
+    /// Returns whether it holds runs of jobs that the cell does not know, so that its room is unknown.
+    fn holds_unknown_runs(&self) -> bool {
+        !self.unknown_runs.is_empty() || self.runs.values().any(|run| run.foreign)
     }
 
     /// Returns whether the worker is a member of the cell, and its zone and its entry allow new
--- a/crates/fleet/tests/capacity.rs
+++ b/crates/fleet/tests/capacity.rs
@@ -57,6 +57,26 @@
     assert_eq!(world.starts(name("1", 0, 0)).len(), 2, "one core is left");
 }
 
+/// The runs of a job that is over are stopped by a new owner, which does not know what they hold.
+#[test]
+fn a_worker_with_runs_of_unknown_size_gets_no_task() {
+    let mut world = World::new(&["w1"]);
+    world.run_ms = 60_000;
+    world.submit("1", QUEUE, vec![step(8, 2)]);
+    world.advance(200);
+    world.records.clear();
+    world.tickets.clear();
+    world.worker("w1").stops_slowly = true;
+    world.take_over();
+    world.submit("2", QUEUE, vec![step(4, 2)]);
+    world.advance(300);
+    assert!(world.starts(name("2", 0, 0)).is_empty(), "16 cores are still in use");
+    world.worker("w1").stops_slowly = false;
+    world.worker("w1").held.clear();
+    world.advance(2_500);
+    assert_eq!(world.starts(name("2", 0, 0)).len(), 1);
+}
+
 /// Starts never bring a worker over what it has said of itself, through random changes and owners.
 #[test]
 fn no_start_brings_a_worker_over_its_capacity() {
