A reservation at a shrunk worker counts what it holds beyond its capacity

A worker whose capacity shrinks below what its runs hold has no room until the excess has ended. Reservations took the room as zero and added the first end to it, so that they named a time too early, and a task that could have been reserved elsewhere waited there. Starts themselves were checked against the capacity; no rule was broken.

Before: a worker of 16 cores that holds 15 and shrinks to 8, with ends of 7 and 4 cores, had room for 4 at the first end; now at the second. Test: ends_at_a_shrunk_worker_free_its_excess_first.

--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -67,8 +67,8 @@
                 && needed.fits(&worker.capacity())
         })
         .filter_map(|(id, worker)| {
-            let free = worker.unreserved();
-            let found = Reservation::find(criteria.now, free, needed, ends(worker))?;
+            let (capacity, reserved) = (worker.capacity(), worker.reserved);
+            let found = Reservation::find(criteria.now, capacity, reserved, needed, ends(worker))?;
             Some((id.clone(), found))
         })
         .min_by_key(|(_, found)| found.ready_at)
--- a/crates/fleet/src/reservation.rs
+++ b/crates/fleet/src/reservation.rs
@@ -71,21 +71,26 @@
 
 impl Reservation {
     /// Returns the reservation of a worker for a task of `needed` resources: the earliest time within
-    /// `HORIZON_MS` at which it has room. `ends` holds the expected ends of its runs in milliseconds,
-    /// with what each frees.
+    /// `HORIZON_MS` at which it has room. Its runs hold `reserved`, which is more than its capacity once
+    /// that has shrunk; `ends` holds their expected ends in milliseconds, with what each frees.
     pub fn find(
         now: u64,
-        free: Resources,
+        capacity: Resources,
+        reserved: Resources,
         needed: Resources,
         mut ends: Vec<(u64, Resources)>,
     ) -> Option<Self> {
         ends.sort_by_key(|(at, _)| *at);
-        let mut room = free;
+        let mut held = reserved;
         for (ready_at, freed) in ends {
             if ready_at > now + HORIZON_MS {
                 return None;
             }
-            room = room + freed;
+            held = held.saturating_sub(&freed);
+            if !held.fits(&capacity) {
+                continue;
+            }
+            let room = capacity.saturating_sub(&held);
             if needed.fits(&room) {
                 return Some(Self { ready_at, spare: room.saturating_sub(&needed) });
             }
--- a/crates/fleet/tests/reservation.rs
+++ b/crates/fleet/tests/reservation.rs
@@ -155,11 +155,27 @@
 #[test]
 fn room_is_reserved_at_the_earliest_end_that_suffices() {
     let ends = vec![(3_000, cores(8)), (1_500, cores(4)), (2_000, cores(2))];
-    let found = Reservation::find(1_000, cores(1), cores(6), ends.clone());
+    let found = Reservation::find(1_000, cores(16), cores(15), cores(6), ends.clone());
     assert_eq!(found, Some(Reservation { ready_at: 2_000, spare: cores(1) }));
-    assert_eq!(Reservation::find(1_000, cores(1), cores(16), ends), None, "never enough");
+    assert_eq!(
+        Reservation::find(1_000, cores(16), cores(15), cores(16), ends),
+        None,
+        "never enough"
+    );
     let late = vec![(9_000, cores(8))];
-    assert_eq!(Reservation::find(1_000, cores(1), cores(6), late), None, "too far ahead");
+    assert_eq!(
+        Reservation::find(1_000, cores(16), cores(15), cores(6), late),
+        None,
+        "too far ahead"
+    );
+}
+
+/// A worker of 16 cores that holds 15 has shrunk to eight: the first end frees no room.
+#[test]
+fn ends_at_a_shrunk_worker_free_its_excess_first() {
+    let ends = vec![(1_500, cores(7)), (2_000, cores(4))];
+    let found = Reservation::find(1_000, cores(8), cores(15), cores(4), ends);
+    assert_eq!(found, Some(Reservation { ready_at: 2_000, spare: cores(0) }));
 }
 
 /// What may run beyond the reserved time takes from the spare room.
