Soak: tasks that crash their workers, and workers whose capacity changes

The soak checks that jobs are failed for used-up attempts or two crashes only, and that jobs with such a task are failed.

--- a/crates/node/tests/soak.rs
+++ b/crates/node/tests/soak.rs
@@ -41,6 +41,13 @@
     run(23, Disruption::Maintenance);
 }
 
+/// Tasks that crash their workers are given up and no others, and no start exceeds what a worker says
+/// it has.
+#[test]
+fn invariants_hold_beside_tasks_that_crash_workers() {
+    run(5, Disruption::Crashes);
+}
+
 /// A poll and a start in the same millisecond: a task ran twice.
 #[test]
 fn seed_114_keeps_the_invariants() {
--- a/crates/soak/src/disruption.rs
+++ b/crates/soak/src/disruption.rs
@@ -3,6 +3,8 @@
 /// What a run disturbs the system with.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Disruption {
+    /// Tasks that crash their workers, and workers whose capacity changes.
+    Crashes,
     /// Random faults, which overlap.
     Faults,
     /// Planned work: workers leave and VMs restart, each in a series of its own.
--- a/crates/soak/src/job.rs
+++ b/crates/soak/src/job.rs
@@ -9,6 +9,8 @@
     pub accepted: bool,
     /// When a cancellation was answered with success.
     pub cancelled: Option<Instant>,
+    /// Whether its first task crashes each worker that starts it.
+    pub deadly: bool,
     /// Job ID, as in the path of its requests.
     pub id: String,
     /// State in the last answer to a query, empty before the first.
@@ -19,6 +21,8 @@
     pub steps: Vec<u32>,
 }
 
+/// Share of jobs with a task that crashes each worker that starts it.
+const DEADLY_SHARE: f64 = 0.02;
 /// How long a caller waits for an answer.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(3);
 /// Maximum number of times that a submission or a cancellation is sent.
@@ -62,12 +66,13 @@
     /// Submits a random job until it is accepted, and cancels some jobs after that. `number` becomes
     /// the last half of the job's ID.
     pub(crate) async fn submit(self: Rc<Self>, number: u64) {
-        let (id, steps, body, cancels) = self.random_job(number);
+        let (id, steps, body, cancels, deadly) = self.random_job(number);
         self.jobs.borrow_mut().insert(
             id.clone(),
             Job {
                 accepted: false,
                 cancelled: None,
+                deadly,
                 id: id.clone(),
                 state: String::new(),
                 refused: true,
@@ -138,9 +143,10 @@
                 .record_violation(format!("job {id} is completed but not all its tasks are"));
         }
         let exhausted = |task: String| self.ledger.entry(&task).failures >= soak::MAX_TASK_ATTEMPTS;
-        if state == "failed" && !self.tasks(&job).any(exhausted) {
+        let crashed = self.tasks(&job).any(|task| self.ledger.entry(&task).crashes >= 2);
+        if state == "failed" && !crashed && !self.tasks(&job).any(exhausted) {
             self.ledger.record_violation(format!(
-                "job {id} is failed but none of its tasks used up its attempts"
+                "job {id} is failed but none of its tasks used up its attempts or crashes workers"
             ));
         }
         self.update(id, |job| job.state = state.into());
@@ -160,8 +166,8 @@
     }
 
     /// Generates a random job: its ID, the number of tasks of each step, its request body, and
-    /// whether its caller cancels it.
-    fn random_job(&self, number: u64) -> (String, Vec<u32>, Vec<u8>, bool) {
+    /// whether its caller cancels it, and whether it crashes workers.
+    fn random_job(&self, number: u64) -> (String, Vec<u32>, Vec<u8>, bool, bool) {
         let mut random = self.random.borrow_mut();
         let id = format!("{:08x}{number:08x}", self.plan.seed);
         let steps: Vec<u32> =
@@ -178,7 +184,12 @@
                 })
             })
             .collect();
-        let body = json!({"spec": format!("{estimate_ms} {cpu_milli}"), "steps": bodies});
-        (id, steps, body.to_string().into_bytes(), random.random_bool(0.12))
+        let cancels = random.random_bool(0.12);
+        let deadly = self.plan.disruption == Disruption::Crashes
+            && random.random_bool(DEADLY_SHARE)
+            && !cancels;
+        let crash = if deadly { " 0.0" } else { "" };
+        let body = json!({"spec": format!("{estimate_ms} {cpu_milli}{crash}"), "steps": bodies});
+        (id, steps, body.to_string().into_bytes(), cancels, deadly)
     }
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -37,6 +37,7 @@
     disruption::Disruption, fault::Fault, job::Job, plan::Plan, report::Report, soak::Soak, vm::Vm,
 };
 
+mod crashes;
 mod disruption;
 mod fault;
 mod job;
@@ -71,6 +72,9 @@
     /// replace workers and restart VMs in turn, instead of random faults
     #[argh(switch)]
     maintenance: bool,
+    /// let tasks crash workers, and workers shrink and grow, instead of random faults
+    #[argh(switch)]
+    crashes: bool,
     /// directory for the VMs' settings and logs
     #[argh(option)]
     logs: PathBuf,
@@ -79,8 +83,12 @@
 /// Runs the program `oleanderstage-soak`, which prints a report for each seed.
 pub fn main() -> miette::Result<()> {
     let arguments: Arguments = argh::from_env();
-    let disruption =
-        if arguments.maintenance { Disruption::Maintenance } else { Disruption::Faults };
+    let disruption = match (arguments.maintenance, arguments.crashes) {
+        (true, false) => Disruption::Maintenance,
+        (false, true) => Disruption::Crashes,
+        (false, false) => Disruption::Faults,
+        (true, true) => return Err(miette::miette!("choose one of --maintenance and --crashes")),
+    };
     let mut broken = 0;
     for seed in arguments.seed..arguments.seed + arguments.seeds {
         let plan = Plan {
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -75,6 +75,7 @@
         self.wait_ready().await?;
         let end = Instant::now() + self.plan.fault_duration;
         let injecting = match self.plan.disruption {
+            Disruption::Crashes => spawn_local(self.clone().crash(end)),
             Disruption::Faults => spawn_local(self.clone().inject(end)),
             Disruption::Maintenance => spawn_local(self.clone().maintain(end)),
         };
@@ -297,6 +298,12 @@
             if job.refused && entries().any(|entry| entry.starts > 0) {
                 self.ledger.record_violation(format!("job {} was refused but ran", job.id));
             }
+            if job.deadly && job.accepted && job.state != "failed" {
+                self.ledger.record_violation(format!(
+                    "job {} crashes workers but is {}",
+                    job.id, job.state
+                ));
+            }
             if job.cancelled.is_some() && entries().any(|entry| !entry.running.is_empty()) {
                 self.ledger
                     .record_violation(format!("job {} was cancelled but still runs", job.id));
