A worker that answers again after a missed poll is used at once

Polls wait up to a second for an end. That held also for a worker that had missed some: whether it lives on or has restarted was known only then, its runs were given up up to a second late, and it got no new ones.

Test that failed first: a_worker_that_answers_again_is_used_at_once (no start 250 ms after the worker is back). A poll after a missed one does not wait.

--- a/crates/fleet/src/cell_orders.rs
+++ b/crates/fleet/src/cell_orders.rs
@@ -241,6 +241,8 @@
             let lease_until =
                 if worker.missed_polls > 0 { None } else { worker.grant(clock.now, lease_ms) };
             let wait_ms = match worker.fenced {
+                // Whether it has restarted shows in any answer.
+                _ if worker.missed_polls > 0 => 0,
                 true if worker.is_shared() => limits::SHARED_POLL_WAIT_MS,
                 true => limits::POLL_WAIT_MS,
                 false => 0,
