--- a/crates/fleet/tests/capacity.rs
+++ b/crates/fleet/tests/capacity.rs
@@ -41,7 +41,7 @@
 #[test]
 fn a_planned_start_is_dropped_when_its_worker_shrinks() {
     let mut world = World::new(&["w1", "w2", "w3"]);
-    world.deadly.insert(name("1", 0, 0), 10);
+    world.crashing.insert(name("1", 0, 0), 10);
     world.submit("1", QUEUE, vec![step(1, 2)]);
     while world.crashes.len() < 2 {
         world.advance(10);
--- a/crates/fleet/tests/crashes.rs
+++ b/crates/fleet/tests/crashes.rs
@@ -18,18 +18,19 @@
     Step { lasting: true, ..step(count, 1) }
 }
 
-/// How long a machine runs, and reaches the store, before it counts as in touch, in milliseconds.
+/// How long an owner has to have run and reached the store for its starts to count, in milliseconds.
 const CONTACT_MS: u64 = 3_000;
 
-/// Returns the number of starts of a task after the third crash by it, by machines in touch.
+/// Returns the number of starts of a task after the third crash by it, without those
+/// around a change of owner or a failure of the store.
 fn starts_after_three_crashes(world: &World, name: task::Name) -> usize {
     let crashes: Vec<u64> =
         world.crashes.iter().filter(|(_, task)| *task == name).map(|(at, _)| *at).collect();
     let Some(&third) = crashes.get(2) else { return 0 };
     let starts = world.workers.values().flat_map(|worker| &worker.starts);
-    let in_touch =
+    let undisturbed =
         |at: u64| !world.disturbed.iter().any(|&since| (since..since + CONTACT_MS).contains(&at));
-    starts.filter(|(at, task, _)| *task == name && *at > third && in_touch(*at)).count()
+    starts.filter(|(at, task, _)| *task == name && *at > third && undisturbed(*at)).count()
 }
 
 /// Issue 32: one task crashed 13 workers, one after the other, with all that ran there.
@@ -39,7 +40,7 @@
         let mut world = World::new(&WORKERS);
         world.replaces_crashed = replaces_crashed;
         world.run_ms = 2_000;
-        world.deadly.insert(name("1", 0, 1), 10);
+        world.crashing.insert(name("1", 0, 1), 10);
         world.submit("1", QUEUE, vec![step(3, 2)]);
         world.submit("2", QUEUE, vec![step(8, 2)]);
         world.submit("3", QUEUE, vec![lasting(6)]);
@@ -57,7 +58,7 @@
     for replaces_crashed in [false, true] {
         let mut world = World::new(&WORKERS);
         world.replaces_crashed = replaces_crashed;
-        world.deadly.insert(name("1", 0, 0), 10);
+        world.crashing.insert(name("1", 0, 0), 10);
         world.submit("1", QUEUE, vec![step(1, 2)]);
         for _ in 0..10 {
             let crashes = world.crashes.len();
@@ -90,7 +91,7 @@
     world.submit("a", QUEUE, vec![lasting(12)]);
     for number in 0..8 {
         let job = format!("d{number}");
-        world.deadly.insert(name(&job, 0, 0), 10);
+        world.crashing.insert(name(&job, 0, 0), 10);
         world.submit(&job, QUEUE, vec![step(2, 1)]);
         world.submit(&format!("e{number}"), QUEUE, vec![step(6, 1)]);
         world.advance(700);
@@ -148,7 +149,7 @@
 fn a_gang_with_a_member_that_crashes_workers_is_given_up() {
     let mut world = World::new(&WORKERS);
     world.run_ms = 8_000;
-    world.deadly.insert(name("1", 0, 2), 50);
+    world.crashing.insert(name("1", 0, 2), 50);
     world.submit("1", QUEUE, vec![Step { gang: true, ..step(4, 4) }]);
     world.submit("2", QUEUE, vec![Step { gang: true, ..step(4, 4) }]);
     world.advance(40_000);
@@ -167,7 +168,7 @@
     let members = world.members();
     world.handle(Event::Workers(members));
     for index in 0..4 {
-        world.deadly.insert(name("1", 0, index), 10);
+        world.crashing.insert(name("1", 0, index), 10);
     }
     world.submit("1", QUEUE, vec![Step { per_worker: 1, ..step(4, 1) }]);
     world.advance(40_000);
@@ -181,7 +182,7 @@
     for fuse_ms in [10, 600, 6_000] {
         let mut world = World::new(&WORKERS);
         world.run_ms = 600_000;
-        world.deadly.insert(name("1", 0, 0), fuse_ms);
+        world.crashing.insert(name("1", 0, 0), fuse_ms);
         world.submit("1", QUEUE, vec![lasting(2)]);
         world.submit("2", QUEUE, vec![lasting(10)]);
         world.advance(90_000);
@@ -193,11 +194,11 @@
 }
 
 /// The store is down while a task under which two workers have crashed is to start: whether a third
-/// crashes would be forgotten with its owner.
+/// one crashes would be forgotten with its owner.
 #[test]
 fn a_task_under_which_two_workers_crashed_starts_only_once_that_is_recorded() {
     let mut world = World::new(&WORKERS);
-    world.deadly.insert(name("1", 0, 0), 10);
+    world.crashing.insert(name("1", 0, 0), 10);
     world.submit("1", QUEUE, vec![step(1, 1)]);
     while world.crashes.len() < 2 {
         world.advance(100);
@@ -254,13 +255,13 @@
 fn a_split_job_that_is_given_up_ends_in_its_other_cells() {
     let mut world = World::new(&WORKERS);
     world.run_ms = 600_000;
-    world.deadly.insert(name("1", 0, 0), 10);
+    world.crashing.insert(name("1", 0, 0), 10);
     world.submit("1", QUEUE, vec![lasting(2)]);
     let record = world.records[&(0, id("1"))].clone();
     world.cancel("1");
     let ticket = Ticket { also: vec![4], cell: 3, queue: QUEUE.into(), state: State::Running };
     let record = job::Record { ticket: Some(ticket), tasks: Some([(0, 0)].into()), ..record };
-    world.deadly.insert(name("2", 0, 0), 10);
+    world.crashing.insert(name("2", 0, 0), 10);
     world.accept(id("2"), record);
     world.advance(40_000);
     assert_eq!(world.state("2"), State::Failed);
@@ -268,7 +269,7 @@
 }
 
 #[test]
-fn whatever_else_fails_a_deadly_task_ends_and_its_neighbours_do_not() {
+fn whatever_else_fails_a_crashing_task_ends_and_its_neighbours_do_not() {
     (0..30).for_each(|seed| survive_random_faults(seed, false));
 }
 
@@ -278,7 +279,7 @@
     (0..30).for_each(|seed| survive_random_faults(seed, true));
 }
 
-/// Tasks that crash by themselves nowhere were hit by three unrelated crashes, two of them while they
+/// Tasks that crash no worker were hit by three unrelated crashes, two of them while they
 /// were the only suspect.
 #[test]
 fn innocent_tasks_are_not_given_up_by_chance() {
@@ -302,11 +303,11 @@
     world.submit("a", QUEUE, vec![lasting(24)]);
     for round in 0..24 {
         let job = format!("d{round}");
-        let deadly = random.random_bool(0.15);
-        if deadly {
-            world.deadly.insert(name(&job, 0, 0), fuse_ms);
+        let crashing = random.random_bool(0.15);
+        if crashing {
+            world.crashing.insert(name(&job, 0, 0), fuse_ms);
         }
-        let gang = !deadly && random.random_bool(0.2);
+        let gang = !crashing && random.random_bool(0.2);
         world.submit(&job, QUEUE, vec![Step { gang, ..step(random.random_range(1..9), 2) }]);
         disturb(&mut world, &mut random, store_fails);
         for _ in 0..random.random_range(2..15) {
@@ -318,10 +319,10 @@
     }
     heal(&mut world);
     world.advance(90_000);
-    let (deadly, innocent): (Vec<String>, Vec<String>) = (0..24)
+    let (crashing, innocent): (Vec<String>, Vec<String>) = (0..24)
         .map(|round| format!("d{round}"))
-        .partition(|job| world.deadly.contains_key(&name(job, 0, 0)));
-    for job in &deadly {
+        .partition(|job| world.crashing.contains_key(&name(job, 0, 0)));
+    for job in &crashing {
         assert_eq!(world.state(job), State::Failed, "seed {seed}: {job}");
         let after = starts_after_three_crashes(&world, name(job, 0, 0));
         assert!(after <= MAX_STARTS_AFTER_THREE, "seed {seed}: {job} {after}");
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -53,7 +53,7 @@
     polls: Vec<(u64, Arc<str>, u64)>,
     sent: BTreeMap<task::Name, job::Id>,
     /// Tasks that crash the worker that runs them, with the age at which they do so in milliseconds.
-    pub deadly: BTreeMap<task::Name, u64>,
+    pub crashing: BTreeMap<task::Name, u64>,
     /// The steps of all submitted jobs.
     steps: BTreeMap<(job::Id, u16), Step>,
     /// Starts that brought a worker over its capacity.
@@ -172,7 +172,7 @@
             polls_sent: 0,
             polls: Vec::new(),
             sent: BTreeMap::new(),
-            deadly: BTreeMap::new(),
+            crashing: BTreeMap::new(),
             disturbed: Vec::new(),
             overloads: Vec::new(),
             steps: BTreeMap::new(),
@@ -338,7 +338,7 @@
         }
     }
 
-    /// Crashes the workers that have run a deadly task for long enough.
+    /// Crashes the workers that have run a crashing task for long enough.
     fn crash_workers(&mut self) {
         let now = self.now;
         let due = |worker: &Worker| {
@@ -346,10 +346,10 @@
                 let starts = worker.starts.iter().rev();
                 starts.clone().find(|(_, task, _)| task == name).map_or(0, |(at, ..)| now - at)
             };
-            let deadly = |name: &&task::Name| {
-                self.deadly.get(*name).is_some_and(|fuse_ms| ran_ms(name) >= *fuse_ms)
+            let crashing = |name: &&task::Name| {
+                self.crashing.get(*name).is_some_and(|fuse_ms| ran_ms(name) >= *fuse_ms)
             };
-            worker.held.keys().find(deadly).copied()
+            worker.held.keys().find(crashing).copied()
         };
         let crashed: Vec<(String, task::Name)> = self
             .workers
--- a/crates/soak/src/job.rs
+++ b/crates/soak/src/job.rs
@@ -10,7 +10,7 @@
     /// When a cancellation was answered with success.
     pub cancelled: Option<Instant>,
     /// Whether its first task crashes each worker that starts it.
-    pub deadly: bool,
+    pub crashing: bool,
     /// Job ID, as in the path of its requests.
     pub id: String,
     /// State in the last answer to a query, empty before the first.
@@ -22,7 +22,7 @@
 }
 
 /// Share of jobs with a task that crashes each worker that starts it.
-const DEADLY_SHARE: f64 = 0.02;
+const CRASHING_SHARE: f64 = 0.02;
 /// How long a caller waits for an answer.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(3);
 /// Maximum number of times that a submission or a cancellation is sent.
@@ -66,13 +66,13 @@
     /// Submits a random job until it is accepted, and cancels some jobs after that. `number` becomes
     /// the last half of the job's ID.
     pub(crate) async fn submit(self: Rc<Self>, number: u64) {
-        let (id, steps, body, cancels, deadly) = self.random_job(number);
+        let (id, steps, body, cancels, crashing) = self.random_job(number);
         self.jobs.borrow_mut().insert(
             id.clone(),
             Job {
                 accepted: false,
                 cancelled: None,
-                deadly,
+                crashing,
                 id: id.clone(),
                 state: String::new(),
                 refused: true,
@@ -185,11 +185,11 @@
             })
             .collect();
         let cancels = random.random_bool(0.12);
-        let deadly = self.plan.disruption == Disruption::Crashes
-            && random.random_bool(DEADLY_SHARE)
+        let crashing = self.plan.disruption == Disruption::Crashes
+            && random.random_bool(CRASHING_SHARE)
             && !cancels;
-        let crash = if deadly { " 0.0" } else { "" };
+        let crash = if crashing { " 0.0" } else { "" };
         let body = json!({"spec": format!("{estimate_ms} {cpu_milli}{crash}"), "steps": bodies});
-        (id, steps, body.to_string().into_bytes(), cancels, deadly)
+        (id, steps, body.to_string().into_bytes(), cancels, crashing)
     }
 }
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -298,7 +298,7 @@
             if job.refused && entries().any(|entry| entry.starts > 0) {
                 self.ledger.record_violation(format!("job {} was refused but ran", job.id));
             }
-            if job.deadly && job.accepted && job.state != "failed" {
+            if job.crashing && job.accepted && job.state != "failed" {
                 self.ledger.record_violation(format!(
                     "job {} crashes workers but is {}",
                     job.id, job.state
--- a/crates/standin/src/users_worker.rs
+++ b/crates/standin/src/users_worker.rs
@@ -239,7 +239,11 @@
     /// Sets the processors that its entry tells from the next registration on, in thousandths of a core.
     pub fn set_capacity(&self, milli: u64) {
         let mut state = lock(&self.state);
-        state.shrunk_since = (milli < CAPACITY_MILLI).then(Instant::now);
+        if milli < state.capacity_milli {
+            state.shrunk_since = Some(Instant::now());
+        } else if milli == CAPACITY_MILLI {
+            state.shrunk_since = None;
+        }
         state.capacity_milli = milli;
     }
 
@@ -364,7 +368,7 @@
         let mut words = body["spec"].as_str().unwrap_or_default().split(' ');
         let mut number = || words.next().and_then(|word| word.parse::<u64>().ok()).unwrap_or(100);
         let (run_ms, milli) = (number(), number());
-        let deadly = words.next().is_some_and(|suffix| task.ends_with(&format!(".0.{suffix}")));
+        let crashing = words.next().is_some_and(|suffix| task.ends_with(&format!(".0.{suffix}")));
         let shrunk_for = state.shrunk_since.map(|since| since.elapsed());
         if state.used_milli + milli > state.capacity_milli {
             match shrunk_for {
@@ -416,9 +420,9 @@
             entry.running.insert(self.id.clone());
             entry.starts += 1;
             entry.late_starts += u32::from(entry.crashes >= MAX_CRASHES);
-            entry.crashes += u32::from(deadly);
+            entry.crashes += u32::from(crashing);
         });
-        if deadly {
+        if crashing {
             state.crash_at = Some(Instant::now() + FUSE_TIME);
             if self.ledger.entry(&task).late_starts >= MAX_LATE_STARTS {
                 self.ledger.record_violation(format!(
