A task is given up after three crashes only if their ages agree

Two innocent tasks were hit by three unrelated crashes, at ages of 1390, 740 and 870 ms, and of 30, 1230 and an unknown number of ms. Two of the three singled each task out, so its job was failed.

Change: a task that crashes its workers does so at the same point of its work. Three crashes whose ages differ by more than half a second prove nothing, and a fourth decides. An age that no owner knows counts as that of a crash at once.

Crashes that an owner could not record are lost with it.

--- a/crates/fleet/src/suspicion.rs
+++ b/crates/fleet/src/suspicion.rs
@@ -19,8 +19,12 @@
 const MIN_CRASHES: usize = 3;
 /// How many of these have to single the task out.
 const MIN_SINGLED_OUT: usize = 2;
-/// Number of crashes under a task after which one has to single it out, or each came soon after a start,
-/// as when the owner changes with each, or several such tasks crash a rack's workers together.
+/// How much the ages may differ at which a task crashed its workers, in milliseconds: it does so at the
+/// same point of its work, and a silent crash is noticed late. Unrelated crashes come at any age.
+const AGE_SPREAD_MS: u64 = 500;
+/// Number of crashes under a task after which its ages don't matter, and one crash has to single it out, or
+/// each came soon after a start, as when the owner changes with each, or several such tasks crash a rack's
+/// workers together.
 const MANY_CRASHES: usize = 4;
 /// Age of a run up to which a crash came soon after its start, in milliseconds.
 const SOON_MS: u64 = 500;
@@ -91,7 +95,10 @@
         let singled_out = confirmed().filter(|crash| crash.singled_out).count();
         let crashes = confirmed().count();
         let soon = |crash: &Crash| crash.lifetime.silent_ms.is_none_or(|age_ms| age_ms < SOON_MS);
-        crashes >= MIN_CRASHES && singled_out >= MIN_SINGLED_OUT
+        // An age that is not known is taken for that of a task that crashes its workers at once.
+        let ages: Vec<u64> =
+            confirmed().map(|crash| crash.lifetime.silent_ms.unwrap_or(0)).collect();
+        crashes >= MIN_CRASHES && singled_out >= MIN_SINGLED_OUT && agree(&ages)
             || crashes >= MANY_CRASHES && (singled_out > 0 || confirmed().all(soon))
     }
 
@@ -101,6 +108,12 @@
     }
 }
 
+/// Returns whether the ages of runs, in milliseconds, are about the same.
+fn agree(ages: &[u64]) -> bool {
+    let (least, most) = (ages.iter().min(), ages.iter().max());
+    least.zip(most).is_none_or(|(least, most)| most - least <= AGE_SPREAD_MS)
+}
+
 fn outlives(survived_ms: u64, age_ms: u64) -> bool {
     survived_ms > OUTLIVED_FACTOR * age_ms + OUTLIVED_SLACK_MS
 }
--- a/crates/fleet/tests/crashes.rs
+++ b/crates/fleet/tests/crashes.rs
@@ -287,6 +287,13 @@
     survive_random_faults(338, true);
 }
 
+/// Owners ended while the store was away, and the next ones did not know of two crashes: a task was started
+/// three times more after three crashes.
+#[test]
+fn crashes_that_no_owner_could_record_are_not_followed_by_many_starts() {
+    [666, 765, 820, 969, 1269].into_iter().for_each(|seed| survive_random_faults(seed, true));
+}
+
 /// Random neighbours, faults and owners. A run after the third crash breaks a promise to other
 /// callers, and an innocent job that is given up one to its own.
 fn survive_random_faults(seed: u64, store_fails: bool) {
