Mechanisms of a cell can be switched off by name, and a cell reports its use

Cause: what a mechanism is worth could be learned only by editing the code, and the logs did not show whether room, contention or order binds when load is at its worst.

--- a/crates/fleet/src/action.rs
+++ b/crates/fleet/src/action.rs
@@ -191,6 +191,8 @@
         /// Why it is stopped.
         reason: StopReason,
     },
+    /// What the cell is used for, and what waits.
+    Usage(Usage),
     /// Workers of an availability zone get no new runs, since it is evacuated, or get them again.
     Zone {
         /// The zone.
--- a/crates/fleet/src/cell.rs
+++ b/crates/fleet/src/cell.rs
@@ -21,6 +21,8 @@
     pub head_revision: u64,
     /// Time limits.
     pub limits: Limits,
+    /// Which mechanisms are on.
+    pub policy: Policy,
     /// The contention between images that earlier owners have measured.
     pub pressure: pressure::Pressure,
 }
@@ -77,6 +79,8 @@
     pub(crate) unfinished_jobs: BTreeSet<(u32, u64, job::Id)>,
     /// The contention between images measured by this owner and earlier owners of the cell.
     pub(crate) own_pressure: pressure::Pressure,
+    /// Which mechanisms are on.
+    pub(crate) policy: Policy,
     /// The measurements of this cell and other cells combined.
     pub(crate) pressure: pressure::Pressure,
     /// When jobs to move to other cells were last searched for, in milliseconds.
@@ -89,6 +93,8 @@
     pub(crate) relocated_at: u64,
     /// Processors that tasks of each filling image could use, in thousandths of a core.
     pub(crate) usable_milli: BTreeMap<String, u64>,
+    /// When the use of the cell was last reported, in milliseconds.
+    pub(crate) usage_reported_at: u64,
     /// Free resources or waiting tasks have changed since the last placement.
     pub(crate) placement_due: bool,
     /// Workers that have not answered this owner and may run orders of an earlier one.
@@ -123,6 +129,7 @@
             pressure_written_at: 0,
             vacated_at: 0,
             usable_milli: BTreeMap::new(),
+            usage_reported_at: 0,
             planned: BTreeSet::new(),
             silences: VecDeque::new(),
             reserved: BTreeMap::new(),
@@ -141,6 +148,7 @@
             lost: false,
             unfinished_jobs: BTreeSet::new(),
             own_pressure: start.pressure.clone(),
+            policy: start.policy,
             pressure: start.pressure,
             placement_due: true,
             unfenced: members.keys().cloned().collect(),
@@ -212,6 +220,7 @@
         self.commit_changes(clock);
         self.order_planned(clock);
         self.poll_workers(clock);
+        self.report_usage(clock);
     }
 
     /// Returns whether the next owner can see everything: no commit or start order is in flight and
--- a/crates/fleet/src/cell_balance.rs
+++ b/crates/fleet/src/cell_balance.rs
@@ -83,7 +83,7 @@
             false => (MAX_MOVES, MOVE_AFTER_MS),
         };
         let mut moves = Vec::new();
-        for (_, _, id) in &self.unfinished_jobs {
+        for (_, _, id) in self.unfinished_jobs.iter().filter(|_| self.policy.moves) {
             let Some(job) = self.jobs.get(id) else { continue };
             let waited = clock.unix.saturating_sub(job.accepted_at_ms);
             let may_move = all_fenced || !job.recovered;
@@ -115,6 +115,9 @@
     /// Moves lasting tasks that do not fit on a worker of this cell to cells with enough free
     /// resources.
     fn split_waiting_jobs(&mut self, clock: Clock) {
+        if !self.policy.splits {
+            return;
+        }
         let all_fenced = self.unfenced.is_empty();
         let mut splits = Vec::new();
         for (_, _, id) in &self.unfinished_jobs {
--- a/crates/fleet/src/cell_polls.rs
+++ b/crates/fleet/src/cell_polls.rs
@@ -428,6 +428,7 @@
         let Some(worker) = self.workers.get_mut(id) else { return };
         let worst_tail_ratio = worker.observe_tails(
             clock.now,
+            self.policy,
             &self.pressure,
             &mut self.own_pressure,
             &mut self.loads,
--- a/crates/fleet/src/cell_relocate.rs
+++ b/crates/fleet/src/cell_relocate.rs
@@ -20,7 +20,8 @@
 impl Cell {
     /// Stops filling tasks at a very low pace that another worker could run much faster.
     pub(crate) fn relocate_filling_tasks(&mut self, clock: Clock) {
-        if self.leaving || clock.now < self.relocated_at + RELOCATE_INTERVAL_MS {
+        let due = clock.now >= self.relocated_at + RELOCATE_INTERVAL_MS;
+        if self.leaving || !due || !self.policy.relocation {
             return;
         }
         self.relocated_at = clock.now;
@@ -90,6 +91,7 @@
             service,
             step: &run.step,
             avoid: Some(here),
+            policy: self.policy,
             pressure: &self.pressure,
             min_pace: MIN_NEW_PACE,
             placed: &BTreeMap::new(),
--- a/crates/fleet/src/cell_schedule.rs
+++ b/crates/fleet/src/cell_schedule.rs
@@ -75,14 +75,23 @@
         let total: u64 = open().map(|worker| worker.capacity().processors_milli).sum();
         let lasting: u64 = open().map(|worker| worker.lasting_milli).sum();
         let demand = admission::Demand::new(id, &job.record.submission, &job.queue);
-        lasting > 0 && lasting + demand.reserved_milli > self.headroom.lasting_limit(total)
+        let limit = match self.policy.headroom {
+            true => self.headroom.lasting_limit(total),
+            false => total * headroom::BASE_PERCENT / 100,
+        };
+        lasting > 0 && lasting + demand.reserved_milli > limit
     }
 
     /// Returns the jobs in the order in which their tasks are placed: by queue priority, then by
     /// expected lateness, then by age.
     fn jobs_by_rank(&self, clock: Clock) -> Vec<job::Id> {
         let rank = |&(priority, _, id): &(u32, u64, job::Id)| {
-            Some((priority, Lateness::of(self.jobs.get(&id)?, clock.unix), id))
+            let job = self.jobs.get(&id)?;
+            let lateness = match self.policy.lateness {
+                true => Lateness::of(job, clock.unix),
+                false => Lateness::InTime,
+            };
+            Some((priority, lateness, id))
         };
         let mut ranked: Vec<(u32, Lateness, job::Id)> =
             self.unfinished_jobs.iter().filter_map(rank).collect();
@@ -109,7 +118,8 @@
         let service = job.queue.service.clone();
         let recovered = job.recovered;
         let waited = clock.unix.saturating_sub(job.accepted_at_ms);
-        let waits_for_pace = waited < FULL_PACE_WAIT_MS || !self.has_spare_capacity();
+        let waits_for_pace =
+            waited < FULL_PACE_WAIT_MS || !self.policy.waits || !self.has_spare_capacity();
         let min_pace = if waits_for_pace { MIN_PACE } else { MIN_PACE_AFTER_WAIT };
         let mut placed = tasks_per_worker(stage);
         let waiting: Vec<u16> = stage.waiting.iter().copied().collect();
@@ -132,6 +142,7 @@
                 service: &service,
                 step: &step,
                 avoid: task.last_failed_worker.as_deref(),
+                policy: self.policy,
                 pressure: &self.pressure,
                 min_pace,
                 placed: &placed,
@@ -162,7 +173,7 @@
         let Some(job) = self.jobs.get(&id) else { return };
         let Some(stage) = job.stage(occurrence, step_number) else { return };
         let step = &stage.step;
-        if step.lasting || step.gang {
+        if step.lasting || step.gang || !self.policy.backfill {
             return;
         }
         let placed = tasks_per_worker(stage);
@@ -178,6 +189,7 @@
                 service: &job.queue.service,
                 step,
                 avoid: None,
+                policy: self.policy,
                 pressure: &self.pressure,
                 min_pace: 0,
                 placed: &placed,
@@ -260,6 +272,7 @@
                 service: &service,
                 step: &step,
                 avoid: None,
+                policy: self.policy,
                 pressure: &self.pressure,
                 min_pace: 0,
                 placed: &placed,
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -18,10 +18,11 @@
     action::Action, assignment::Assignment, cell::Cell, clock::Clock, commit::Commit,
     config::Config, continuity::Continuity, crash::Crash, evacuation::Evacuation, event::Event,
     forecast::Forecast, head::Head, headroom::Headroom, job::Job, lateness::Lateness,
-    lifetime::Lifetime, limits::Limits, listing::Listing, load::Load, progress::Progress,
-    queue::Queue, registration::Registration, registry::Registry, reservation::Reservation,
-    run::Run, settling::Settling, state::State, step::Step, submission::Submission,
-    suspicion::Suspicion, ticket::Ticket, trace::Trace, worker::Worker,
+    lifetime::Lifetime, limits::Limits, listing::Listing, load::Load, policy::Policy,
+    progress::Progress, queue::Queue, registration::Registration, registry::Registry,
+    reservation::Reservation, run::Run, settling::Settling, state::State, step::Step,
+    submission::Submission, suspicion::Suspicion, ticket::Ticket, trace::Trace, usage::Usage,
+    worker::Worker,
 };
 
 pub mod action;
@@ -46,6 +47,7 @@
 pub mod load;
 pub mod pace;
 pub mod placement;
+pub mod policy;
 pub mod pressure;
 pub mod progress;
 pub mod queue;
@@ -61,6 +63,7 @@
 pub mod task;
 pub mod ticket;
 pub mod trace;
+pub mod usage;
 pub mod worker;
 
 mod cell_balance;
--- a/crates/fleet/src/load.rs
+++ b/crates/fleet/src/load.rs
@@ -123,6 +123,11 @@
         (self.mean + offset * cos + self.slope / rate * sin, self.slope * cos - offset * rate * sin)
     }
 
+    /// Returns a load that stays at the present level.
+    pub fn steady(&self) -> Self {
+        Self { mean: self.level, slope: 0.0, ..*self }
+    }
+
     /// Returns the highest load expected from `from` to `to`, in milliseconds. The peak is expected of
     /// an unknown load.
     pub fn highest(&self, from: u64, to: u64) -> f64 {
--- a/crates/fleet/src/pace.rs
+++ b/crates/fleet/src/pace.rs
@@ -50,6 +50,7 @@
     pub(crate) fn observe_tails(
         &mut self,
         now: u64,
+        policy: Policy,
         pressure: &Pressure,
         own_pressure: &mut Pressure,
         loads: &mut HashMap<job::Id, Load>,
@@ -76,10 +77,11 @@
             let image = run.step.image.as_str();
             let load = loads.entry(name.job).or_default();
             let (added, variance) = pressure.added(image, &usage_shares);
-            if let Some(measured) = load.observe(now, contention, added, variance) {
+            let measured = load.observe(now, contention, added, variance);
+            if let Some(measured) = measured.filter(|_| policy.pressure) {
                 own_pressure.observe(image, measured, &usage_shares);
             }
-            run.load = *load;
+            run.load = if policy.waves { *load } else { load.steady() };
         }
         if due {
             self.observed_at = now;
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -16,6 +16,8 @@
     pub avoid: Option<&'a str>,
     /// The crashes of workers that the task may have caused.
     pub suspicion: &'a Suspicion,
+    /// Which mechanisms are on.
+    pub policy: Policy,
     /// The contention that filling images add to serving ones.
     pub pressure: &'a pressure::Pressure,
     /// Lowest pace at which a filling task is placed, in percent.
@@ -87,7 +89,9 @@
     let Some(entry) = &worker.registration else { return false };
     let step = criteria.step;
     worker.is_usable(criteria.now)
-        && (step.gang || may_share(worker.suspicion(), criteria.suspicion.level()))
+        && (step.gang
+            || may_share(worker.suspicion(), criteria.suspicion.level())
+            || !criteria.policy.suspicion)
         && entry.service == criteria.service
         && step.label.as_ref().is_none_or(|label| worker.has_label(label))
         && (step.per_worker == 0 || criteria.placed.get(id).copied().unwrap_or(0) < step.per_worker)
@@ -111,7 +115,8 @@
         let spare = (unused_milli(worker) - wanted) * 100 / total;
         share * i64::from(pace) / 100 + spare
     } else if step.serves() {
-        affinity(worker, criteria) - free_share / AFFINITY_WEIGHT
+        let affinity = if criteria.policy.affinity { affinity(worker, criteria) } else { 0 };
+        affinity - free_share / AFFINITY_WEIGHT
     } else {
         // Best fit: keeps large free blocks for large tasks.
         -free_share
@@ -123,7 +128,7 @@
             - if remote_data { REMOTE_DATA_COST } else { 0 }
             - if avoided { AVOIDED_WORKER_COST } else { 0 }
             - i64::from(worker.failures) * FAILURE_COST
-            - trial_cost(worker, criteria.suspicion),
+            - if criteria.policy.suspicion { trial_cost(worker, criteria.suspicion) } else { 0 },
     )
 }
 
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -5,9 +5,9 @@
 use {
     oleanderstage_core::resources::Resources,
     oleanderstage_fleet::{
-        Action, Cell, Clock, Commit, Config, Event, Head, Limits, Progress, Queue, Registration,
-        Step, Submission, Ticket, action::Report, cell, event::Outcome, event::Refusal, job,
-        listing::EndReason, task,
+        Action, Cell, Clock, Commit, Config, Event, Head, Limits, Policy, Progress, Queue,
+        Registration, Step, Submission, Ticket, action::Report, cell, event::Outcome,
+        event::Refusal, job, listing::EndReason, task,
     },
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -48,6 +48,8 @@
     /// Cores of each worker.
     pub cores: u64,
     pub stored_pressure: oleanderstage_fleet::pressure::Pressure,
+    /// The mechanisms of the next owner.
+    pub policy: Policy,
     pub polls_sent: u64,
     /// Polls in flight: time sent in milliseconds, worker, and time of the answer at the latest.
     polls: Vec<(u64, Arc<str>, u64)>,
@@ -150,6 +152,7 @@
                     head: Head::default(),
                     head_revision: 0,
                     limits: limits(),
+                    policy: Policy::default(),
                     pressure: Default::default(),
                 },
                 Vec::new(),
@@ -169,6 +172,7 @@
             revision: 1,
             cores: 16,
             stored_pressure: Default::default(),
+            policy: Policy::default(),
             polls_sent: 0,
             polls: Vec::new(),
             sent: BTreeMap::new(),
@@ -210,6 +214,7 @@
             head,
             head_revision: self.revision,
             limits: limits(),
+            policy: self.policy,
             pressure: self.stored_pressure.clone(),
         };
         self.cell = Cell::new(start, jobs, self.members());
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,7 +14,7 @@
     },
     oleanderstage_fleet::{
         Action, Assignment, Cell, Clock, Commit, Config, Continuity, Evacuation, Event, Head,
-        Limits, Progress, Queue, Registration, Registry, Settling, State, Ticket, action,
+        Limits, Policy, Progress, Queue, Registration, Registry, Settling, State, Ticket, action,
         admission, assignment, cell, evacuation,
         event::{Outcome, Refusal},
         job,
--- a/crates/node/src/meter.rs
+++ b/crates/node/src/meter.rs
@@ -111,6 +111,7 @@
                 "run_started"
             }
             Report::Stop { .. } => "run_stopped",
+            Report::Usage(_) => "cell_usage",
             Report::Worker { .. } => "worker_believed",
             Report::Zone { .. } => "cell_zone_changed",
         };
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -5,6 +5,8 @@
 /// The state of this VM.
 pub(crate) struct Node {
     pub(crate) boot: Boot,
+    /// The mechanisms of the cells that this VM owns.
+    pub(crate) policy: Policy,
     pub(crate) store: Store,
     pub(crate) orders: Orders,
     pub(crate) meter: meter::Meter,
@@ -68,7 +70,7 @@
 const WORKER_LEASE_MS: u64 = 4_000;
 
 impl Node {
-    pub(crate) fn new(boot: Boot) -> miette::Result<Self> {
+    pub(crate) fn new(boot: Boot, policy: Policy) -> miette::Result<Self> {
         let http = Rc::new(Http::default());
         let start = time::clock();
         Ok(Self {
@@ -95,6 +97,7 @@
             cells: RefCell::default(),
             incarnation: format!("{}#{}.{}", boot.vm, start.unix, start.now),
             final_states: RefCell::default(),
+            policy,
             boot,
         })
     }
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -291,6 +291,7 @@
         head: acquisition.head.clone(),
         head_revision: acquisition.head_revision,
         limits: node.limits(),
+        policy: node.policy,
         pressure: pressure.as_ref().and_then(decode).unwrap_or_default(),
     };
     let members = node.assigned_members(cell)?;
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -11,6 +11,9 @@
     /// file of settings; by default the one that OLEANDERSTAGE_BOOT names
     #[argh(option)]
     settings: Option<PathBuf>,
+    /// mechanisms to switch off, separated by commas, to see what they are worth
+    #[argh(option, default = "Policy::default()")]
+    without: Policy,
     /// port of the metrics page on this VM's address
     #[argh(option, default = "METRICS_PORT")]
     metrics_port: u16,
@@ -38,7 +41,7 @@
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_all().build().into_diagnostic()?;
     let local = tokio::task::LocalSet::new();
-    local.block_on(&runtime, run_node(boot, arguments.metrics_port))
+    local.block_on(&runtime, run_node(boot, arguments))
 }
 
 /// Returns the path of the settings file from the command line or else from the environment.
@@ -57,12 +60,12 @@
     text.parse().map_err(|error: boot::Error| miette::miette!("`{}`: {error}", path.display()))
 }
 
-async fn run_node(boot: Boot, metrics_port: u16) -> miette::Result<()> {
+async fn run_node(boot: Boot, arguments: Arguments) -> miette::Result<()> {
     let front = TcpListener::bind(boot.front).await.into_diagnostic()?;
     let ready = TcpListener::bind(boot.ready).await.into_diagnostic()?;
-    let metrics = TcpListener::bind((boot.ip, metrics_port)).await.into_diagnostic()?;
+    let metrics = TcpListener::bind((boot.ip, arguments.metrics_port)).await.into_diagnostic()?;
     log::info!(vm = boot.vm, zone = boot.zone, front:% = boot.front; "started");
-    let node = Rc::new(Node::new(boot)?);
+    let node = Rc::new(Node::new(boot, arguments.without)?);
     spawn_essential("front", serve::listen(node.clone(), front, Purpose::Front));
     spawn_essential("ready", serve::listen(node.clone(), ready, Purpose::Ready));
     spawn_essential("metrics", serve::listen(node.clone(), metrics, Purpose::Metrics));
