A new owner waits only for what may still run

Change: a VM's entry carries the incarnation of its process, written on the condition of the entry before it, so that it shows that an earlier process has ended; its owner's entries are removed at once. An owner that releases a cell leaves its generation. After such an owner, if its head says that it had settled with earlier ones, a new owner waits for the workers' leases only (4.2 s instead of 9.7 s). Workers without runs that drain, or were silent for longer than their lease, are listed in the head, not waited for, and get runs again only under a later head (fleet::predecessor).

--- a/crates/fleet/src/assignment.rs
+++ b/crates/fleet/src/assignment.rs
@@ -17,6 +17,12 @@
 pub struct Vm {
     /// Processors, in thousandths of a core.
     pub processors_milli: u64,
+    /// The incarnation of the process that wrote the entry: the VM's name and address, `#`, and its start.
+    #[serde(default)]
+    pub incarnation: String,
+    /// The revision of the entry.
+    #[serde(skip)]
+    pub revision: u64,
 }
 
 /// A worker that can be assigned to a cell.
@@ -41,6 +47,17 @@
 /// VMs with less than this share of the largest VM's processors own no cells, in percent.
 const MIN_OWNER_PERCENT: u64 = 50;
 
+impl Vm {
+    /// Returns whether the process that wrote this entry runs in place of the incarnation `owner` on the
+    /// same VM, which wrote something at `revision`. A process writes its entry before anything else, and
+    /// only over that of an earlier one, so a later entry shows that `owner` has ended.
+    pub fn replaces(&self, owner: &str, revision: u64) -> bool {
+        let vm = |incarnation: &str| incarnation.split_once('#').map(|(vm, _)| vm.to_owned());
+        let same_vm = vm(owner).is_some_and(|owner| vm(&self.incarnation) == Some(owner));
+        same_vm && self.incarnation != owner && self.revision > revision
+    }
+}
+
 impl Assignment {
     /// Returns the next assignment for these VMs and workers, by worker ID. Cells and workers keep
     /// their place where possible.
--- a/crates/fleet/src/cell.rs
+++ b/crates/fleet/src/cell.rs
@@ -23,6 +23,8 @@
     pub limits: Limits,
     /// Which mechanisms are on.
     pub policy: Policy,
+    /// The last owner.
+    pub predecessor: Predecessor,
     /// The contention between images that earlier owners have measured.
     pub pressure: pressure::Pressure,
 }
@@ -30,7 +32,6 @@
 /// A cell and its workers, as its current owner sees them.
 #[derive(Debug)]
 pub struct Cell {
-    pub(crate) acquired_at: u64,
     pub(crate) actions: Vec<Action>,
     /// Estimated loads of all cells.
     pub(crate) balancer: admission::Balancer,
@@ -68,6 +69,8 @@
     pub(crate) jobs: HashMap<job::Id, Job>,
     /// The contention between images measured by the owners of other cells.
     pub(crate) other_pressure: pressure::Pressure,
+    /// When every lease that earlier owners granted is over, in milliseconds.
+    pub(crate) leases_over_at: u64,
     pub(crate) leaving: bool,
     pub(crate) limits: Limits,
     /// The loads of serving jobs.
@@ -112,8 +115,8 @@
         jobs: Vec<(job::Id, job::Record, Progress, u64)>,
         members: BTreeMap<Arc<str>, Option<Registration>>,
     ) -> Self {
+        let vacated = start.predecessor.vacated.clone();
         let mut cell = Self {
-            acquired_at: start.acquired_at,
             actions: Vec::new(),
             balancer: admission::Balancer::default(),
             changes: 0,
@@ -141,6 +144,7 @@
             head_revision: start.head_revision,
             jobs: HashMap::new(),
             other_pressure: pressure::Pressure::default(),
+            leases_over_at: start.predecessor.leases_over_at(start.acquired_at, &start.limits),
             leaving: false,
             limits: start.limits,
             loads: HashMap::new(),
@@ -151,14 +155,18 @@
             policy: start.policy,
             pressure: start.pressure,
             placement_due: true,
-            unfenced: members.keys().cloned().collect(),
+            unfenced: members.keys().filter(|id| !vacated.contains(&***id)).cloned().collect(),
             view_stale: false,
             workers: BTreeMap::new(),
         };
         for (id, record, progress, revision) in jobs {
             cell.add_job(id, record, &progress, revision, true);
         }
-        cell.workers = members.into_iter().map(|(id, entry)| (id, Worker::new(entry))).collect();
+        let worker = |(id, entry): (Arc<str>, Option<Registration>)| {
+            let vacated = vacated.contains(&*id);
+            (id, Worker { vacated, ..Worker::new(entry) })
+        };
+        cell.workers = members.into_iter().map(worker).collect();
         cell
     }
 
--- a/crates/fleet/src/cell_orders.rs
+++ b/crates/fleet/src/cell_orders.rs
@@ -262,11 +262,7 @@
     /// Releases the runs of workers that have left or whose lease has certainly expired, and ends
     /// the wait for leases that the previous owner granted.
     pub(crate) fn release_expired(&mut self, clock: Clock) {
-        let leases_over_at = self.acquired_at
-            + self.limits.owner_silence_ms
-            + self.limits.lease_ms * 100 / (100 - limits::CLOCK_SLOW_PERCENT)
-            + limits::LEASE_SLACK_MS;
-        if !self.unfenced.is_empty() && clock.now >= leases_over_at {
+        if !self.unfenced.is_empty() && clock.now >= self.leases_over_at {
             self.unfenced.clear();
             self.placement_due = true;
         }
--- a/crates/fleet/src/cell_record.rs
+++ b/crates/fleet/src/cell_record.rs
@@ -44,10 +44,15 @@
             true => MIN_COMMIT_INTERVAL_MS,
             false => PROGRESS_COMMIT_INTERVAL_MS,
         };
-        if age < interval || (self.dirty.is_empty() && (age < LOAD_INTERVAL_MS || self.leaving)) {
+        let returned = self.workers.values().any(|worker| worker.has_returned(clock.now));
+        let idle = self.dirty.is_empty() && !returned;
+        if age < interval || (idle && (age < LOAD_INTERVAL_MS || self.leaving)) {
             return;
         }
         let (commit, complete) = self.build_commit(clock.now);
+        for (id, worker) in &mut self.workers {
+            worker.vacated |= commit.head.vacated.contains(&**id);
+        }
         // A commit with two entries writes only the head.
         let same_load = self.dirty.is_empty() && Self::same_load(&commit.head, &self.head);
         if commit.entries() == 2 && same_load {
@@ -77,6 +82,8 @@
             && left.total_milli == right.total_milli
             && left.backlog == right.backlog
             && left.pending == right.pending
+            && left.settled == right.settled
+            && left.vacated == right.vacated
     }
 
     /// Builds a commit with as many changed jobs as fit and returns whether it holds all of them.
@@ -84,7 +91,7 @@
         let mut commit = Commit {
             cancelled: Vec::new(),
             expected: Vec::new(),
-            head: self.next_head(),
+            head: self.next_head(now),
             head_revision: self.head_revision,
             pressure: None,
             records: Vec::new(),
@@ -118,7 +125,7 @@
     }
 
     /// Returns the next head, with the current load of the cell.
-    fn next_head(&self) -> Head {
+    fn next_head(&self, now: u64) -> Head {
         let mut head = Head {
             backlog: BTreeMap::new(),
             cell: self.head.cell,
@@ -131,8 +138,12 @@
             pending: BTreeMap::new(),
             usable_milli: self.usable_milli.clone(),
             sequence: self.head.sequence + 1,
+            settled: self.unfenced.is_empty(),
             total_milli: 0,
+            vacated: BTreeSet::new(),
         };
+        let vacated = self.workers.iter().filter(|(_, worker)| worker.is_vacated(now));
+        head.vacated = vacated.map(|(id, _)| (**id).to_owned()).collect();
         let counts =
             |worker: &&Worker| worker.fenced && worker.missed_polls == 0 && !worker.evacuated;
         for worker in self.workers.values().filter(counts) {
@@ -188,6 +199,11 @@
         self.durable = self.durable.max(pending.covered_changes);
         self.head = commit.head.clone();
         self.head_revision = revision;
+        for (id, worker) in &mut self.workers {
+            let vacated = commit.head.vacated.contains(&**id);
+            self.placement_due |= worker.vacated && !vacated;
+            worker.vacated = vacated;
+        }
         let mut split_reports = Vec::new();
         for (id, ticket) in &commit.tickets {
             if let Some(job) = self.jobs.get_mut(id) {
--- a/crates/fleet/src/head.rs
+++ b/crates/fleet/src/head.rs
@@ -39,4 +39,11 @@
     pub pending: BTreeMap<String, u64>,
     /// The number of commits by this owner.
     pub sequence: u64,
+    /// Whether the owner knows that orders of earlier owners are over at every worker.
+    #[serde(default)]
+    pub settled: bool,
+    /// Workers without runs that get none before a later head: they drain, or have been silent for longer
+    /// than their lease.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub vacated: BTreeSet<String>,
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -19,10 +19,10 @@
     config::Config, continuity::Continuity, crash::Crash, evacuation::Evacuation, event::Event,
     forecast::Forecast, head::Head, headroom::Headroom, job::Job, lateness::Lateness,
     lifetime::Lifetime, limits::Limits, listing::Listing, load::Load, policy::Policy,
-    progress::Progress, queue::Queue, registration::Registration, registry::Registry,
-    reservation::Reservation, run::Run, settling::Settling, state::State, step::Step,
-    submission::Submission, suspicion::Suspicion, ticket::Ticket, trace::Trace, usage::Usage,
-    worker::Worker,
+    predecessor::Predecessor, progress::Progress, queue::Queue, registration::Registration,
+    registry::Registry, reservation::Reservation, run::Run, settling::Settling, state::State,
+    step::Step, submission::Submission, suspicion::Suspicion, ticket::Ticket, trace::Trace,
+    usage::Usage, worker::Worker,
 };
 
 pub mod action;
@@ -48,6 +48,7 @@
 pub mod pace;
 pub mod placement;
 pub mod policy;
+pub mod predecessor;
 pub mod pressure;
 pub mod progress;
 pub mod queue;
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -61,6 +61,8 @@
     pub failures: u32,
     /// Since when it has had no entry in the store, in milliseconds.
     pub missing_since: Option<u64>,
+    /// Whether the store may hold a head by which it has no runs and gets none.
+    pub vacated: bool,
 }
 
 /// Consecutive missed polls after which a draining worker without an entry counts as gone.
@@ -96,6 +98,7 @@
             ended_filling: Vec::new(),
             failures: 0,
             missing_since: None,
+            vacated: false,
         }
     }
 
@@ -132,9 +135,27 @@
             && self.missed_polls == 0
             && self.paused_until <= now
             && self.accepts_runs()
+            && !self.vacated
             && !self.holds_unknown_runs()
     }
 
+    /// Returns whether it holds no runs and gets none until it answers, or at all.
+    pub fn is_vacated(&self, now: u64) -> bool {
+        let is_empty = self.runs.is_empty() && !self.holds_unknown_runs();
+        let draining = self.registration.as_ref().is_some_and(|entry| entry.draining);
+        let lapsed = self.missed_polls > 0 && self.lapsed_at().is_some_and(|at| at <= now);
+        match self.fenced {
+            true => is_empty && (draining || lapsed),
+            // As an earlier owner knew it.
+            false => is_empty && self.vacated,
+        }
+    }
+
+    /// Returns whether it may get runs again once the store holds a head that says so.
+    pub fn has_returned(&self, now: u64) -> bool {
+        self.vacated && !self.is_vacated(now)
+    }
+
     /// Returns whether it holds runs of jobs that the cell does not know, so that its room is unknown.
     fn holds_unknown_runs(&self) -> bool {
         !self.unknown_runs.is_empty() || self.runs.values().any(|run| run.foreign)
--- a/crates/fleet/tests/cells.rs
+++ b/crates/fleet/tests/cells.rs
@@ -18,7 +18,12 @@
 fn vms(names: &[(&str, u64)]) -> BTreeMap<String, Vm> {
     names
         .iter()
-        .map(|(name, milli)| ((*name).to_owned(), Vm { processors_milli: *milli }))
+        .map(|(name, milli)| {
+            (
+                (*name).to_owned(),
+                Vm { incarnation: String::new(), processors_milli: *milli, revision: 0 },
+            )
+        })
         .collect()
 }
 
@@ -58,6 +63,21 @@
     Event::Heads { heads, owners }
 }
 
+#[test]
+fn a_later_process_of_the_same_vm_shows_that_an_owner_has_ended() {
+    let vm = |incarnation: &str, revision| Vm {
+        incarnation: incarnation.into(),
+        processors_milli: 500,
+        revision,
+    };
+    let owner = "x@10.0.0.1#1.1";
+    assert!(vm("x@10.0.0.1#2.1", 9).replaces(owner, 8));
+    assert!(!vm("x@10.0.0.1#2.1", 7).replaces(owner, 8), "written before the owner's entry");
+    assert!(!vm("x@10.0.0.2#2.1", 9).replaces(owner, 8), "another VM of the same name");
+    assert!(!vm(owner, 9).replaces(owner, 8), "the same process");
+    assert!(!vm("", 9).replaces("", 8), "unknown");
+}
+
 #[test]
 fn cells_follow_the_strength_of_vms_and_workers_are_spread_evenly() {
     let names = workers(48);
--- a/crates/fleet/tests/evacuation.rs
+++ b/crates/fleet/tests/evacuation.rs
@@ -189,7 +189,11 @@
             (name.as_str(), Member { processors_milli: 16_000, zone: zone(number) })
         })
         .collect();
-    let vms = ["x", "y"].map(|name| (name.to_owned(), Vm { processors_milli: 500 })).into();
+    let vms = ["x", "y"]
+        .map(|name| {
+            (name.to_owned(), Vm { incarnation: String::new(), processors_milli: 500, revision: 0 })
+        })
+        .into();
     let map = Assignment::default().next(&vms, &members);
     for cell in 0..map.owners.len() as u32 {
         for zone in ["a", "b", "c"] {
--- a/crates/fleet/tests/takeover.rs
+++ b/crates/fleet/tests/takeover.rs
@@ -34,6 +34,77 @@
     assert_eq!(world.starts(name("1", 0, 0)).len(), 2, "every lease has run out");
 }
 
+/// The last owner's process had ended, and could not have granted leases since.
+#[test]
+fn a_new_owner_of_one_that_has_ended_waits_only_for_leases() {
+    let mut world = World::new(&["w1", "w2"]);
+    world.run_ms = 60_000;
+    world.submit("1", QUEUE, vec![step(1, 1)]);
+    world.advance(1_000);
+    let holder = world.starts(name("1", 0, 0))[0].0.clone();
+    world.worker(&holder).unreachable = true;
+    world.owner_ended = true;
+    world.take_over();
+    world.advance(4_000);
+    assert_eq!(world.starts(name("1", 0, 0)).len(), 1);
+    world.advance(500);
+    assert_eq!(world.starts(name("1", 0, 0)).len(), 2, "every lease has run out");
+}
+
+/// The last owner had itself waited for one that may have gone on without the store.
+#[test]
+fn a_new_owner_of_one_that_had_not_settled_waits_for_the_one_before_too() {
+    let mut world = World::new(&["w1", "w2"]);
+    world.run_ms = 60_000;
+    world.submit("1", QUEUE, vec![step(1, 1)]);
+    world.advance(1_000);
+    let holder = world.starts(name("1", 0, 0))[0].0.clone();
+    world.worker(&holder).unreachable = true;
+    world.take_over();
+    world.advance(1_000);
+    world.owner_ended = true;
+    world.take_over();
+    world.advance(8_000);
+    assert_eq!(world.starts(name("1", 0, 0)).len(), 1);
+    world.advance(2_000);
+    assert_eq!(world.starts(name("1", 0, 0)).len(), 2, "every lease has run out");
+}
+
+/// A worker had drained and left while the store was away, and half of the jobs waited 9.7 s for it.
+#[test]
+fn a_new_owner_does_not_wait_for_a_worker_that_held_nothing() {
+    let mut world = World::new(&["w1", "w2"]);
+    world.worker("w2").draining = true;
+    let members = world.members();
+    world.handle(Event::Workers(members));
+    world.submit("1", QUEUE, vec![step(32, 1)]);
+    world.advance(300);
+    world.worker("w2").gone = true;
+    world.worker("w2").unreachable = true;
+    world.store = Store::Down;
+    world.advance(1_000);
+    world.store = Store::Up;
+    world.take_over();
+    world.advance(1_000);
+    assert_eq!(world.state("1"), State::Completed);
+}
+
+/// The store may hold that a worker has no runs, and a new owner would not wait for it.
+#[test]
+fn a_worker_that_returns_gets_runs_once_the_store_knows() {
+    let mut world = World::new(&["w1"]);
+    world.worker("w1").unreachable = true;
+    world.advance(7_000);
+    world.store = Store::Down;
+    world.worker("w1").unreachable = false;
+    world.submit("1", QUEUE, vec![step(1, 1)]);
+    world.advance(3_000);
+    assert_eq!(world.starts(name("1", 0, 0)).len(), 0);
+    world.store = Store::Up;
+    world.advance(500);
+    assert_eq!(world.starts(name("1", 0, 0)).len(), 1);
+}
+
 #[test]
 fn a_job_accepted_under_a_new_owner_need_not_wait_for_a_silent_worker() {
     let mut world = World::new(&["w1", "w2"]);
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -5,8 +5,8 @@
 use {
     oleanderstage_core::resources::Resources,
     oleanderstage_fleet::{
-        Action, Cell, Clock, Commit, Config, Event, Head, Limits, Policy, Progress, Queue,
-        Registration, Step, Submission, Ticket, action::Report, cell, event::Outcome,
+        Action, Cell, Clock, Commit, Config, Event, Head, Limits, Policy, Predecessor, Progress,
+        Queue, Registration, Step, Submission, Ticket, action::Report, cell, event::Outcome,
         event::Refusal, job, listing::EndReason, task,
     },
     std::{
@@ -50,6 +50,8 @@
     pub stored_pressure: oleanderstage_fleet::pressure::Pressure,
     /// The mechanisms of the next owner.
     pub policy: Policy,
+    /// Whether the next owner knows that the last one has ended.
+    pub owner_ended: bool,
     pub polls_sent: u64,
     /// Polls in flight: time sent in milliseconds, worker, and time of the answer at the latest.
     polls: Vec<(u64, Arc<str>, u64)>,
@@ -153,6 +155,7 @@
                     head_revision: 0,
                     limits: limits(),
                     policy: Policy::default(),
+                    predecessor: Predecessor::default(),
                     pressure: Default::default(),
                 },
                 Vec::new(),
@@ -173,6 +176,7 @@
             cores: 16,
             stored_pressure: Default::default(),
             policy: Policy::default(),
+            owner_ended: false,
             polls_sent: 0,
             polls: Vec::new(),
             sent: BTreeMap::new(),
@@ -196,8 +200,10 @@
             generation: self.head.0.generation + 1,
             owner: format!("vm-{}", self.head.0.generation + 1),
             sequence: 0,
+            settled: false,
             ..self.head.0.clone()
         };
+        let predecessor = Predecessor::new(&self.head.0, self.owner_ended);
         self.head = (head.clone(), self.revision);
         let jobs = self
             .records
@@ -215,6 +221,7 @@
             head_revision: self.revision,
             limits: limits(),
             policy: self.policy,
+            predecessor,
             pressure: self.stored_pressure.clone(),
         };
         self.cell = Cell::new(start, jobs, self.members());
--- a/crates/node/src/assigner.rs
+++ b/crates/node/src/assigner.rs
@@ -52,6 +52,7 @@
     match vm {
         Some(Ok(vm)) => {
             log::info!(vm = name; "vm_seen");
+            let vm = assignment::Vm { revision: item.revision, ..vm };
             node.vms.borrow_mut().insert(name.into(), vm);
         }
         Some(Err(error)) => log::error!(vm = name, error:% = error; "vm_unreadable"),
--- a/crates/node/src/keys.rs
+++ b/crates/node/src/keys.rs
@@ -14,6 +14,7 @@
 pub(crate) const VMS: &str = "m/vm/";
 
 const OWNER: &str = "@owner";
+const RELEASED: &str = "@released";
 const CANCELLED: &str = ".cancelled";
 
 /// The kind of a key under a cell's prefix, with the job that it belongs to.
@@ -43,6 +44,11 @@
     format!("{}{OWNER}", cell_prefix(cell))
 }
 
+/// Returns the key under which the last owner that released a cell in order left its generation.
+pub(crate) fn released(cell: u32) -> String {
+    format!("{}{RELEASED}", cell_prefix(cell))
+}
+
 pub(crate) fn job(cell: u32, id: job::Id) -> String {
     format!("{}{id}", cell_prefix(cell))
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,8 +14,8 @@
     },
     oleanderstage_fleet::{
         Action, Assignment, Cell, Clock, Commit, Config, Continuity, Evacuation, Event, Head,
-        Limits, Policy, Progress, Queue, Registration, Registry, Settling, State, Ticket, action,
-        admission, assignment, cell, evacuation,
+        Limits, Policy, Predecessor, Progress, Queue, Registration, Registry, Settling, State,
+        Ticket, action, admission, assignment, cell, evacuation,
         event::{Outcome, Refusal},
         job,
         pressure::Pressure,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -46,7 +46,7 @@
     pub(crate) cells: RefCell<BTreeMap<u32, Rc<Notify>>>,
     /// Notified when this VM acquires a cell.
     pub(crate) cell_acquired: Notify,
-    /// Identifies this start of the process, by the VM's name and the time.
+    /// Identifies this start of the process, by the VM's name and address and the time.
     pub(crate) incarnation: String,
     /// A cache of final states of jobs.
     pub(crate) final_states: RefCell<HashMap<job::Id, State>>,
@@ -95,7 +95,7 @@
             changed: Notify::new(),
             cell_acquired: Notify::new(),
             cells: RefCell::default(),
-            incarnation: format!("{}#{}.{}", boot.vm, start.unix, start.now),
+            incarnation: format!("{}@{}#{}.{}", boot.vm, boot.ip, start.unix, start.now),
             final_states: RefCell::default(),
             policy,
             boot,
@@ -159,6 +159,12 @@
         !self.leaving.get() && self.is_store_reachable() && self.config.borrow().is_some()
     }
 
+    /// Returns whether the process of an incarnation that wrote something at `revision` is known to have
+    /// ended: its VM runs a later one.
+    pub(crate) fn has_ended(&self, incarnation: &str, revision: u64) -> bool {
+        self.vms.borrow().values().any(|vm| vm.replaces(incarnation, revision))
+    }
+
     /// Returns the workers of a cell with their entries, or `None` when the cell is assigned to
     /// another VM or this VM leaves.
     pub(crate) fn assigned_members(
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -25,6 +25,8 @@
     fence: u64,
     head: Head,
     head_revision: u64,
+    /// The head of the last owner, and its revision.
+    previous: (Head, u64),
 }
 
 /// A cell as loaded from the store.
@@ -78,7 +80,7 @@
     if let Some(snapshot) = load(node, cell, &acquisition).await {
         run_cell(node, cell, &acquisition, snapshot).await;
     }
-    release(node, cell, acquisition.fence).await;
+    release(node, cell, &acquisition).await;
     log::info!(cell, fence = acquisition.fence; "cell_left");
 }
 
@@ -115,6 +117,7 @@
                 node.meter.cell_taken(wait.waited_ms(acquisition.sent_at));
                 return Some(acquisition);
             }
+            Ok(Attempt::Cleared) => continue,
             Ok(Attempt::Owned(owner)) => wait.record(time::now(), &owner),
             Err(error) => node.store_failed("take", &error),
         }
@@ -125,6 +128,8 @@
 /// The outcome of an attempt to acquire a cell.
 enum Attempt {
     Acquired(Acquisition),
+    /// The entry of a process that has ended was removed.
+    Cleared,
     /// Another ownership has its entry there. Holds the incarnation of its process; empty if only the
     /// head has changed meanwhile.
     Owned(String),
@@ -133,7 +138,7 @@
 /// Tries once to acquire a cell under the VM's lease.
 async fn try_acquire(node: &Rc<Node>, cell: u32, lease: u64) -> Result<Attempt, store::Error> {
     let item = node.store.get(&keys::head(cell)).await?;
-    let (old, revision) = match &item {
+    let (old, previous_revision) = match &item {
         Some(item) => (decode::<Head>(item).unwrap_or_default(), item.revision),
         None => (Head::default(), 0),
     };
@@ -142,11 +147,12 @@
         generation: old.generation + 1,
         owner: node.incarnation.clone(),
         sequence: 0,
-        ..old
+        settled: false,
+        ..old.clone()
     };
     let owner = node.incarnation.clone().into_bytes();
     let txn = Txn {
-        expected: vec![(keys::owner(cell), 0), (keys::head(cell), revision)],
+        expected: vec![(keys::owner(cell), 0), (keys::head(cell), previous_revision)],
         writes: vec![
             (keys::owner(cell), owner, lease),
             (keys::head(cell), record::encode(&head), 0),
@@ -155,15 +161,28 @@
     };
     let sent_at = time::now();
     match node.store.txn(&txn).await {
-        Ok(revision) => {
-            let fence = revision;
-            Ok(Attempt::Acquired(Acquisition { sent_at, fence, head, head_revision: revision }))
+        Ok(fence) => {
+            let previous = (old, previous_revision);
+            Ok(Attempt::Acquired(Acquisition {
+                sent_at,
+                fence,
+                head,
+                head_revision: fence,
+                previous,
+            }))
         }
         Err(store::Error::Conflict(items)) => {
             remove_own_entry(node, cell).await?;
             let entry = items.iter().find(|item| item.key == keys::owner(cell));
             let owner = entry.and_then(|item| item.value.as_deref()).unwrap_or_default();
-            Ok(Attempt::Owned(String::from_utf8_lossy(owner).into_owned()))
+            let owner = String::from_utf8_lossy(owner).into_owned();
+            let revision = entry.map_or(0, |item| item.revision);
+            if !node.has_ended(&owner, revision) {
+                return Ok(Attempt::Owned(owner));
+            }
+            log::info!(cell, owner; "cell_abandoned");
+            remove_entry(node, cell, revision).await?;
+            Ok(Attempt::Cleared)
         }
         Err(error) => Err(error),
     }
@@ -190,7 +209,12 @@
         removed: vec![keys::owner(cell)],
         ..Txn::default()
     };
-    match node.store.txn(&txn).await {
+    remove(node, &txn).await
+}
+
+/// Makes a transaction that removes an owner's entry, unless the entry is gone already.
+async fn remove(node: &Rc<Node>, txn: &Txn) -> Result<(), store::Error> {
+    match node.store.txn(txn).await {
         Ok(_) | Err(store::Error::Conflict(_)) => Ok(()),
         Err(error) => Err(error),
     }
@@ -283,8 +307,17 @@
             _ => {}
         }
     }
+    let (previous, previous_revision) = &acquisition.previous;
+    let mark = items.items.iter().find(|item| item.key == keys::released(cell));
+    let released = mark.and_then(|item| item.value.as_deref())
+        == Some(previous.generation.to_string().as_bytes());
+    let ended = released || node.has_ended(&previous.owner, *previous_revision);
+    let predecessor = Predecessor::new(previous, ended);
     let config = node.config.borrow().clone().unwrap_or_default();
-    log::info!(cell, jobs = jobs.len(), revision = items.revision; "cell_loaded");
+    log::info!(
+        cell, jobs = jobs.len(), revision = items.revision, ended,
+        settled = predecessor.settled, vacated = predecessor.vacated.len(); "cell_loaded"
+    );
     let start = cell::Start {
         acquired_at: acquisition.sent_at,
         config,
@@ -292,6 +325,7 @@
         head_revision: acquisition.head_revision,
         limits: node.limits(),
         policy: node.policy,
+        predecessor,
         pressure: pressure.as_ref().and_then(decode).unwrap_or_default(),
     };
     let members = node.assigned_members(cell)?;
@@ -392,8 +426,14 @@
 
 /// Removes the owner's entry, so that the next owner does not wait for the lease to expire, and tries
 /// until the store has answered.
-async fn release(node: &Rc<Node>, cell: u32, fence: u64) {
-    while let Err(error) = remove_entry(node, cell, fence).await {
+async fn release(node: &Rc<Node>, cell: u32, acquisition: &Acquisition) {
+    let generation = acquisition.head.generation.to_string().into_bytes();
+    let txn = Txn {
+        expected: vec![(keys::owner(cell), acquisition.fence)],
+        removed: vec![keys::owner(cell)],
+        writes: vec![(keys::released(cell), generation, 0)],
+    };
+    while let Err(error) = remove(node, &txn).await {
         node.store_failed("give-up", &error);
         sleep(RELEASE_RETRY_DELAY).await;
     }
--- a/crates/node/src/session.rs
+++ b/crates/node/src/session.rs
@@ -36,9 +36,20 @@
 /// Opens a lease and writes this VM's entry under it.
 async fn open(node: &Rc<Node>) -> Result<u64, store::Error> {
     let lease = node.store.open_lease(Duration::from_millis(node::VM_LEASE_MS)).await?;
-    let vm = assignment::Vm { processors_milli: node.boot.processors_milli };
+    let key = keys::vm(&node.boot.vm);
+    // A late copy of an earlier process's transaction must not replace this entry.
+    let revision = node.store.get(&key).await?.map_or(0, |item| item.revision);
+    let vm = assignment::Vm {
+        incarnation: node.incarnation.clone(),
+        processors_milli: node.boot.processors_milli,
+        revision: 0,
+    };
     let value = record::encode(&vm);
-    let txn = Txn { writes: vec![(keys::vm(&node.boot.vm), value, lease)], ..Txn::default() };
+    let txn = Txn {
+        expected: vec![(key.clone(), revision)],
+        writes: vec![(key, value, lease)],
+        ..Txn::default()
+    };
     node.store.txn(&txn).await?;
     node.store_answered();
     Ok(lease)
--- a/crates/node/tests/process/mod.rs
+++ b/crates/node/tests/process/mod.rs
@@ -11,7 +11,7 @@
         fs,
         future::Future,
         net::{Ipv4Addr, SocketAddr},
-        path::PathBuf,
+        path::{Path, PathBuf},
         process::{Child, Command, Stdio},
         sync::atomic::{AtomicU8, Ordering},
         time::{Duration, Instant},
@@ -31,6 +31,7 @@
 /// A process that is killed when the test ends.
 pub struct Process {
     child: Child,
+    settings: PathBuf,
     /// The address at which it answers callers.
     pub front: SocketAddr,
 }
@@ -57,11 +58,14 @@
              bounds.gang_timeout_ms=3000\nbounds.grace_s=6\nbounds.drain_ms={drain_ms}\n{lines}"
         );
         fs::write(&settings, text).unwrap();
-        let log = fs::File::create(directory.join(format!("process-{name}.log"))).unwrap();
-        let mut command = Command::new(env!("CARGO_BIN_EXE_oleanderstage-node"));
-        command.arg("--settings").arg(settings).args(["--metrics-port", "0"]);
-        let child = command.stdin(Stdio::null()).stdout(log).spawn().unwrap();
-        Self { child, front: (ip, FRONT_PORT).into() }
+        Self { child: spawn(&settings), settings, front: (ip, FRONT_PORT).into() }
+    }
+
+    /// Kills the process and starts another one in its place.
+    pub fn restart(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+        self.child = spawn(&self.settings);
     }
 
     /// Pauses the process, or resumes it.
@@ -88,6 +92,14 @@
     }
 }
 
+/// Starts the program with a file of settings; it logs beside that file.
+fn spawn(settings: &Path) -> Child {
+    let log = fs::File::create(settings.with_extension("log")).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_oleanderstage-node"));
+    command.arg("--settings").arg(settings).args(["--metrics-port", "0"]);
+    command.stdin(Stdio::null()).stdout(log).spawn().unwrap()
+}
+
 impl Drop for Process {
     fn drop(&mut self) {
         self.child.kill().unwrap();
--- a/crates/node/tests/tenure.rs
+++ b/crates/node/tests/tenure.rs
@@ -14,6 +14,8 @@
 /// The time limit for the removal of the entry of an owner that has lost its cell. The entry does
 /// not expire by itself, since the process still renews its lease.
 const RELEASE_TIMEOUT: Duration = Duration::from_secs(4);
+/// The time limit for a restarted VM to take its cells: well below its lease of 2 s.
+const RESTART_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// How long endpoints may get new runs after they drain, in milliseconds.
 const DRAIN_MS: u64 = 2_000;
 
@@ -110,6 +112,27 @@
     });
 }
 
+/// All VMs lost power for a second, and their cells had no owner until the leases of the ended processes
+/// were over.
+#[test]
+fn a_restarted_vm_takes_its_cells_before_its_last_lease_is_over() {
+    process::run(async {
+        let (store, address) = UsersStore::start().await.unwrap();
+        store.put("op/config", &config());
+        store.put("servers/i-1", &worker());
+        store.put("m/map", &json!({"owners": ["vm-restarts"], "workers": {"i-1": 0}}));
+        let mut vm = Process::start("vm-restarts", address, DRAIN_MS);
+        let owner = || store.values("c/0/@owner").first().map(|(_, owner)| owner.clone());
+        wait_until("the owner's entry", TIMEOUT, || owner().is_some()).await;
+        // Its lease has just been renewed.
+        tokio::time::sleep(Duration::from_millis(700)).await;
+        let first = owner();
+        vm.restart();
+        let is_taken = || owner().is_some_and(|owner| Some(owner) != first);
+        wait_until("the next owner", RESTART_TIMEOUT, is_taken).await;
+    });
+}
+
 /// Returns a worker's entry.
 fn worker() -> Value {
     json!({
