--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod limits;
 pub mod listing;
 pub mod load;
+mod margin;
 pub mod pace;
 pub mod placement;
 pub mod policy;
--- a/crates/fleet/src/pace.rs
+++ b/crates/fleet/src/pace.rs
@@ -3,9 +3,6 @@
 
 use {super::*, pressure::Pressure, run::Phase};
 
-/// Highest contention allowed for a serving task. Tails exceed their target at 0.78; the margin is
-/// for the error of the load's forecast.
-const MAX_CONTENTION: f64 = 0.735;
 /// How far ahead a pace has to fit, in milliseconds: until the next poll's order takes effect.
 const PACE_HORIZON_MS: u64 = 800;
 /// How far ahead a filling task has to fit where it starts, in milliseconds: one that is paced down
@@ -144,7 +141,7 @@
     ) -> BTreeMap<&'a str, u32> {
         let mut paces: BTreeMap<&str, u32> = cores.keys().map(|image| (*image, 100)).collect();
         for (image, load) in self.serving_loads(span, now) {
-            let mut budget = (MAX_CONTENTION - load).max(0.0);
+            let mut used = 0.0;
             let mut levels: Vec<(f64, &str, f64)> = cores
                 .iter()
                 .map(|(filling, cores)| (pressure.level(image, filling), *filling, *cores))
@@ -153,11 +150,13 @@
             levels.sort_by(|a, b| a.0.total_cmp(&b.0));
             for (level, filling, cores) in levels {
                 let added = level * cores / self.cores();
+                let limit = pressure::TARGET_CONTENTION - margin::for_level(level);
+                let budget = (limit - load - used).max(0.0);
                 let percent = match added > budget {
                     true => (budget / added * 100.0) as u32,
                     false => 100,
                 };
-                budget = (budget - added).max(0.0);
+                used += added.min(budget);
                 if added < NEGLIGIBLE_CONTENTION && load.is_finite() {
                     continue;
                 }
