Filling work that would be late is rejected at the door

Cause: for seconds, more filling work of an image comes than the workers get through beside whose serving tasks it may run. All of it was accepted, and nearly all of it was late.

Change: owners publish the rate at which they get through an image's work and what is before it (`throughput`); the VM that takes a submission forecasts its end (`fit`: estimates are off by several times) and rejects what would miss its objective (`gate`), with the wait that is expected. The ticket says so first, so the refusal is true. The check of owners in the soak reads the VM from the incarnation as it is written since, by which it had failed on every cell since.

--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -22,6 +22,10 @@
     sent_milli: u64,
     /// Work of jobs sent since the head was read, in core-milliseconds by priority.
     sent_work: BTreeMap<u32, u64>,
+    /// Filling work of jobs sent since the head was read, in core-milliseconds by image.
+    sent_filling: BTreeMap<String, u64>,
+    /// When the head was read, in milliseconds.
+    observed_at: u64,
 }
 
 /// The demand of a job on a cell.
@@ -52,6 +56,9 @@
 /// From this many processes on, jobs are spread over cells in proportion to their room.
 const MANY_PROCESSES: usize = 11;
 
+/// Age of a head from which nothing follows from it, in milliseconds: under load each owner writes its own
+/// several times a second.
+const MAX_HEAD_AGE_MS: u64 = 2_000;
 /// Maximum slowdown assumed for an image: a cell counts with at least 1/20 of its processors, since
 /// its tasks end and free resources.
 const MAX_SLOWDOWN: u64 = 20;
@@ -62,10 +69,7 @@
 impl<'a> Demand<'a> {
     /// Returns the demand of a job that was submitted to a queue.
     pub fn new(id: job::Id, submission: &'a Submission, queue: &Queue) -> Self {
-        let work = |step: &Step| {
-            let milli = step.resources.processors_milli;
-            (u64::from(step.count) * step.estimate_ms).saturating_mul(milli) / 1_000
-        };
+        let work = |step: &Step| step.work(step.count.into(), step.estimate_ms);
         let reserved =
             |step: &Step| u64::from(step.count).saturating_mul(step.reserved().processors_milli);
         let filling = submission.steps.iter().filter(|step| step.fills).max_by_key(|s| work(s));
@@ -88,13 +92,14 @@
         self.processes = processes;
     }
 
-    /// Updates a cell's load from its head; ignores a head that is not newer than the last one.
-    pub fn observe(&mut self, head: Head, revision: u64) {
+    /// Updates a cell's load from its head as read at `now`, in milliseconds; ignores a head that is not
+    /// newer than the last one.
+    pub fn observe(&mut self, now: u64, head: Head, revision: u64) {
         let load = self.cells.entry(head.cell).or_default();
         if revision <= load.revision {
             return;
         }
-        *load = Load { head, revision, ..Load::default() };
+        *load = Load { head, observed_at: now, revision, ..Load::default() };
     }
 
     /// Returns a cell other than `own` that serves a job sooner by at least `margin_ms`, and adds
@@ -138,6 +143,31 @@
         Some((cell, count))
     }
 
+    /// Returns when a job with filling work would be done in the cell that is fastest. `None` without such
+    /// work, and if too little is known of some cell: it may have room.
+    pub fn outlook(
+        &self,
+        now: u64,
+        demand: Demand<'_>,
+        submission: &Submission,
+        queue: &Queue,
+    ) -> Option<gate::Outlook> {
+        let image = demand.filling?;
+        let loads = || self.cells.values().filter(|load| load.head.total_milli > 0);
+        let step_ms = |step: &Step| {
+            let fit = loads().find_map(|load| load.head.steps.get(&queue.name));
+            fit.map_or(step.estimate_ms, |fit| fit.expected_ms(step.estimate_ms))
+        };
+        let path = submission.steps.iter().map(|step| (step, step_ms(step)));
+        let path_ms = submission::critical_path_ms(path);
+        let filling = submission.steps.iter().filter(|step| step.fills);
+        let work = filling.map(|step| step.work(step.count.into(), step_ms(step))).sum();
+        let expected: Option<Vec<u64>> =
+            loads().map(|load| load.filling_ms(now, image, work)).collect();
+        let expected_ms = expected?.into_iter().min()?.max(path_ms);
+        Some(gate::Outlook { expected_ms, objective_ms: queue.latency_objective_ms(path_ms) })
+    }
+
     /// Returns the number of a queue's jobs without a started task, over all cells.
     pub fn pending(&self, queue: &str) -> u64 {
         self.cells.values().filter_map(|load| load.head.pending.get(queue)).sum()
@@ -176,6 +206,21 @@
     fn add_job(&mut self, demand: Demand<'_>) {
         self.sent_milli += demand.reserved_milli;
         *self.sent_work.entry(demand.priority).or_default() += demand.work;
+        if let Some(image) = demand.filling {
+            *self.sent_filling.entry(image.to_owned()).or_default() += demand.work;
+        }
+    }
+
+    /// Returns the expected time until filling work of an image is done, in milliseconds; `None` if that is
+    /// not known, or the cell may have no owner.
+    fn filling_ms(&self, now: u64, image: &str, work: u64) -> Option<u64> {
+        if now > self.observed_at + MAX_HEAD_AGE_MS {
+            return None;
+        }
+        let throughput = self.head.throughput.get(image)?;
+        let sent = self.sent_filling.get(image).copied().unwrap_or(0);
+        let ahead = throughput.backlog.saturating_add(sent).saturating_add(work);
+        Some(ahead.saturating_mul(1_000) / throughput.milli.max(1))
     }
 
     /// Returns the cell's rank, lower is better: the expected time until the job is done, in units
--- a/crates/fleet/src/cell.rs
+++ b/crates/fleet/src/cell.rs
@@ -94,6 +94,8 @@
     pub(crate) pressure_written_at: u64,
     /// When slowed filling tasks to move were last searched for, in milliseconds.
     pub(crate) relocated_at: u64,
+    /// How fast the cell gets through the work of each filling image.
+    pub(crate) rates: BTreeMap<String, throughput::Rate>,
     /// Processors that tasks of each filling image could use, in thousandths of a core.
     pub(crate) usable_milli: BTreeMap<String, u64>,
     /// When the use of the cell was last reported, in milliseconds.
@@ -131,6 +133,7 @@
             relocated_at: 0,
             pressure_written_at: 0,
             vacated_at: 0,
+            rates: BTreeMap::new(),
             usable_milli: BTreeMap::new(),
             usage_reported_at: 0,
             planned: BTreeSet::new(),
@@ -183,7 +186,7 @@
             Event::Heads { heads, owners } => {
                 self.balancer.set_processes(owners);
                 for (head, revision) in heads {
-                    self.balancer.observe(head, revision);
+                    self.balancer.observe(clock.now, head, revision);
                 }
             }
             Event::Cancelled { id, revision } => self.cancel_job(id, revision),
--- a/crates/fleet/src/cell_balance.rs
+++ b/crates/fleet/src/cell_balance.rs
@@ -30,27 +30,71 @@
         self.own_pressure.decay(LOAD_INTERVAL_MS as f64 / 1_000.0);
         self.pressure = self.own_pressure.clone();
         self.pressure.merge(&self.other_pressure);
-        let mut images: BTreeMap<&str, &Arc<Step>> = BTreeMap::new();
+        let mut images: BTreeMap<String, Arc<Step>> = BTreeMap::new();
         for job in self.jobs.values() {
             for stage in job.occurrences.iter().flat_map(|occurrence| &occurrence.stages) {
                 if stage.step.fills {
-                    images.insert(&stage.step.image, &stage.step);
+                    images.insert(stage.step.image.clone(), stage.step.clone());
                 }
             }
         }
         let mut usable: BTreeMap<String, u64> = BTreeMap::new();
-        for (image, step) in images {
+        for (image, step) in &images {
             let usable_at = |worker: &Worker| {
                 let pace = u64::from(worker.pace_with(clock.now, &self.pressure, step));
                 placement::unused_milli(worker).max(0) as u64 * pace / 100
             };
             let workers = self.workers.values().filter(|worker| worker.is_usable(clock.now));
-            usable.insert(image.into(), workers.map(usable_at).sum());
+            usable.insert(image.clone(), workers.map(usable_at).sum());
         }
+        self.observe_rates(clock, &images);
         // An image without a job keeps its last value until the next job with it arrives.
         self.usable_milli.extend(usable);
     }
 
+    /// Updates how fast the cell gets through the work of each filling image: what its tasks use, and what
+    /// more of them could use at workers that would take them.
+    fn observe_rates(&mut self, clock: Clock, images: &BTreeMap<String, Arc<Step>>) {
+        // What was measured before all its jobs were over says little about the next ones.
+        self.rates.retain(|image, _| images.contains_key(image));
+        for (image, step) in images {
+            let own = |run: &&Run| run.step.fills && run.step.image == *image;
+            let runs = self.workers.values().flat_map(|worker| worker.runs.values());
+            let used: f64 = runs.filter(own).filter_map(|run| run.measurement).sum();
+            let room_at = |worker: &Worker| {
+                let pace = worker.pace_with(clock.now, &self.pressure, step);
+                let unused = placement::unused_milli(worker) - worker.filling_milli as i64;
+                if pace >= cell_schedule::MIN_PACE { unused.max(0) } else { 0 }
+            };
+            let workers = self.workers.values().filter(|worker| worker.is_usable(clock.now));
+            let room: i64 = workers.map(room_at).sum();
+            self.rates.entry(image.clone()).or_default().observe(used + room as f64);
+        }
+    }
+
+    /// Returns the filling work of each image whose rate is known.
+    pub(crate) fn throughput(&self, clock: Clock) -> BTreeMap<String, Throughput> {
+        let known = |(image, rate): (&String, &throughput::Rate)| {
+            Some((image.clone(), Throughput { backlog: 0, milli: rate.milli()? }))
+        };
+        let mut throughput: BTreeMap<String, Throughput> =
+            self.rates.iter().filter_map(known).collect();
+        for (_, _, id) in &self.unfinished_jobs {
+            let Some(job) = self.jobs.get(id) else { continue };
+            if Lateness::of(job, clock.unix, &self.forecast) != Lateness::InTime {
+                continue;
+            }
+            let stages = job.occurrences.iter().flat_map(|occurrence| &occurrence.stages);
+            for stage in stages.filter(|stage| stage.step.fills) {
+                let Some(entry) = throughput.get_mut(&stage.step.image) else { continue };
+                let task_ms = self.forecast.step_ms(&job.queue.name, stage.step.estimate_ms);
+                let work = stage.step.work(stage.remaining as u64, task_ms);
+                entry.backlog = entry.backlog.saturating_add(work);
+            }
+        }
+        throughput
+    }
+
     /// Updates how much of the cell lasting jobs may hold, by the short work that runs and waits.
     fn observe_short_work(&mut self, clock: Clock) {
         let mut demand = headroom::Demand::default();
--- a/crates/fleet/src/cell_polls.rs
+++ b/crates/fleet/src/cell_polls.rs
@@ -21,6 +21,8 @@
 const MIN_PACE_CHANGE: u32 = 8;
 /// The most by which one order raises a pace, in percentage points.
 const MAX_PACE_RISE: u32 = 40;
+/// The pace of a task that is not slowed, in percent.
+const FULL_PACE: u32 = 100;
 /// How long a task that should use processors may use none before it counts as hanging, in
 /// milliseconds.
 const HANG_MS: u64 = 1_200;
@@ -133,7 +135,7 @@
             self.report(Report::End { task, run, worker: id.clone(), how, after_ms });
         }
         if let Some(run) = run.as_ref().filter(|_| end.reason == EndReason::Done) {
-            self.observe_duration(name.job, &run.step, after_ms);
+            self.observe_duration(name, run, after_ms);
         }
         self.count_failure(clock, id, end);
         match end.reason {
@@ -150,13 +152,22 @@
         }
     }
 
-    /// Records how long a run took. Filling tasks are left out, since their pace varies.
-    fn observe_duration(&mut self, id: job::Id, step: &Step, took_ms: u64) {
-        if step.fills || step.lasting {
+    /// Records how long a run took that was done. Runs that were paced down when last seen are left out,
+    /// and those of an earlier owner.
+    fn observe_duration(&mut self, name: task::Name, run: &Run, took_ms: u64) {
+        let paced = run.step.fills && run.pace != Some(FULL_PACE);
+        if run.step.lasting || run.adopted || paced {
             return;
         }
-        if let Some(job) = self.jobs.get(&id) {
-            self.forecast.observe(&job.queue.name, step.estimate_ms, took_ms);
+        let Some(job) = self.jobs.get_mut(&name.job) else { return };
+        let queue = job.queue.name.clone();
+        if !run.step.fills {
+            self.forecast.observe(&queue, run.step.estimate_ms, took_ms);
+        }
+        let Some(stage) = job.stage_mut(name.occurrence, name.step) else { return };
+        stage.longest_ms = stage.longest_ms.max(took_ms);
+        if stage.remaining == 1 {
+            self.forecast.observe_step(&queue, stage.step.estimate_ms, stage.longest_ms);
         }
     }
 
--- a/crates/fleet/src/cell_record.rs
+++ b/crates/fleet/src/cell_record.rs
@@ -49,7 +49,7 @@
         if age < interval || (idle && (age < LOAD_INTERVAL_MS || self.leaving)) {
             return;
         }
-        let (commit, complete) = self.build_commit(clock.now);
+        let (commit, complete) = self.build_commit(clock);
         for (id, worker) in &mut self.workers {
             worker.vacated |= commit.head.vacated.contains(&**id);
         }
@@ -87,11 +87,12 @@
     }
 
     /// Builds a commit with as many changed jobs as fit and returns whether it holds all of them.
-    fn build_commit(&mut self, now: u64) -> (Commit, bool) {
+    fn build_commit(&mut self, clock: Clock) -> (Commit, bool) {
+        let now = clock.now;
         let mut commit = Commit {
             cancelled: Vec::new(),
             expected: Vec::new(),
-            head: self.next_head(now),
+            head: self.next_head(clock),
             head_revision: self.head_revision,
             pressure: None,
             records: Vec::new(),
@@ -125,7 +126,7 @@
     }
 
     /// Returns the next head, with the current load of the cell.
-    fn next_head(&self, now: u64) -> Head {
+    fn next_head(&self, clock: Clock) -> Head {
         let mut head = Head {
             backlog: BTreeMap::new(),
             cell: self.head.cell,
@@ -139,10 +140,12 @@
             usable_milli: self.usable_milli.clone(),
             sequence: self.head.sequence + 1,
             settled: self.unfenced.is_empty(),
+            steps: BTreeMap::new(),
+            throughput: self.throughput(clock),
             total_milli: 0,
             vacated: BTreeSet::new(),
         };
-        let vacated = self.workers.iter().filter(|(_, worker)| worker.is_vacated(now));
+        let vacated = self.workers.iter().filter(|(_, worker)| worker.is_vacated(clock.now));
         head.vacated = vacated.map(|(id, _)| (**id).to_owned()).collect();
         let counts =
             |worker: &&Worker| worker.fenced && worker.missed_polls == 0 && !worker.evacuated;
@@ -154,6 +157,8 @@
                 head.largest_milli = head.largest_milli.max(worker.unreserved().processors_milli);
             }
         }
+        let fits = self.forecast.steps().iter();
+        head.steps = fits.map(|(queue, fit)| (queue.clone(), fit.rounded())).collect();
         head.lasting_limit_milli = self.headroom.lasting_limit(head.total_milli);
         for job in self.jobs.values().filter(|job| job.final_state.is_none()) {
             *head.backlog.entry(job.queue.priority).or_default() += job.work_left();
--- a/crates/fleet/src/cell_schedule.rs
+++ b/crates/fleet/src/cell_schedule.rs
@@ -13,9 +13,9 @@
 /// Lowest pace at which a filling task is placed, in percent. A task runs at full pace until its
 /// first pace order takes effect, so one that needs a lower pace would slow serving tasks at once;
 /// the margin below 100 allows for rounding.
-const MIN_PACE: u32 = 75;
-/// Lowest pace once a job has waited for `FULL_PACE_WAIT_MS` in a cell with spare capacity, in
-/// percent.
+pub(crate) const MIN_PACE: u32 = 75;
+/// Lowest pace of a job's first task once the job has waited for `FULL_PACE_WAIT_MS` in a cell with spare
+/// capacity, in percent. Each task that starts so slows those beside it.
 const MIN_PACE_AFTER_WAIT: u32 = 5;
 /// How long a job waits for a worker at `MIN_PACE` in a cell with spare capacity, in milliseconds.
 const FULL_PACE_WAIT_MS: u64 = 2_000;
@@ -34,26 +34,32 @@
         let all_fenced = self.unfenced.is_empty();
         let mut misses = 0;
         let mut reservations = reservation::Book::default();
+        let spare = self.policy.waits && self.has_spare_capacity();
         // The smallest request of each filling image that found no worker, in thousandths of a
-        // core.
-        let mut smallest_missed: BTreeMap<String, u64> = BTreeMap::new();
+        // core, by whether a task that starts slowly was looked for.
+        let mut smallest_missed: BTreeMap<(String, bool), u64> = BTreeMap::new();
         for id in self.jobs_by_rank(clock) {
             let Some(job) = self.jobs.get(&id) else { continue };
             let moving = job.moving_to.is_some() || job.splitting.is_some();
             if moving || (job.recovered && !all_fenced) || self.is_held_back(id, job) {
                 continue;
             }
+            let waited = clock.unix.saturating_sub(job.accepted_at_ms);
+            let slowly = spare && waited >= FULL_PACE_WAIT_MS && !job.is_active();
             for (occurrence, step_number, step) in ready_stages(job, clock.unix) {
                 let milli = step.resources.processors_milli;
-                let cannot_fit =
-                    smallest_missed.get(&step.image).is_some_and(|&least| milli >= least);
+                let key = (step.image.clone(), slowly);
+                let cannot_fit = smallest_missed.get(&key).is_some_and(|&least| milli >= least);
+                let stage = (id, occurrence, step_number);
                 if step.fills && cannot_fit
-                    || self.place_stage(clock, id, occurrence, step_number, &mut reservations)
+                    || self.place_stage(clock, stage, slowly, &mut reservations)
                 {
                     continue;
                 }
                 if step.fills {
-                    smallest_missed.insert(step.image.clone(), milli);
+                    let (image, slowly) = key;
+                    let began = self.jobs.get(&id).is_some_and(Job::is_active);
+                    smallest_missed.insert((image, slowly && !began), milli);
                     continue;
                 }
                 self.reserve(clock, id, occurrence, step_number, &mut reservations);
@@ -88,7 +94,7 @@
         let rank = |&(priority, _, id): &(u32, u64, job::Id)| {
             let job = self.jobs.get(&id)?;
             let lateness = match self.policy.lateness {
-                true => Lateness::of(job, clock.unix),
+                true => Lateness::of(job, clock.unix, &self.forecast),
                 false => Lateness::InTime,
             };
             Some((priority, lateness, id))
@@ -99,13 +105,13 @@
         ranked.into_iter().map(|(.., id)| id).collect()
     }
 
-    /// Places the waiting tasks of a step and returns whether none is left waiting.
+    /// Places the waiting tasks of a step and returns whether none is left waiting. With `slowly`, the first
+    /// task may start where its pace is low.
     fn place_stage(
         &mut self,
         clock: Clock,
-        id: job::Id,
-        occurrence: u32,
-        step_number: u16,
+        (id, occurrence, step_number): (job::Id, u32, u16),
+        mut slowly: bool,
         reservations: &mut reservation::Book,
     ) -> bool {
         let Some(job) = self.jobs.get(&id) else { return true };
@@ -117,10 +123,6 @@
         let none = reservation::Book::default();
         let service = job.queue.service.clone();
         let recovered = job.recovered;
-        let waited = clock.unix.saturating_sub(job.accepted_at_ms);
-        let waits_for_pace =
-            waited < FULL_PACE_WAIT_MS || !self.policy.waits || !self.has_spare_capacity();
-        let min_pace = if waits_for_pace { MIN_PACE } else { MIN_PACE_AFTER_WAIT };
         let mut placed = tasks_per_worker(stage);
         let waiting: Vec<u16> = stage.waiting.iter().copied().collect();
         if step.gang {
@@ -144,7 +146,7 @@
                 avoid: task.last_failed_worker.as_deref(),
                 policy: self.policy,
                 pressure: &self.pressure,
-                min_pace,
+                min_pace: if slowly { MIN_PACE_AFTER_WAIT } else { MIN_PACE },
                 placed: &placed,
                 reservations: if restarts { &none } else { reservations },
                 duration_ms,
@@ -156,6 +158,7 @@
             let run = self.next_run(task.last_run, recovered);
             *placed.entry(worker.clone()).or_default() += 1;
             self.start(clock, &worker, name, run);
+            slowly = false;
         }
         true
     }
--- a/crates/fleet/src/forecast.rs
+++ b/crates/fleet/src/forecast.rs
@@ -1,5 +1,5 @@
-//! When workers will have room: the expected ends of their runs, from estimates and from how far these
-//! were off so far in the same queue.
+//! When workers will have room, and how long jobs will take: from estimates and from how far these were off
+//! so far in the same queue.
 
 use super::*;
 
@@ -7,6 +7,8 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Forecast {
     ratios: BTreeMap<String, f64>,
+    /// How long steps take, by queue.
+    steps: BTreeMap<String, Fit>,
 }
 
 /// Weight of the newest run in a queue's ratio.
@@ -27,6 +29,24 @@
         }
     }
 
+    /// Records the longest run of a step.
+    pub fn observe_step(&mut self, queue: &str, estimate_ms: u64, took_ms: u64) {
+        match self.steps.get_mut(queue) {
+            Some(fit) => fit.observe(estimate_ms, took_ms),
+            None => drop(self.steps.insert(queue.to_owned(), Fit::new(estimate_ms))),
+        }
+    }
+
+    /// Returns how long the steps of each queue take.
+    pub fn steps(&self) -> &BTreeMap<String, Fit> {
+        &self.steps
+    }
+
+    /// Returns how long a step is expected to take, in milliseconds.
+    pub fn step_ms(&self, queue: &str, estimate_ms: u64) -> u64 {
+        self.steps.get(queue).map_or(estimate_ms, |fit| fit.expected_ms(estimate_ms))
+    }
+
     /// Returns how long a run is expected to take, in milliseconds.
     pub fn duration_ms(&self, queue: &str, estimate_ms: u64) -> u64 {
         (estimate_ms as f64 * self.ratios.get(queue).copied().unwrap_or(1.0)) as u64
--- a/crates/fleet/src/head.rs
+++ b/crates/fleet/src/head.rs
@@ -4,7 +4,7 @@
 use super::*;
 
 /// A cell's head in the store: its owner and its load.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Head {
     /// The cell's number.
     pub cell: u32,
@@ -39,6 +39,12 @@
     pub pending: BTreeMap<String, u64>,
     /// The number of commits by this owner.
     pub sequence: u64,
+    /// How long the steps of each queue take.
+    #[serde(default)]
+    pub steps: BTreeMap<String, Fit>,
+    /// The filling work of each image, as far as it is known.
+    #[serde(default)]
+    pub throughput: BTreeMap<String, Throughput>,
     /// Whether the owner knows that orders of earlier owners are over at every worker.
     #[serde(default)]
     pub settled: bool,
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -43,6 +43,8 @@
 /// The tasks of one step of one occurrence.
 #[derive(Debug)]
 pub struct Stage {
+    /// The longest run of a task that was done, in milliseconds.
+    pub longest_ms: u64,
     /// The number of tasks that are not done.
     pub remaining: usize,
     /// All tasks of the step, by index.
@@ -162,6 +164,7 @@
     fn new(step: &Arc<Step>) -> Self {
         let count = usize::from(step.count);
         Self {
+            longest_ms: 0,
             remaining: count,
             tasks: vec![task::Task::default(); count],
             step: step.clone(),
@@ -382,30 +385,29 @@
         !self.is_lasting() && stages.all(|stage| stage.remaining == 0)
     }
 
+    /// Returns whether one of its tasks is at a worker.
+    pub fn is_active(&self) -> bool {
+        let stages = self.occurrences.iter().flat_map(|occurrence| &occurrence.stages);
+        let mut tasks = stages.flat_map(|stage| &stage.tasks);
+        tasks.any(|task| matches!(task.status, task::Status::Active { .. }))
+    }
+
     /// Returns the estimated work of unfinished tasks, in core-milliseconds, without lasting tasks.
     pub fn work_left(&self) -> u64 {
         self.occurrences
             .iter()
             .flat_map(|occurrence| &occurrence.stages)
             .filter(|stage| !stage.step.lasting)
-            .map(|stage| {
-                let milli = stage.step.resources.processors_milli;
-                (stage.remaining as u64 * stage.step.estimate_ms).saturating_mul(milli) / 1_000
-            })
+            .map(|stage| stage.step.work(stage.remaining as u64, stage.step.estimate_ms))
             .sum()
     }
 
-    /// Returns the estimated critical path of the first occurrence, in milliseconds. Stages for
-    /// which `counts` does not hold take no time.
-    pub fn critical_path_ms(&self, counts: impl Fn(&Stage) -> bool) -> u64 {
+    /// Returns the critical path of the first occurrence, in milliseconds, by the time that each stage
+    /// takes.
+    pub fn critical_path_ms(&self, stage_ms: impl Fn(&Stage) -> u64) -> u64 {
         let Some(occurrence) = self.occurrences.first() else { return 0 };
-        let mut ends: Vec<u64> = Vec::with_capacity(occurrence.stages.len());
-        for stage in &occurrence.stages {
-            let before = stage.step.after.iter().filter_map(|&step| ends.get(usize::from(step)));
-            let own = if counts(stage) { stage.step.estimate_ms } else { 0 };
-            ends.push(before.max().copied().unwrap_or(0) + own);
-        }
-        ends.into_iter().max().unwrap_or(0)
+        let stages = &occurrence.stages;
+        submission::critical_path_ms(stages.iter().map(|stage| (&*stage.step, stage_ms(stage))))
     }
 }
 
--- a/crates/fleet/src/lateness.rs
+++ b/crates/fleet/src/lateness.rs
@@ -14,21 +14,27 @@
     Overdue,
 }
 
-/// Shortest duration of a task relative to its estimate, in percent: estimates are off by up to a
-/// half.
-const MIN_ESTIMATE_PERCENT: u64 = 60;
+/// Shortest duration of a step that reserves processors relative to the expected one, in percent: its job
+/// would lose the room that was kept for it to jobs that came later.
+const MIN_RESERVED_PERCENT: u64 = 60;
 /// Multiple of its objective after which a job is overdue: a later result has no value to callers.
 const OVERDUE_FACTOR: u64 = 3;
 
 impl Lateness {
     /// Returns the expected lateness of a job at `unix`, in milliseconds since 1970.
-    pub fn of(job: &Job, unix: u64) -> Self {
+    pub fn of(job: &Job, unix: u64, forecast: &Forecast) -> Self {
         if job.is_lasting() || job.record.submission.is_timed() {
             return Self::InTime;
         }
-        let critical_path = job.critical_path_ms(|_| true);
-        let left = job.critical_path_ms(|stage| stage.remaining > 0) * MIN_ESTIMATE_PERCENT / 100;
-        let objective = (critical_path as f64 * job.queue.stretch) as u64 + job.queue.objective_ms;
+        let stage_ms =
+            |stage: &job::Stage| forecast.step_ms(&job.queue.name, stage.step.estimate_ms);
+        let left_ms = |stage: &job::Stage| match stage.remaining {
+            0 => 0,
+            _ if stage.step.fills => stage_ms(stage),
+            _ => stage_ms(stage) * MIN_RESERVED_PERCENT / 100,
+        };
+        let left = job.critical_path_ms(left_ms);
+        let objective = job.queue.latency_objective_ms(job.critical_path_ms(stage_ms));
         let age = unix.saturating_sub(job.accepted_at_ms);
         if age + left <= objective {
             return Self::InTime;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -17,12 +17,12 @@
 pub use {
     action::Action, assignment::Assignment, cell::Cell, clock::Clock, commit::Commit,
     config::Config, continuity::Continuity, crash::Crash, evacuation::Evacuation, event::Event,
-    forecast::Forecast, head::Head, headroom::Headroom, job::Job, lateness::Lateness,
-    lifetime::Lifetime, limits::Limits, listing::Listing, load::Load, policy::Policy,
-    predecessor::Predecessor, progress::Progress, queue::Queue, registration::Registration,
-    registry::Registry, reservation::Reservation, run::Run, settling::Settling, state::State,
-    step::Step, submission::Submission, suspicion::Suspicion, ticket::Ticket, trace::Trace,
-    usage::Usage, worker::Worker,
+    fit::Fit, forecast::Forecast, gate::Gate, head::Head, headroom::Headroom, job::Job,
+    lateness::Lateness, lifetime::Lifetime, limits::Limits, listing::Listing, load::Load,
+    policy::Policy, predecessor::Predecessor, progress::Progress, queue::Queue,
+    registration::Registration, registry::Registry, reservation::Reservation, run::Run,
+    settling::Settling, state::State, step::Step, submission::Submission, suspicion::Suspicion,
+    throughput::Throughput, ticket::Ticket, trace::Trace, usage::Usage, worker::Worker,
 };
 
 pub mod action;
@@ -36,7 +36,9 @@
 pub mod crash;
 pub mod evacuation;
 pub mod event;
+pub mod fit;
 pub mod forecast;
+pub mod gate;
 pub mod head;
 pub mod headroom;
 pub mod job;
@@ -63,6 +65,7 @@
 pub mod submission;
 pub mod suspicion;
 pub mod task;
+pub mod throughput;
 pub mod ticket;
 pub mod trace;
 pub mod usage;
--- a/crates/fleet/src/policy.rs
+++ b/crates/fleet/src/policy.rs
@@ -5,6 +5,8 @@
 /// The mechanisms of a cell, all on by default.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Policy {
+    /// Jobs that would be late are rejected.
+    pub admission: bool,
     /// Serving tasks that suffer from the same filling images share workers.
     pub affinity: bool,
     /// Large tasks that fit nowhere reserve room, and small ones fill the time before.
@@ -38,6 +40,7 @@
 impl Default for Policy {
     fn default() -> Self {
         Self {
+            admission: true,
             affinity: true,
             backfill: true,
             headroom: true,
@@ -65,6 +68,7 @@
 
     fn mechanism(&mut self, name: &str) -> Option<&mut bool> {
         Some(match name {
+            "admission" => &mut self.admission,
             "affinity" => &mut self.affinity,
             "backfill" => &mut self.backfill,
             "headroom" => &mut self.headroom,
--- a/crates/fleet/src/queue.rs
+++ b/crates/fleet/src/queue.rs
@@ -24,3 +24,10 @@
     /// The latency objective of a job is its critical path times this factor plus `objective_ms`.
     pub stretch: f64,
 }
+
+impl Queue {
+    /// Returns the latency objective of a job with this critical path, both in milliseconds.
+    pub fn latency_objective_ms(&self, critical_path_ms: u64) -> u64 {
+        ((critical_path_ms as f64 * self.stretch) as u64).saturating_add(self.objective_ms)
+    }
+}
--- a/crates/fleet/src/step.rs
+++ b/crates/fleet/src/step.rs
@@ -47,6 +47,12 @@
         self.lasting && self.target_ms > 0
     }
 
+    /// Returns the work of a number of tasks that take `task_ms` each, in core-milliseconds.
+    pub fn work(&self, tasks: u64, task_ms: u64) -> u64 {
+        let milli = self.resources.processors_milli;
+        tasks.saturating_mul(task_ms).saturating_mul(milli) / 1_000
+    }
+
     /// Returns the cores that a task asks for.
     pub fn cores(&self) -> f64 {
         self.resources.processors_milli as f64 / 1_000.0
--- a/crates/fleet/src/submission.rs
+++ b/crates/fleet/src/submission.rs
@@ -48,6 +48,16 @@
     },
 }
 
+/// Returns the critical path through steps, each with the time that it takes, in milliseconds.
+pub(crate) fn critical_path_ms<'a>(steps: impl Iterator<Item = (&'a Step, u64)>) -> u64 {
+    let mut ends: Vec<u64> = Vec::new();
+    for (step, own_ms) in steps {
+        let before = step.after.iter().filter_map(|&step| ends.get(usize::from(step)));
+        ends.push(before.max().copied().unwrap_or(0).saturating_add(own_ms));
+    }
+    ends.into_iter().max().unwrap_or(0)
+}
+
 impl Submission {
     /// Checks the rules that the types do not enforce.
     pub fn check(&self) -> Result<(), Error> {
--- a/crates/fleet/src/usage.rs
+++ b/crates/fleet/src/usage.rs
@@ -72,7 +72,8 @@
         for (_, _, id) in &self.unfinished_jobs {
             let Some(job) = self.jobs.get(id) else { continue };
             if !job.is_lasting() {
-                usage.late_jobs += usize::from(Lateness::of(job, clock.unix) > Lateness::InTime);
+                usage.late_jobs +=
+                    usize::from(Lateness::of(job, clock.unix, &self.forecast) > Lateness::InTime);
                 let count = if job.begun { &mut usage.begun_jobs } else { &mut usage.waiting_jobs };
                 *count += 1;
             }
--- a/crates/fleet/tests/cells.rs
+++ b/crates/fleet/tests/cells.rs
@@ -138,7 +138,7 @@
 #[test]
 fn a_cell_without_processors_is_not_chosen_and_divides_nothing() {
     let mut balancer = Balancer::default();
-    balancer.observe(head(0, 1, 0), 1);
+    balancer.observe(0, head(0, 1, 0), 1);
     let (job, queue) = (submission(4), queue(0));
     let mut filling = submission(4);
     filling.steps[0].fills = true;
@@ -146,7 +146,7 @@
     assert_eq!(balancer.choose(Demand::new(id("1"), &filling, &queue)), Some(0));
     let mut no_workers = head(0, 0, 0);
     no_workers.usable_milli.insert("loud".into(), 0);
-    balancer.observe(no_workers, 2);
+    balancer.observe(0, no_workers, 2);
     assert_eq!(balancer.find_sooner_cell(0, Demand::new(id("1"), &filling, &queue), 100), None);
     assert_eq!(balancer.choose(Demand::new(id("1"), &job, &queue)), None);
     assert_eq!(balancer.find_sooner_cell(0, Demand::new(id("1"), &job, &queue), 100), None);
@@ -156,7 +156,7 @@
 fn a_burst_at_one_front_spreads_before_cells_publish_their_load() {
     let mut balancer = Balancer::default();
     for cell in 0..4 {
-        balancer.observe(head(cell, 64_000, 64_000), 1);
+        balancer.observe(0, head(cell, 64_000, 64_000), 1);
     }
     let (job, queue) = (submission(8), queue(0));
     let mut counts = [0; 4];
@@ -174,8 +174,8 @@
     contended.usable_milli.insert("loud".into(), 1_000);
     let mut free = head(1, 64_000, 32_000);
     free.usable_milli.insert("loud".into(), 32_000);
-    balancer.observe(contended, 1);
-    balancer.observe(free, 1);
+    balancer.observe(0, contended, 1);
+    balancer.observe(0, free, 1);
     let mut job = submission(8);
     job.steps[0].fills = true;
     job.steps[0].image = "loud".into();
@@ -269,7 +269,7 @@
     for job in 0..JOBS {
         let mut front = Balancer::default();
         front.set_processes(147);
-        (0..16).for_each(|cell| front.observe(head(cell, 1_280_000, 1_280_000), 1));
+        (0..16).for_each(|cell| front.observe(0, head(cell, 1_280_000, 1_280_000), 1));
         let demand = Demand::new(id(&format!("{job:x}")), &lasting, &queue(0));
         counts[front.choose(demand).expect("a cell") as usize] += 1;
     }
@@ -283,8 +283,8 @@
     for job in 0..300 {
         let mut front = Balancer::default();
         front.set_processes(147);
-        front.observe(head(0, 1_280_000, 300_000), 1);
-        front.observe(head(1, 1_280_000, 600_000), 1);
+        front.observe(0, head(0, 1_280_000, 300_000), 1);
+        front.observe(0, head(1, 1_280_000, 600_000), 1);
         let demand = submission(8);
         let demand = Demand::new(id(&format!("{job:x}")), &demand, &queue(0));
         counts[front.choose(demand).expect("a cell") as usize] += 1;
@@ -312,8 +312,8 @@
 #[test]
 fn short_jobs_wait_longer_where_lasting_tasks_hold_the_processors() {
     let mut balancer = Balancer::default();
-    balancer.observe(Head { lasting_milli: 60_000, ..head(0, 64_000, 0) }, 1);
-    balancer.observe(Head { lasting_milli: 8_000, ..head(1, 64_000, 0) }, 1);
+    balancer.observe(0, Head { lasting_milli: 60_000, ..head(0, 64_000, 0) }, 1);
+    balancer.observe(0, Head { lasting_milli: 8_000, ..head(1, 64_000, 0) }, 1);
     let job = submission(8);
     assert_eq!(balancer.choose(Demand::new(id("1"), &job, &queue(0))), Some(1));
 }
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -6,7 +6,7 @@
     oleanderstage_core::resources::Resources,
     oleanderstage_fleet::{
         Action, Cell, Clock, Commit, Config, Event, Head, Limits, Policy, Predecessor, Progress,
-        Queue, Registration, Step, Submission, Ticket, action::Report, cell, event::Outcome,
+        Queue, Registration, State, Step, Submission, Ticket, action::Report, cell, event::Outcome,
         event::Refusal, job, listing::EndReason, task,
     },
     std::{
@@ -40,6 +40,8 @@
     pub records: BTreeMap<(u32, job::Id), job::Record>,
     pub workers: BTreeMap<String, Worker>,
     pub reports: Vec<Report>,
+    /// When jobs were completed, in milliseconds.
+    completed: BTreeMap<job::Id, u64>,
     pub lost: bool,
     pub commits: u64,
     /// Duration of each run at full pace, in milliseconds.
@@ -169,6 +171,7 @@
             records: BTreeMap::new(),
             workers: fakes,
             reports: Vec::new(),
+            completed: BTreeMap::new(),
             lost: false,
             commits: 0,
             run_ms: 500,
@@ -319,6 +322,11 @@
         starts.into_iter().map(|(_, id, run)| (id, run)).collect()
     }
 
+    /// Returns when a job was completed, in milliseconds.
+    pub fn done_at(&self, id: &job::Id) -> Option<u64> {
+        self.completed.get(id).copied()
+    }
+
     /// Returns the workers that run a task now.
     pub fn running(&self, name: task::Name) -> Vec<&str> {
         let holds = |(id, worker): (&'_ String, &Worker)| {
@@ -488,7 +496,12 @@
                 self.handle(Event::TicketRead { id, ticket });
             }
             Action::Lost => self.lost = true,
-            Action::Report(report) => self.reports.push(report),
+            Action::Report(report) => {
+                if let Report::JobOver { job, state: State::Completed, .. } = &report {
+                    self.completed.insert(*job, self.now);
+                }
+                self.reports.push(report);
+            }
         }
     }
 
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -192,7 +192,7 @@
         match head {
             Some(Ok(head)) => {
                 heads.push((head.clone(), item.revision));
-                balancer.observe(head, item.revision);
+                balancer.observe(time::now(), head, item.revision);
             }
             Some(Err(error)) => log::error!(error:% = error; "head_unreadable"),
             None => {}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -22,6 +22,8 @@
     pub(crate) vms: RefCell<BTreeMap<String, assignment::Vm>>,
     /// The cells' load from their heads, for the choice of a new job's cell.
     pub(crate) balancer: RefCell<admission::Balancer>,
+    /// The images of which jobs are rejected now.
+    pub(crate) gate: RefCell<Gate>,
     /// The heads as last read, with their revisions.
     pub(crate) heads: RefCell<Vec<(Head, u64)>>,
     /// When the heads were last read, in milliseconds.
@@ -83,6 +85,7 @@
             assignment: RefCell::default(),
             vms: RefCell::default(),
             balancer: RefCell::default(),
+            gate: RefCell::default(),
             heads: RefCell::default(),
             heads_read_at: Slot::new(0),
             lease: Slot::new(None),
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -115,7 +115,7 @@
         match try_acquire(node, cell, lease).await {
             Ok(Attempt::Acquired(acquisition)) => {
                 node.meter.cell_taken(wait.waited_ms(acquisition.sent_at));
-                return Some(acquisition);
+                return Some(*acquisition);
             }
             Ok(Attempt::Cleared) => continue,
             Ok(Attempt::Owned(owner)) => wait.record(time::now(), &owner),
@@ -127,7 +127,7 @@
 
 /// The outcome of an attempt to acquire a cell.
 enum Attempt {
-    Acquired(Acquisition),
+    Acquired(Box<Acquisition>),
     /// The entry of a process that has ended was removed.
     Cleared,
     /// Another ownership has its entry there. Holds the incarnation of its process; empty if only the
@@ -163,13 +163,13 @@
     match node.store.txn(&txn).await {
         Ok(fence) => {
             let previous = (old, previous_revision);
-            Ok(Attempt::Acquired(Acquisition {
+            Ok(Attempt::Acquired(Box::new(Acquisition {
                 sent_at,
                 fence,
                 head,
                 head_revision: fence,
                 previous,
-            }))
+            })))
         }
         Err(store::Error::Conflict(items)) => {
             remove_own_entry(node, cell).await?;
--- a/crates/node/src/requests.rs
+++ b/crates/node/src/requests.rs
@@ -58,6 +58,9 @@
     }
     let deadline = time::now() + STORE_CALLS_MS;
     let demand = admission::Demand::new(id, &record.submission, queue);
+    if let Some(rejection) = reject(node, queue, &record.submission, demand) {
+        return settle(node, id, 0, queue, deadline, rejection).await;
+    }
     let Some(cell) = node.balancer.borrow_mut().choose(demand) else {
         return not_run(node);
     };
@@ -84,7 +87,7 @@
                 None => revision = 0,
             },
             Err(store::Error::Unknown) => {
-                return resolve_submission(node, id, revision, &ticket, deadline).await;
+                return settle(node, id, revision, queue, deadline, not_run(node)).await;
             }
             Err(error) => {
                 node.store_failed("submit", &error);
@@ -94,6 +97,26 @@
     }
 }
 
+/// Returns the answer to a job that is rejected since it would be late; `None` if it is accepted.
+fn reject(
+    node: &Rc<Node>,
+    queue: &Queue,
+    submission: &Submission,
+    demand: admission::Demand<'_>,
+) -> Option<Reply> {
+    let image = demand.filling.filter(|_| node.policy.admission)?;
+    let outlook = node.balancer.borrow().outlook(time::now(), demand, submission, queue);
+    let verdict = node.gate.borrow_mut().decide(demand.id, image, outlook);
+    let gate::Verdict::Reject { retry_after_ms } = verdict else { return None };
+    let head_age_ms = time::now().saturating_sub(node.heads_read_at.get());
+    node.meter.event("job_rejected");
+    log::info!(
+        job:% = demand.id, queue = queue.name, image, retry_after_ms, head_age_ms, outlook:serde;
+        "job_rejected"
+    );
+    Some(Reply::NotRun(retry_after_ms.div_ceil(1_000).max(MIN_RETRY_AFTER_S)))
+}
+
 fn decode_ticket(item: &Item) -> Option<Ticket> {
     serde_json::from_slice(item.value.as_deref()?)
         .inspect_err(|error| log::error!(key = item.key, error:% = error; "ticket_unreadable"))
@@ -104,29 +127,40 @@
     decode_ticket(item).is_some_and(|ticket| ticket.state == State::Refused)
 }
 
-/// Determines whether a submission was accepted whose answer from the store was lost. Writes a
-/// refused ticket under the submission's condition: either the write succeeds, and the submission
-/// can never be accepted, or it conflicts with a ticket that shows whether the job was accepted.
-async fn resolve_submission(
+/// Makes sure that a job is never accepted, and answers with `refusal`, unless it is accepted already: the
+/// answer of the store to a submission was lost, or the job is rejected and may have been submitted before.
+/// Writes a refused ticket under the submission's condition: either the write succeeds, and the submission
+/// can never be accepted, or it conflicts with a ticket that shows whether the job was accepted. A refused
+/// ticket is written again, since a later submission may still be on its way under its condition.
+async fn settle(
     node: &Rc<Node>,
     id: job::Id,
-    expected_revision: u64,
-    accepted: &Ticket,
+    mut expected_revision: u64,
+    queue: &Queue,
     deadline: u64,
+    refusal: Reply,
 ) -> Reply {
-    let refused = Ticket { state: State::Refused, ..accepted.clone() };
-    let txn = Txn {
-        expected: vec![(keys::ticket(id), expected_revision)],
-        writes: vec![(keys::ticket(id), record::encode(&refused), 0)],
-        ..Txn::default()
-    };
+    let (queue, state) = (queue.name.clone(), State::Refused);
+    let refused = Ticket { also: Vec::new(), cell: 0, queue, state };
     while time::now() < deadline {
+        let txn = Txn {
+            expected: vec![(keys::ticket(id), expected_revision)],
+            writes: vec![(keys::ticket(id), record::encode(&refused), 0)],
+            ..Txn::default()
+        };
         match node.store.txn(&txn).await {
-            Ok(_) => return not_run(node),
-            Err(store::Error::Conflict(items)) => {
-                let refused = items.first().is_none_or(is_refused);
-                return if refused { not_run(node) } else { Reply::Accepted };
-            }
+            Ok(_) => return refusal,
+            Err(store::Error::Conflict(items)) => match items.first() {
+                Some(item) if is_refused(item) => {
+                    expected_revision = item.revision;
+                    continue;
+                }
+                Some(_) => return Reply::Accepted,
+                None => {
+                    expected_revision = 0;
+                    continue;
+                }
+            },
             Err(error) => node.store_failed("settle", &error),
         }
         sleep(RETRY_DELAY).await;
--- a/crates/soak/src/ownership.rs
+++ b/crates/soak/src/ownership.rs
@@ -43,7 +43,7 @@
     let is_owned = |(cell, owner): (usize, &Value)| {
         let entry = store.values(&format!("c/{cell}/@owner"));
         let incarnation = entry.first().map(|(_, value)| String::from_utf8_lossy(value));
-        let vm = incarnation.as_ref().and_then(|text| text.split('#').next());
+        let vm = incarnation.as_ref().and_then(|text| text.split('@').next());
         vm.is_some() && vm == owner.as_str()
     };
     owners.iter().enumerate().map(is_owned).collect()
