--- a/crates/fleet/tests/cells.rs
+++ b/crates/fleet/tests/cells.rs
@@ -258,6 +258,27 @@
     assert!(world.starts(name("1", 0, 2)).is_empty(), "another cell runs it");
 }
 
+/// Two cells: a worker was lost after the split, and the tasks that it had held waited for ten seconds beside
+/// a third of the other cell, where the job had some already.
+#[test]
+fn tasks_follow_into_a_cell_that_has_some_of_their_job() {
+    let mut world = World::new(&["w1"]);
+    world.run_ms = 600_000;
+    world.submit("1", QUEUE, vec![Step { lasting: true, ..step(3, 6) }]);
+    world.advance(300);
+    let other = || Head { largest_milli: 16_000, ..head(1, 64_000, 32_000) };
+    world.handle(heads(vec![(other(), 9)]));
+    world.advance(2_500);
+    world.crash("w1");
+    world.worker("w1").gone = true;
+    let members = world.members();
+    world.handle(Event::Workers(members));
+    world.handle(heads(vec![(other(), 10)]));
+    world.advance(6_000);
+    let all = [(0, 0), (0, 1), (0, 2)].into();
+    assert_eq!(world.records[&(1, id("1"))].tasks, Some(all));
+}
+
 /// All fronts saw the same empty cells when 214 lasting jobs arrived within a quarter of a second,
 /// and each front chose the first cell: it was full, and others nearly empty.
 #[test]
