Lasting tasks follow into a cell that has some of their job

Cause: a job could be split into each cell once.

Change: where a job has exactly one other cell, that cell's tasks are all that are not here, so a split can write its record whole. Ticket and records count such additions (`additions`); a cell whose record is behind the ticket moves nothing until it has seen what was added. The other cell's owner learns of it as of a new job, from its record.

--- a/crates/fleet/src/cell.rs
+++ b/crates/fleet/src/cell.rs
@@ -274,7 +274,11 @@
         recovered: bool,
     ) {
         let stale = self.removed.get(&id).is_some_and(|&removed_at| revision <= removed_at);
-        if stale || self.jobs.contains_key(&id) {
+        if stale {
+            return;
+        }
+        if let Some(job) = self.jobs.get_mut(&id) {
+            self.placement_due |= job.add_tasks(&record, revision);
             return;
         }
         let queue = self.config.queue_named(&record.queue).cloned().unwrap_or_else(|| {
--- a/crates/fleet/src/cell_balance.rs
+++ b/crates/fleet/src/cell_balance.rs
@@ -166,7 +166,8 @@
         let mut splits = Vec::new();
         for (_, _, id) in &self.unfinished_jobs {
             let Some(job) = self.jobs.get_mut(id) else { continue };
-            if !job.begun || !job.is_lasting() || job.splitting.is_some() {
+            let outdated = job.additions != job.ticket_additions;
+            if !job.begun || !job.is_lasting() || job.splitting.is_some() || outdated {
                 continue;
             }
             let waiting = job.waiting_tasks();
@@ -179,11 +180,14 @@
                 continue;
             }
             let Some(step) = job.stage(0, step).map(|stage| stage.step.clone()) else { continue };
-            let mut cells = job.also.clone();
-            cells.extend(job.home);
-            cells.push(self.head.cell);
+            // Which tasks the other cells have is known only if there is one.
+            let mut excluded: Vec<u32> = job.other_cells(self.head.cell).into_iter().collect();
+            if excluded.len() == 1 {
+                excluded.clear();
+            }
+            excluded.push(self.head.cell);
             let milli = step.reserved().processors_milli;
-            if let Some((to, count)) = self.balancer.find_room(&cells, milli, waiting.len()) {
+            if let Some((to, count)) = self.balancer.find_room(&excluded, milli, waiting.len()) {
                 let tasks = waiting.into_iter().take(count).collect();
                 splits.push((*id, job::Split { to, tasks }));
             }
--- a/crates/fleet/src/cell_record.rs
+++ b/crates/fleet/src/cell_record.rs
@@ -215,12 +215,14 @@
                 job.ticket_state = ticket.state;
                 job.ticket_revision = revision;
                 job.also.clone_from(&ticket.also);
+                job.ticket_additions = ticket.additions;
                 // The split may have been planned after this commit was sent.
                 let made = |split: &job::Split| {
                     commit.records.iter().any(|(job, cell, _)| job == id && *cell == split.to)
                 };
                 if let Some(split) = job.splitting.take_if(|split| made(split)) {
                     job.mark_elsewhere(|task| split.tasks.contains(&task));
+                    job.additions = ticket.additions;
                     let (job, to, tasks) = (*id, split.to, split.tasks.len());
                     split_reports.push(Report::Split { job, to, tasks });
                 }
@@ -260,6 +262,7 @@
             job.ticket_state = ticket.state;
             job.home = Some(ticket.cell);
             job.also.clone_from(&ticket.also);
+            job.ticket_additions = ticket.additions;
         }
         let cancelled = ticket.is_none_or(|ticket| ticket.state == State::Cancelled);
         if cancelled {
@@ -276,7 +279,7 @@
     if let Some(cell) = job.moving_to.filter(|_| job.final_state.is_none()) {
         commit.expected.push((id, job.ticket_revision));
         let queue = job.queue.name.clone();
-        let ticket = Ticket { also: Vec::new(), cell, queue, state: State::Queued };
+        let ticket = Ticket { also: Vec::new(), additions: 0, cell, queue, state: State::Queued };
         commit.tickets.push((id, ticket));
         let crashes = job.crashes(|_| true);
         let record = job::Record { begun: job.may_have_begun(), crashes, ..(*job.record).clone() };
@@ -310,10 +313,18 @@
 }
 
 /// Adds a split to a commit: a record of the moved tasks for their new cell, and one of the
-/// remaining tasks for this cell.
+/// remaining tasks for this cell. If the new cell has tasks of the job already, it is the only other one
+/// (`Cell::split_waiting_jobs`), and has all that are not here.
 fn add_split(commit: &mut Commit, id: job::Id, job: &Job, cell: u32, split: &job::Split) {
+    let rest: BTreeSet<_> = job.own_tasks().difference(&split.tasks).copied().collect();
     let mut ticket = job.ticket_as(cell, State::Running);
-    ticket.also.push(split.to);
+    let moved = if job.other_cells(cell).contains(&split.to) {
+        ticket.additions += 1;
+        job.all_tasks().difference(&rest).copied().collect()
+    } else {
+        ticket.also.push(split.to);
+        split.tasks.clone()
+    };
     let record = |tasks: BTreeSet<(u16, u16)>| {
         Arc::new(job::Record {
             crashes: job.crashes(|task| tasks.contains(&task)),
@@ -322,8 +333,7 @@
             ..(*job.record).clone()
         })
     };
-    let rest = job.own_tasks().difference(&split.tasks).copied().collect();
-    commit.records.push((id, split.to, record(split.tasks.clone())));
+    commit.records.push((id, split.to, record(moved)));
     commit.records.push((id, cell, record(rest)));
     commit.expected.push((id, job.ticket_revision));
     commit.tickets.push((id, ticket));
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -93,6 +93,10 @@
     pub home: Option<u32>,
     /// Other cells that run tasks of the job.
     pub also: Vec<u32>,
+    /// The number of additions by its own record in the store.
+    pub additions: u32,
+    /// The number of additions by its ticket.
+    pub ticket_additions: u32,
     /// The cell that the job is being moved to.
     pub moving_to: Option<u32>,
     /// Since when tasks of a lasting job that has begun have been waiting, in milliseconds.
@@ -195,6 +199,8 @@
             queue,
             home: record.ticket.as_ref().map(|ticket| ticket.cell),
             also: record.ticket.as_ref().map(|ticket| ticket.also.clone()).unwrap_or_default(),
+            additions: record.ticket.as_ref().map_or(0, |ticket| ticket.additions),
+            ticket_additions: record.ticket.as_ref().map_or(0, |ticket| ticket.additions),
             moving_to: None,
             splitting: None,
             waiting_since: None,
@@ -277,11 +283,51 @@
             .collect()
     }
 
+    /// Returns the other cells that run tasks of the job, seen from `cell`.
+    pub fn other_cells(&self, cell: u32) -> BTreeSet<u32> {
+        self.also.iter().copied().chain(self.home).filter(|&other| other != cell).collect()
+    }
+
+    /// Returns all tasks of the first occurrence, as step and index.
+    pub fn all_tasks(&self) -> BTreeSet<(u16, u16)> {
+        let steps = (0..).zip(&self.record.submission.steps);
+        steps.flat_map(|(step, task)| (0..task.count).map(move |index| (step, index))).collect()
+    }
+
+    /// Adds the tasks that another cell has added to this cell's record, which was written at `revision`
+    /// together with its ticket. Returns whether there are any.
+    pub fn add_tasks(&mut self, record: &Record, revision: u64) -> bool {
+        let Some(ticket) = record.ticket.as_ref() else { return false };
+        if ticket.additions <= self.additions {
+            return false;
+        }
+        self.additions = ticket.additions;
+        if revision > self.ticket_revision {
+            self.ticket_revision = revision;
+            self.ticket_additions = ticket.additions;
+            self.also.clone_from(&ticket.also);
+            self.home = Some(ticket.cell);
+        }
+        let mut added = false;
+        for (step, index) in record.tasks.iter().flatten() {
+            let Some(stage) = self.stage_mut(0, *step) else { continue };
+            added |= stage.mark_here(*index);
+        }
+        for (occurrence, step, index, crash) in &record.crashes {
+            if let Some(task) = self.indexed_task_mut(*occurrence, *step, *index) {
+                task.suspicion.add(crash.clone(), &[]);
+                task.last_run = task.last_run.max(crash.run);
+            }
+        }
+        added
+    }
+
     /// Returns the job's ticket with the given state, with `cell` as the job's own cell if `home`
     /// is not known.
     pub fn ticket_as(&self, cell: u32, state: State) -> Ticket {
         Ticket {
             also: self.also.clone(),
+            additions: self.ticket_additions,
             cell: self.home.unwrap_or(cell),
             queue: self.queue.name.clone(),
             state,
@@ -432,6 +478,18 @@
         }
     }
 
+    /// Marks a task that another cell ran as waiting, and returns whether there is such a task.
+    pub fn mark_here(&mut self, index: u16) -> bool {
+        let Some(task) = self.tasks.get_mut(usize::from(index)) else { return false };
+        if task.status != task::Status::Elsewhere {
+            return false;
+        }
+        task.status = task::Status::Waiting;
+        task.trace = None;
+        self.waiting.insert(index);
+        true
+    }
+
     /// Marks a task as done; does nothing if it already is.
     pub fn mark_done(&mut self, index: u16) {
         let Some(task) = self.tasks.get_mut(usize::from(index)) else { return };
--- a/crates/fleet/src/ticket.rs
+++ b/crates/fleet/src/ticket.rs
@@ -8,6 +8,10 @@
     /// Other cells, which run tasks of the job that did not fit in `cell`.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub also: Vec<u32>,
+    /// How often tasks were added to those of another cell. A cell whose own record tells a lower number
+    /// has not seen yet which tasks were added to its own.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub additions: u32,
     /// The cell that runs the job.
     pub cell: u32,
     /// The name of its queue.
@@ -15,3 +19,7 @@
     /// The state of the job when the ticket was written.
     pub state: State,
 }
+
+fn is_zero(number: &u32) -> bool {
+    *number == 0
+}
--- a/crates/fleet/tests/cells.rs
+++ b/crates/fleet/tests/cells.rs
@@ -11,7 +11,7 @@
         job,
         listing::EndReason,
     },
-    std::collections::BTreeMap,
+    std::collections::{BTreeMap, BTreeSet},
     world::{QUEUE, World, id, name, step},
 };
 
@@ -258,25 +258,99 @@
     assert!(world.starts(name("1", 0, 2)).is_empty(), "another cell runs it");
 }
 
-/// Two cells: a worker was lost after the split, and the tasks that it had held waited for ten seconds beside
-/// a third of the other cell, where the job had some already.
-#[test]
-fn tasks_follow_into_a_cell_that_has_some_of_their_job() {
+/// A lasting job of three tasks, of which this cell runs two and cell 1 one; then their worker is replaced by
+/// one that is too small.
+fn split_world() -> World {
     let mut world = World::new(&["w1"]);
     world.run_ms = 600_000;
     world.submit("1", QUEUE, vec![Step { lasting: true, ..step(3, 6) }]);
     world.advance(300);
-    let other = || Head { largest_milli: 16_000, ..head(1, 64_000, 32_000) };
-    world.handle(heads(vec![(other(), 9)]));
+    world.handle(heads(vec![(roomy_head(), 9)]));
     world.advance(2_500);
+    assert_eq!(world.records[&(1, id("1"))].tasks, Some([(0, 2)].into()));
+    world.replaces_crashed = true;
     world.crash("w1");
-    world.worker("w1").gone = true;
+    world.worker("w1'").capacity = Some(step(1, 4).resources);
     let members = world.members();
     world.handle(Event::Workers(members));
-    world.handle(heads(vec![(other(), 10)]));
-    world.advance(6_000);
+    world
+}
+
+fn roomy_head() -> Head {
+    Head { largest_milli: 16_000, ..head(1, 64_000, 32_000) }
+}
+
+/// Two cells: a worker was lost after the split, and the tasks that it had held waited for ten seconds beside
+/// a quarter of the other cell, where the job had some already.
+#[test]
+fn tasks_follow_into_a_cell_that_has_some_of_their_job() {
+    let mut world = split_world();
+    world.handle(heads(vec![(roomy_head(), 10)]));
+    world.advance(8_000);
     let all = [(0, 0), (0, 1), (0, 2)].into();
     assert_eq!(world.records[&(1, id("1"))].tasks, Some(all));
+    assert_eq!(world.records[&(0, id("1"))].tasks, Some([].into()));
+    let ticket = &world.tickets[&id("1")].0;
+    assert_eq!((&*ticket.also, ticket.additions), (&[1][..], 1));
+    world.add_worker("w2");
+    world.advance(1_000);
+    assert!(world.workers["w2"].held.is_empty(), "another cell runs them");
+}
+
+/// The other cell's owner adds a task to the job here, and this cell starts it, also under a new owner.
+#[test]
+fn tasks_that_another_cell_adds_are_started() {
+    let mut world = split_world();
+    add_task_2(&mut world);
+    let record = world.records[&(0, id("1"))].clone();
+    let revision = world.revision;
+    world.handle(Event::Accepted { id: id("1"), record, revision });
+    world.add_worker("w2");
+    world.add_worker("w3");
+    world.advance(8_000);
+    for index in 0..3 {
+        assert_eq!(world.running(name("1", 0, index)).len(), 1, "{index}");
+    }
+    world.take_over();
+    world.advance(4_000);
+    for index in 0..3 {
+        assert_eq!(world.running(name("1", 0, index)).len(), 1, "{index}");
+    }
+}
+
+/// The addition is in the store, and its change has not been seen here: a split now would write a record without
+/// the added task, which would then run nowhere.
+#[test]
+fn a_cell_that_has_not_seen_an_addition_moves_nothing() {
+    let mut world = split_world();
+    add_task_2(&mut world);
+    for revision in 10..18 {
+        world.handle(heads(vec![(roomy_head(), revision)]));
+        world.advance(1_000);
+    }
+    let all: BTreeSet<(u16, u16)> = [(0, 0), (0, 1), (0, 2)].into();
+    assert_eq!(world.records[&(0, id("1"))].tasks, Some(all.clone()));
+    let record = world.records[&(0, id("1"))].clone();
+    let revision = world.revision;
+    world.handle(Event::Accepted { id: id("1"), record, revision });
+    world.handle(heads(vec![(Head { largest_milli: 64_000, ..roomy_head() }, 18)]));
+    world.advance(4_000);
+    assert_eq!(world.records[&(1, id("1"))].tasks, Some(all));
+}
+
+/// Writes what the owner of cell 1 commits when it adds its task to this cell's.
+fn add_task_2(world: &mut World) {
+    world.revision += 1;
+    let revision = world.revision;
+    let (ticket, at) = world.tickets.get_mut(&id("1")).expect("the ticket");
+    ticket.additions += 1;
+    *at = revision;
+    let ticket = ticket.clone();
+    for (cell, tasks) in [(0, vec![(0, 0), (0, 1), (0, 2)]), (1, vec![])] {
+        let record = world.records.get_mut(&(cell, id("1"))).expect("the record");
+        record.tasks = Some(tasks.into_iter().collect());
+        record.ticket = Some(ticket.clone());
+    }
 }
 
 /// All fronts saw the same empty cells when 214 lasting jobs arrived within a quarter of a second,
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -285,7 +285,7 @@
         self.revision += 1;
         let queue = record.queue.clone();
         let state = oleanderstage_fleet::State::Queued;
-        let ticket = Ticket { also: Vec::new(), cell: 0, queue, state };
+        let ticket = Ticket { also: Vec::new(), additions: 0, cell: 0, queue, state };
         self.tickets.insert(id, (ticket, self.revision));
         self.records.insert((0, id), record.clone());
         self.handle(Event::Accepted { id, record, revision: self.revision });
--- a/crates/node/src/requests.rs
+++ b/crates/node/src/requests.rs
@@ -64,7 +64,9 @@
     let Some(cell) = node.balancer.borrow_mut().choose(demand) else {
         return not_run(node);
     };
-    let ticket = Ticket { also: Vec::new(), cell, queue: queue.name.clone(), state: State::Queued };
+    let queue_name = queue.name.clone();
+    let ticket =
+        Ticket { also: Vec::new(), additions: 0, cell, queue: queue_name, state: State::Queued };
     let encoded_record = record::encode(&record);
     let mut revision = 0;
     loop {
@@ -141,7 +143,7 @@
     refusal: Reply,
 ) -> Reply {
     let (queue, state) = (queue.name.clone(), State::Refused);
-    let refused = Ticket { also: Vec::new(), cell: 0, queue, state };
+    let refused = Ticket { also: Vec::new(), additions: 0, cell: 0, queue, state };
     while time::now() < deadline {
         let txn = Txn {
             expected: vec![(keys::ticket(id), expected_revision)],
