--- a/crates/standin/src/users_store.rs
+++ b/crates/standin/src/users_store.rs
@@ -33,6 +33,8 @@
     Busy,
     /// Executes transactions but never answers them; answers other calls.
     Mute,
+    /// Neither executes nor answers any call. Leases don't expire meanwhile.
+    Silent,
 }
 
 /// A key's value, with the revisions of its creation and of its last change.
@@ -105,6 +107,9 @@
 
     /// Ends the leases whose time is up, and returns whether there were any.
     fn expire(&mut self, now: Instant) -> bool {
+        if self.availability == Availability::Silent {
+            return false;
+        }
         let expired: Vec<u64> =
             self.leases.iter().filter(|(_, (end, _))| *end <= now).map(|(id, _)| *id).collect();
         expired.iter().for_each(|lease| self.end_lease(*lease));
@@ -151,9 +156,14 @@
         Ok((store, address))
     }
 
-    /// Sets how the store treats calls.
+    /// Sets how the store treats calls. The leases of a store that was silent begin anew.
     pub fn set_availability(&self, availability: Availability) {
-        lock(&self.state).availability = availability;
+        let mut state = lock(&self.state);
+        if state.availability == Availability::Silent {
+            let now = Instant::now();
+            state.leases.values_mut().for_each(|(end, length)| *end = now + *length);
+        }
+        state.availability = availability;
     }
 
     /// Makes reads of ranges whose prefix starts with `prefix` wait until the next call of this
@@ -250,8 +260,10 @@
 
     async fn answer(&self, parts: &Parts, body: &Value) -> Response<Full<Bytes>> {
         let availability = lock(&self.state).availability;
-        if availability == Availability::Busy {
-            return respond(503, &json!({}));
+        match availability {
+            Availability::Busy => return respond(503, &json!({})),
+            Availability::Silent => std::future::pending().await,
+            Availability::Up | Availability::Mute => {}
         }
         let query = query(parts.uri.query().unwrap_or_default());
         let path = parts.uri.path();
--- a/crates/standin/src/users_worker.rs
+++ b/crates/standin/src/users_worker.rs
@@ -68,6 +68,8 @@
     crash_at: Option<Instant>,
     /// Until when it does nothing after a crash.
     down_until: Option<Instant>,
+    /// Whether it has left, and answers no call.
+    left: bool,
     /// Since when its entry says that it drains.
     draining_since: Option<Instant>,
     /// Since when its zone is evacuated.
@@ -133,6 +135,7 @@
             shrunk_since: None,
             crash_at: None,
             down_until: None,
+            left: false,
             draining_since: None,
             evacuated_since: None,
             ended: VecDeque::new(),
@@ -269,6 +272,12 @@
         };
     }
 
+    /// Loses every run, and answers no call from now on. Its entry in the store stays.
+    pub fn leave(&self) {
+        self.crash();
+        lock(&self.state).left = true;
+    }
+
     /// Crashes if a task that does so has run for `FUSE_TIME`, and is down for `DOWN_TIME`.
     fn crash_if_due(&self) {
         let now = Instant::now();
@@ -322,6 +331,9 @@
         if expected_id.is_some_and(|id| id != self.id) {
             return respond(421, &json!({}));
         }
+        if lock(&self.state).left {
+            std::future::pending::<()>().await;
+        }
         let fence = body["fencing_token"].as_u64().unwrap_or(0);
         {
             let mut state = lock(&self.state);
