--- a/crates/fleet/src/action.rs
+++ b/crates/fleet/src/action.rs
@@ -113,6 +113,13 @@
         /// The cell that has it now.
         to: u32,
     },
+    /// Every order of earlier owners is known to be over.
+    Settled {
+        /// Time since the cell was acquired, in milliseconds.
+        after_ms: u64,
+        /// Workers that have not answered, and whose leases were waited for.
+        unanswered: Vec<Arc<str>>,
+    },
     /// Some tasks of a job were moved to another cell.
     Split {
         /// The job's ID.
--- a/crates/fleet/src/cell.rs
+++ b/crates/fleet/src/cell.rs
@@ -32,6 +32,8 @@
 /// A cell and its workers, as its current owner sees them.
 #[derive(Debug)]
 pub struct Cell {
+    /// When ownership began, in milliseconds.
+    pub(crate) acquired_at: u64,
     pub(crate) actions: Vec<Action>,
     /// Estimated loads of all cells.
     pub(crate) balancer: admission::Balancer,
@@ -102,6 +104,8 @@
     pub(crate) usage_reported_at: u64,
     /// Free resources or waiting tasks have changed since the last placement.
     pub(crate) placement_due: bool,
+    /// Whether it was reported that no order of an earlier owner is left.
+    pub(crate) settled: bool,
     /// Workers that have not answered this owner and may run orders of an earlier one.
     pub(crate) unfenced: BTreeSet<Arc<str>>,
     /// The workers' entries are too old: some worker may drain by now.
@@ -119,6 +123,7 @@
     ) -> Self {
         let vacated = start.predecessor.vacated.clone();
         let mut cell = Self {
+            acquired_at: start.acquired_at,
             actions: Vec::new(),
             balancer: admission::Balancer::default(),
             changes: 0,
@@ -158,6 +163,7 @@
             policy: start.policy,
             pressure: start.pressure,
             placement_due: true,
+            settled: false,
             unfenced: members.keys().filter(|id| !vacated.contains(&***id)).cloned().collect(),
             view_stale: false,
             workers: BTreeMap::new(),
@@ -221,6 +227,7 @@
     /// Runs every periodic and pending duty that is due.
     fn run_due_work(&mut self, clock: Clock) {
         self.forget_lapsed(clock);
+        self.settle(clock);
         self.release_expired(clock);
         self.resend_orders(clock);
         self.relocate_filling_tasks(clock);
--- a/crates/fleet/src/cell_orders.rs
+++ b/crates/fleet/src/cell_orders.rs
@@ -259,13 +259,20 @@
         }
     }
 
-    /// Releases the runs of workers that have left or whose lease has certainly expired, and ends
-    /// the wait for leases that the previous owner granted.
-    pub(crate) fn release_expired(&mut self, clock: Clock) {
-        if !self.unfenced.is_empty() && clock.now >= self.leases_over_at {
-            self.unfenced.clear();
-            self.placement_due = true;
+    /// Ends the wait for orders of earlier owners once their leases are over.
+    pub(crate) fn settle(&mut self, clock: Clock) {
+        if self.settled || !self.unfenced.is_empty() && clock.now < self.leases_over_at {
+            return;
         }
+        self.settled = true;
+        self.placement_due = true;
+        let unanswered = std::mem::take(&mut self.unfenced).into_iter().collect();
+        let after_ms = clock.now.saturating_sub(self.acquired_at);
+        self.report(Report::Settled { after_ms, unanswered });
+    }
+
+    /// Releases the runs of workers that have left or whose lease has certainly expired.
+    pub(crate) fn release_expired(&mut self, clock: Clock) {
         let left: Vec<Arc<str>> = self
             .workers
             .iter()
--- a/crates/node/src/meter.rs
+++ b/crates/node/src/meter.rs
@@ -110,6 +110,7 @@
                 self.latency.with_label_values(&["view-age"]).observe(ages.workers_ms as f64);
                 "run_started"
             }
+            Report::Settled { .. } => "cell_settled",
             Report::Stop { .. } => "run_stopped",
             Report::Usage(_) => "cell_usage",
             Report::Worker { .. } => "worker_believed",
