A VM that takes a cell knows from the answer that its lease held

Callers of lasting jobs waited ten seconds after an outage of the store in which leases are kept: each cell was taken and given up 8 to 16 times within 0.8 s, since a VM counted as silent until the next renewal of its lease was answered, whose last try still hung. Each of these owners began the wait of 9.7 s for workers that don't answer anew (settled: false).

The store makes the transaction that takes a cell only if the lease exists. So its answer confirms the lease as of when it was sent, as the answer to a renewal does; a successor still assumes that an owner goes on for 5.5 s after that.

a_vm_takes_its_cell_once_after_an_outage failed before (generation 3 instead of 2) and passes; lasting_tasks_restart_after_an_outage_in_which_a_worker_left too (timed out after 6 s before).

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -30,7 +30,8 @@
     pub(crate) heads_read_at: Slot<u64>,
     /// This VM's lease in the store, if it has one.
     pub(crate) lease: Slot<Option<u64>>,
-    /// When that lease was opened, or its last confirmed renewal was sent, in milliseconds.
+    /// When that lease was opened, or the last call that the store answered under it was sent, in
+    /// milliseconds.
     pub(crate) lease_confirmed_at: Slot<u64>,
     /// When the store last answered a call, in milliseconds.
     pub(crate) store_answered_at: Slot<u64>,
@@ -123,6 +124,14 @@
         }
     }
 
+    /// Records that the store has carried out a call under the lease that was sent at `sent_at`, in
+    /// milliseconds.
+    pub(crate) fn confirm_lease(&self, lease: u64, sent_at: u64) {
+        if self.lease.get() == Some(lease) {
+            self.lease_confirmed_at.set(self.lease_confirmed_at.get().max(sent_at));
+        }
+    }
+
     /// Records an answer of the store, and logs the end of an outage.
     pub(crate) fn store_answered(&self) {
         self.observe_running();
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -114,6 +114,7 @@
         };
         match try_acquire(node, cell, lease).await {
             Ok(Attempt::Acquired(acquisition)) => {
+                node.confirm_lease(lease, acquisition.sent_at);
                 node.meter.cell_taken(wait.waited_ms(acquisition.sent_at));
                 return Some(*acquisition);
             }
--- a/crates/node/src/session.rs
+++ b/crates/node/src/session.rs
@@ -65,7 +65,7 @@
         let sent_at = time::now();
         match node.store.renew_lease(lease).await {
             Ok(()) => {
-                node.lease_confirmed_at.set(sent_at);
+                node.confirm_lease(lease, sent_at);
                 node.store_answered();
             }
             Err(store::Error::NoLease) => return,
