A new owner waits no longer than the leases of one that has stopped can last

Callers saw lasting tasks that did not run for ten seconds after an outage of the store. An owner stops 5.5 s after its lease was last confirmed; the workers' leases end 4 s later; and when the store came back, the next owner waited 9.7 s more for each worker that had left in the outage, since it did not know that the last owner had stopped: even where that was its own process (started by front-kigali-a-1 before and after, in the users' record).

Cause: that an owner had stopped was told in one way only, a mark written together with the removal of its entry in the store. After an outage with lapsed leases the entry is gone already, so the transaction failed and no mark was left. And the mark did not say what the owner itself still waited for: where it had not settled, its successor began anew.

Change: an owner that stops keeps for itself, and writes into the store also when its entry is gone, for how long leases of it and of earlier owners may last from now on. The next one waits for that, or 1.5 s for the lists of workers, which may hold ends that nobody recorded. An owner whose process ends without a mark leaves settling_ms in its head. Marks and ends that become known later shorten the wait.

Why this is safe: a mark is read after it was written, so the time that it leaves is never too short; leases are absolute times on the workers' clocks, so a late order can't outlive them; and where nothing is known the wait is what it was.

Seven tests of the new decisions in takeover.rs.

--- a/crates/fleet/src/cell.rs
+++ b/crates/fleet/src/cell.rs
@@ -13,6 +13,8 @@
 pub struct Start {
     /// When ownership began, in milliseconds of the steady clock.
     pub acquired_at: u64,
+    /// When the cell's records were read, in milliseconds.
+    pub loaded_at: u64,
     /// The configuration in force.
     pub config: Arc<Config>,
     /// The head that this owner wrote when it took the cell.
@@ -104,6 +106,8 @@
     pub(crate) usage_reported_at: u64,
     /// Free resources or waiting tasks have changed since the last placement.
     pub(crate) placement_due: bool,
+    /// The last owner.
+    pub(crate) predecessor: Predecessor,
     /// Whether it was reported that no order of an earlier owner is left.
     pub(crate) settled: bool,
     /// Workers that have not answered this owner and may run orders of an earlier one.
@@ -152,7 +156,10 @@
             head_revision: start.head_revision,
             jobs: HashMap::new(),
             other_pressure: pressure::Pressure::default(),
-            leases_over_at: start.predecessor.leases_over_at(start.acquired_at, &start.limits),
+            leases_over_at: start
+                .predecessor
+                .leases_over_at(start.acquired_at, &start.limits)
+                .max(start.loaded_at + limits::LISTING_WAIT_MS),
             leaving: false,
             limits: start.limits,
             loads: HashMap::new(),
@@ -163,6 +170,7 @@
             policy: start.policy,
             pressure: start.pressure,
             placement_due: true,
+            predecessor: start.predecessor,
             settled: false,
             unfenced: members.keys().filter(|id| !vacated.contains(&***id)).cloned().collect(),
             view_stale: false,
@@ -204,6 +212,11 @@
                 self.mark_evacuated_workers();
             }
             Event::Leaving => self.leaving = true,
+            Event::PredecessorEnded(end) => self.note_end(clock, end),
+            Event::Released(release) if release.generation == self.predecessor.generation => {
+                self.note_end(clock, release.end(clock.now));
+            }
+            Event::Released(_) => {}
             Event::Lost => self.mark_lost(),
             Event::Poll { worker, sent, answer } => self.handle_poll(clock, &worker, sent, answer),
             Event::TicketRead { id, ticket } => self.handle_ticket(clock, id, ticket.as_ref()),
@@ -260,6 +273,21 @@
         self.jobs.len()
     }
 
+    /// Returns when the leases are over that this owner, if it stops at `now`, and earlier ones granted,
+    /// both in milliseconds.
+    pub fn leases_over_at(&self, now: u64) -> u64 {
+        let earlier = if self.unfenced.is_empty() { 0 } else { self.leases_over_at };
+        earlier.max(now + self.limits.longest_lease_ms())
+    }
+
+    /// Shortens the wait for orders of earlier owners to what the end of the last one allows.
+    fn note_end(&mut self, clock: Clock, end: predecessor::End) {
+        self.predecessor.end = end;
+        let listed_at = clock.now + limits::LISTING_WAIT_MS;
+        let over_at = self.predecessor.leases_over_at(clock.now, &self.limits).max(listed_at);
+        self.leases_over_at = self.leases_over_at.min(over_at);
+    }
+
     /// Returns a worker of the cell.
     pub fn worker(&self, id: &str) -> Option<&Worker> {
         self.workers.get(id)
--- a/crates/fleet/src/cell_record.rs
+++ b/crates/fleet/src/cell_record.rs
@@ -74,7 +74,7 @@
             || self.dirty.iter().any(|id| self.jobs.get(id).is_none_or(urgent))
     }
 
-    /// Returns whether two heads publish the same processors, backlog and pending jobs.
+    /// Returns whether two heads publish the same processors, backlog and pending jobs, and the same state of the takeover.
     fn same_load(left: &Head, right: &Head) -> bool {
         left.free_milli == right.free_milli
             && left.largest_milli == right.largest_milli
@@ -83,6 +83,7 @@
             && left.backlog == right.backlog
             && left.pending == right.pending
             && left.settled == right.settled
+            && (left.settling_ms == 0) == (right.settling_ms == 0)
             && left.vacated == right.vacated
     }
 
@@ -125,6 +126,11 @@
         self.head.cell
     }
 
+    /// Returns for how long leases that earlier owners granted may last.
+    fn settling_ms(&self, now: u64) -> u64 {
+        if self.unfenced.is_empty() { 0 } else { self.leases_over_at.saturating_sub(now) }
+    }
+
     /// Returns the next head, with the current load of the cell.
     fn next_head(&self, clock: Clock) -> Head {
         let mut head = Head {
@@ -140,6 +146,7 @@
             usable_milli: self.usable_milli.clone(),
             sequence: self.head.sequence + 1,
             settled: self.unfenced.is_empty(),
+            settling_ms: self.settling_ms(clock.now),
             steps: BTreeMap::new(),
             throughput: self.throughput(clock),
             total_milli: 0,
--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -36,6 +36,10 @@
     Pressure(pressure::Pressure),
     /// The zones to be evacuated changed.
     Evacuated(BTreeSet<Arc<str>>),
+    /// It became known how the last owner has ended.
+    PredecessorEnded(predecessor::End),
+    /// The mark of an owner that has stopped was read.
+    Released(Release),
     /// This owner is shutting down: it starts no more runs.
     Leaving,
     /// The store shows another owner, or none.
--- a/crates/fleet/src/head.rs
+++ b/crates/fleet/src/head.rs
@@ -48,6 +48,9 @@
     /// Whether the owner knows that orders of earlier owners are over at every worker.
     #[serde(default)]
     pub settled: bool,
+    /// For how long leases that earlier owners granted may last, in milliseconds; 0 if settled, or unknown.
+    #[serde(default)]
+    pub settling_ms: u64,
     /// Workers without runs that get none before a later head: they drain, or have been silent for longer
     /// than their lease.
     #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -20,9 +20,10 @@
     fit::Fit, forecast::Forecast, gate::Gate, head::Head, headroom::Headroom, job::Job,
     lateness::Lateness, lifetime::Lifetime, limits::Limits, listing::Listing, load::Load,
     policy::Policy, predecessor::Predecessor, progress::Progress, queue::Queue,
-    registration::Registration, registry::Registry, reservation::Reservation, run::Run,
-    settling::Settling, state::State, step::Step, submission::Submission, suspicion::Suspicion,
-    throughput::Throughput, ticket::Ticket, trace::Trace, usage::Usage, worker::Worker,
+    registration::Registration, registry::Registry, release::Release, reservation::Reservation,
+    run::Run, settling::Settling, state::State, step::Step, submission::Submission,
+    suspicion::Suspicion, throughput::Throughput, ticket::Ticket, trace::Trace, usage::Usage,
+    worker::Worker,
 };
 
 pub mod action;
@@ -57,6 +58,7 @@
 pub mod queue;
 pub mod registration;
 pub mod registry;
+pub mod release;
 pub mod reservation;
 pub mod run;
 pub mod settling;
--- a/crates/fleet/src/limits.rs
+++ b/crates/fleet/src/limits.rs
@@ -9,6 +9,13 @@
     pub owner_silence_ms: u64,
 }
 
+impl Limits {
+    /// Returns how long after an owner has sent its last order a worker's lease can last, in milliseconds.
+    pub fn longest_lease_ms(&self) -> u64 {
+        self.lease_ms * 100 / (100 - CLOCK_SLOW_PERCENT) + LEASE_SLACK_MS
+    }
+}
+
 /// By how much a worker's clock may run slow, in percent.
 pub const CLOCK_SLOW_PERCENT: u64 = 2;
 /// Margin after the computed end of a lease for delays of the worker's timers, in milliseconds.
@@ -27,5 +34,8 @@
 pub const NO_ROOM_PAUSE_MS: u64 = 150;
 /// How long a worker that is unhealthy or does not answer gets no new runs, in milliseconds.
 pub const UNHEALTHY_PAUSE_MS: u64 = 1_000;
+/// How long a new owner waits for the lists of workers whose leases are over, in milliseconds: long enough
+/// for two polls. They may hold ends that the last owner could not record.
+pub const LISTING_WAIT_MS: u64 = 1_500;
 /// Interval between [`Event::Tick`](crate::Event::Tick) events, in milliseconds.
 pub const TICK_MS: u64 = 100;
--- a/crates/fleet/src/predecessor.rs
+++ b/crates/fleet/src/predecessor.rs
@@ -1,34 +1,61 @@
 //! What a new owner has to wait for before it starts tasks that the last one may have started: only
 //! the workers that may still run something, and only as long as their leases can last. Answers this load:
-//! VMs that are restarted in turn, or all at once, while workers leave and crash.
+//! VMs that are restarted in turn, or all at once, and outages of the store, while workers leave and crash.
 
 use super::*;
 
 /// The last owner of a cell, as its successor knows it.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Predecessor {
-    /// Whether its process is known to have ended, or to have released the cell, before its successor
-    /// acquired it. Otherwise it may have gone on without the store.
-    pub ended: bool,
+    /// Its number.
+    pub generation: u32,
+    /// How its ownership ended.
+    pub end: End,
     /// Whether it knew that orders of all owners before it were over.
     pub settled: bool,
+    /// For how long after its last commit leases of owners before it may last, in milliseconds; 0 if
+    /// unknown.
+    pub settling_ms: u64,
     /// Workers that held no runs, and got none before a later head.
     pub vacated: BTreeSet<String>,
 }
 
+/// How the ownership of a cell ended, as far as its successor knows.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum End {
+    /// It may go on without the store.
+    #[default]
+    Unknown,
+    /// Its process has ended.
+    Ended,
+    /// It grants no more leases.
+    Stopped {
+        /// When its leases and those of earlier owners are over, in milliseconds.
+        leases_over_at: u64,
+    },
+}
+
 impl Predecessor {
-    /// Returns the last owner as its head shows it. `ended` tells whether it is known to have ended.
-    pub fn new(head: &Head, ended: bool) -> Self {
-        Self { ended, settled: head.settled || head.generation == 0, vacated: head.vacated.clone() }
+    /// Returns the last owner as its head shows it.
+    pub fn new(head: &Head, end: End) -> Self {
+        Self {
+            generation: head.generation,
+            end,
+            settled: head.settled || head.generation == 0,
+            settling_ms: head.settling_ms,
+            vacated: head.vacated.clone(),
+        }
     }
 
-    /// Returns when every lease that earlier owners granted is over, for a successor that acquired the
-    /// cell at `acquired_at`, both in milliseconds.
-    pub fn leases_over_at(&self, acquired_at: u64, limits: &Limits) -> u64 {
-        let silence_ms = if self.ended && self.settled { 0 } else { limits.owner_silence_ms };
-        acquired_at
-            + silence_ms
-            + limits.lease_ms * 100 / (100 - limits::CLOCK_SLOW_PERCENT)
-            + limits::LEASE_SLACK_MS
+    /// Returns when every lease that earlier owners granted is over, for a successor that had acquired
+    /// the cell and knew of the end at `now`, in milliseconds.
+    pub fn leases_over_at(&self, now: u64, limits: &Limits) -> u64 {
+        let lease_ms = limits.longest_lease_ms();
+        match self.end {
+            End::Stopped { leases_over_at } => leases_over_at,
+            End::Ended if self.settled => now + lease_ms,
+            End::Ended if self.settling_ms > 0 => now + lease_ms.max(self.settling_ms),
+            End::Ended | End::Unknown => now + limits.owner_silence_ms + lease_ms,
+        }
     }
 }
--- a/crates/fleet/tests/takeover.rs
+++ b/crates/fleet/tests/takeover.rs
@@ -3,7 +3,7 @@
 mod world;
 
 use {
-    oleanderstage_fleet::{Event, Head, State, action::Report},
+    oleanderstage_fleet::{Event, Head, Release, State, action::Report, predecessor::End},
     world::{QUEUE, Store, World, id, name, serving, step},
 };
 
@@ -43,7 +43,7 @@
     world.advance(1_000);
     let holder = world.starts(name("1", 0, 0))[0].0.clone();
     world.worker(&holder).unreachable = true;
-    world.owner_ended = true;
+    world.owner_end = End::Ended;
     world.take_over();
     world.advance(4_000);
     assert_eq!(world.starts(name("1", 0, 0)).len(), 1);
@@ -62,7 +62,7 @@
     world.worker(&holder).unreachable = true;
     world.take_over();
     world.advance(1_000);
-    world.owner_ended = true;
+    world.owner_end = End::Ended;
     world.take_over();
     world.advance(8_000);
     assert_eq!(world.starts(name("1", 0, 0)).len(), 1);
@@ -70,6 +70,114 @@
     assert_eq!(world.starts(name("1", 0, 0)).len(), 2, "every lease has run out");
 }
 
+/// The store had been away for longer than the last owner and its leases lasted.
+#[test]
+fn a_new_owner_of_one_that_stopped_does_not_wait_for_leases_that_are_over() {
+    let (mut world, _) = lost_run();
+    world.owner_end = End::Stopped { leases_over_at: world.now };
+    world.take_over();
+    world.advance(2_000);
+    assert_eq!(world.starts(name("1", 0, 0)).len(), 2);
+}
+
+#[test]
+fn a_new_owner_of_one_that_stopped_waits_until_its_leases_are_over() {
+    let (mut world, _) = lost_run();
+    world.owner_end = End::Stopped { leases_over_at: world.now + 3_000 };
+    world.take_over();
+    world.advance(2_900);
+    assert_eq!(world.starts(name("1", 0, 0)).len(), 1);
+    world.advance(200);
+    assert_eq!(world.starts(name("1", 0, 0)).len(), 2);
+}
+
+/// A task that ended while the store was away would run twice.
+#[test]
+fn ends_that_the_last_owner_could_not_record_are_listed_before_tasks_start_again() {
+    let mut world = World::new(&["w1", "w2"]);
+    world.submit("1", QUEUE, vec![step(1, 1)]);
+    world.advance(100);
+    world.store = Store::Down;
+    world.advance(9_900);
+    world.store = Store::Up;
+    world.owner_end = End::Stopped { leases_over_at: world.now };
+    world.take_over();
+    world.advance(2_000);
+    assert_eq!(world.starts(name("1", 0, 0)).len(), 1);
+    assert_eq!(world.state("1"), State::Completed);
+}
+
+/// Two VMs got the store back at the same time, and the one that had the cell left its mark later.
+#[test]
+fn a_mark_of_the_last_owner_ends_the_wait_and_that_of_another_does_not() {
+    let (mut world, generation) = lost_run();
+    world.take_over();
+    world.advance(2_000);
+    let release = |generation| Event::Released(Release { generation, leases_left_ms: 0 });
+    world.handle(release(generation - 1));
+    world.advance(1_600);
+    assert_eq!(world.starts(name("1", 0, 0)).len(), 1, "the mark of an earlier owner");
+    world.handle(release(generation));
+    world.advance(1_600);
+    assert_eq!(world.starts(name("1", 0, 0)).len(), 2);
+}
+
+/// The entry of its VM's next process was read after the cell's records.
+#[test]
+fn an_end_that_is_learned_later_shortens_the_wait() {
+    let (mut world, _) = lost_run();
+    world.take_over();
+    world.advance(1_000);
+    world.handle(Event::PredecessorEnded(End::Ended));
+    world.advance(4_000);
+    assert_eq!(world.starts(name("1", 0, 0)).len(), 1);
+    world.advance(500);
+    assert_eq!(world.starts(name("1", 0, 0)).len(), 2);
+}
+
+/// All VMs lost power twice within seconds.
+#[test]
+fn restarts_in_series_do_not_lengthen_the_wait() {
+    let (mut world, _) = lost_run();
+    world.owner_end = End::Ended;
+    for _ in 0..3 {
+        world.take_over();
+        world.advance(1_000);
+    }
+    world.advance(3_000);
+    assert_eq!(world.starts(name("1", 0, 0)).len(), 1);
+    world.advance(700);
+    assert_eq!(world.starts(name("1", 0, 0)).len(), 2);
+}
+
+/// An owner's mark covers what it still waited for itself.
+#[test]
+fn an_owner_that_stops_tells_of_the_leases_before_its_own() {
+    let (mut world, _) = lost_run();
+    world.take_over();
+    world.advance(1_000);
+    let leases_over_at = world.cell.leases_over_at(world.now);
+    assert_eq!(leases_over_at, world.now - 1_000 + 9_731);
+    world.owner_end = End::Stopped { leases_over_at };
+    world.take_over();
+    world.advance(8_600);
+    assert_eq!(world.starts(name("1", 0, 0)).len(), 1);
+    world.advance(400);
+    assert_eq!(world.starts(name("1", 0, 0)).len(), 2);
+}
+
+/// Returns a cell whose one task runs at a worker that can't be reached, and the number of its owner.
+fn lost_run() -> (World, u32) {
+    let mut world = World::new(&["w1", "w2"]);
+    world.run_ms = 60_000;
+    world.submit("1", QUEUE, vec![step(1, 1)]);
+    world.advance(1_000);
+    let holder = world.starts(name("1", 0, 0))[0].0.clone();
+    world.worker(&holder).unreachable = true;
+    let generation = world.cell.head().0.generation;
+    (world, generation)
+}
+
 /// A worker had drained and left while the store was away, and half of the jobs waited 9.7 s for it.
 #[test]
 fn a_new_owner_does_not_wait_for_a_worker_that_held_nothing() {
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -7,7 +7,7 @@
     oleanderstage_fleet::{
         Action, Cell, Clock, Commit, Config, Event, Head, Limits, Policy, Predecessor, Progress,
         Queue, Registration, State, Step, Submission, Ticket, action::Report, cell, event::Outcome,
-        event::Refusal, job, listing::EndReason, task,
+        event::Refusal, job, listing::EndReason, predecessor, task,
     },
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -52,8 +52,8 @@
     pub stored_pressure: oleanderstage_fleet::pressure::Pressure,
     /// The mechanisms of the next owner.
     pub policy: Policy,
-    /// Whether the next owner knows that the last one has ended.
-    pub owner_ended: bool,
+    /// How the last owner has ended, as far as the next one knows.
+    pub owner_end: predecessor::End,
     pub polls_sent: u64,
     /// Polls in flight: time sent in milliseconds, worker, and time of the answer at the latest.
     polls: Vec<(u64, Arc<str>, u64)>,
@@ -152,6 +152,7 @@
             cell: Cell::new(
                 cell::Start {
                     acquired_at: 0,
+                    loaded_at: 0,
                     config: config(),
                     head: Head::default(),
                     head_revision: 0,
@@ -179,7 +180,7 @@
             cores: 16,
             stored_pressure: Default::default(),
             policy: Policy::default(),
-            owner_ended: false,
+            owner_end: predecessor::End::Unknown,
             polls_sent: 0,
             polls: Vec::new(),
             sent: BTreeMap::new(),
@@ -204,9 +205,10 @@
             owner: format!("vm-{}", self.head.0.generation + 1),
             sequence: 0,
             settled: false,
+            settling_ms: 0,
             ..self.head.0.clone()
         };
-        let predecessor = Predecessor::new(&self.head.0, self.owner_ended);
+        let predecessor = Predecessor::new(&self.head.0, self.owner_end);
         self.head = (head.clone(), self.revision);
         let jobs = self
             .records
@@ -219,6 +221,7 @@
             .collect();
         let start = cell::Start {
             acquired_at: self.now,
+            loaded_at: self.now,
             config: config(),
             head,
             head_revision: self.revision,
--- a/crates/node/src/inputs.rs
+++ b/crates/node/src/inputs.rs
@@ -11,6 +11,8 @@
     evacuation_version: u64,
     /// Since when the cell is assigned to another VM, or this VM leaves, in milliseconds.
     pub(crate) leaving_since: Option<u64>,
+    /// The incarnation of the last owner, and the revision of its last head, until it is known to have ended.
+    predecessor: Option<(String, u64)>,
     /// Whether the workers' entries were too old for new runs.
     stale: bool,
     /// The value of [`Node::view`] for the members that the cell has.
@@ -18,6 +20,11 @@
 }
 
 impl Inputs {
+    /// Returns the inputs of a cell whose last owner was the incarnation `owner`, with a head of `revision`.
+    pub(crate) fn new(owner: String, revision: u64) -> Self {
+        Self { predecessor: Some((owner, revision)), ..Self::default() }
+    }
+
     /// Returns the changes since the last call, in an order in which the cell places nothing from
     /// entries that are too old.
     pub(crate) fn changes(&mut self, executor: &Executor, now: u64) -> Vec<Event> {
@@ -26,6 +33,10 @@
         let stale_changed = stale != self.stale;
         self.stale = stale;
         let mut events = Vec::new();
+        let has_ended = |(owner, revision): &mut (String, u64)| node.has_ended(owner, *revision);
+        if self.predecessor.take_if(has_ended).is_some() {
+            events.push(Event::PredecessorEnded(End::Ended));
+        }
         if stale_changed {
             log::info!(cell = executor.cell, stale; "view_stale");
         }
--- a/crates/node/src/keys.rs
+++ b/crates/node/src/keys.rs
@@ -23,6 +23,7 @@
     Cancelled(job::Id),
     Job(job::Id),
     Owner,
+    Released,
 }
 
 pub(crate) fn head(cell: u32) -> String {
@@ -44,7 +45,7 @@
     format!("{}{OWNER}", cell_prefix(cell))
 }
 
-/// Returns the key under which the last owner that released a cell in order left its generation.
+/// Returns the key under which the last owner that has stopped left its [`Release`].
 pub(crate) fn released(cell: u32) -> String {
     format!("{}{RELEASED}", cell_prefix(cell))
 }
@@ -80,6 +81,9 @@
     if rest == OWNER {
         return Some(Kind::Owner);
     }
+    if rest == RELEASED {
+        return Some(Kind::Released);
+    }
     match rest.strip_suffix(CANCELLED) {
         Some(id) => id.parse().ok().map(Kind::Cancelled),
         None => rest.parse().ok().map(Kind::Job),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,10 +14,11 @@
     },
     oleanderstage_fleet::{
         Action, Assignment, Cell, Clock, Commit, Config, Continuity, Evacuation, Event, Gate, Head,
-        Limits, Policy, Predecessor, Progress, Queue, Registration, Registry, Settling, State,
-        Submission, Ticket, action, admission, assignment, cell, evacuation,
+        Limits, Policy, Predecessor, Progress, Queue, Registration, Registry, Release, Settling,
+        State, Submission, Ticket, action, admission, assignment, cell, evacuation,
         event::{Outcome, Refusal},
         gate, job,
+        predecessor::End,
         pressure::Pressure,
         registry,
     },
@@ -46,6 +47,7 @@
     inputs::Inputs,
     node::Node,
     record::decode,
+    stop::Stop,
     wait::Wait,
 };
 
@@ -66,5 +68,6 @@
 mod run;
 mod serve;
 mod session;
+mod stop;
 mod time;
 mod wait;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -51,6 +51,8 @@
     pub(crate) cell_acquired: Notify,
     /// Identifies this start of the process, by the VM's name and address and the time.
     pub(crate) incarnation: String,
+    /// How the last ownership of each cell by this process ended.
+    pub(crate) stops: RefCell<BTreeMap<u32, Stop>>,
     /// A cache of final states of jobs.
     pub(crate) final_states: RefCell<HashMap<job::Id, State>>,
 }
@@ -100,6 +102,7 @@
             cell_acquired: Notify::new(),
             cells: RefCell::default(),
             incarnation: format!("{}@{}#{}.{}", boot.vm, boot.ip, start.unix, start.now),
+            stops: RefCell::default(),
             final_states: RefCell::default(),
             policy,
             boot,
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -76,17 +76,26 @@
         return discard_own_entry(node, cell).await;
     };
     log::info!(cell, generation = acquisition.head.generation, fence = acquisition.fence; "cell_taken");
-    // Without a snapshot, the cell was assigned to another VM while it was loaded.
-    if let Some(snapshot) = load(node, cell, &acquisition).await {
-        run_cell(node, cell, &acquisition, snapshot).await;
-    }
-    release(node, cell, &acquisition).await;
+    let leases_over_at = match load(node, cell, &acquisition).await {
+        Some(snapshot) => run_cell(node, cell, &acquisition, snapshot).await,
+        // The cell was assigned to another VM while it was loaded.
+        None => predecessor(node, cell, &acquisition, None)
+            .leases_over_at(acquisition.sent_at, &node.limits()),
+    };
+    let stop = Stop { generation: acquisition.head.generation, leases_over_at };
+    node.stops.borrow_mut().insert(cell, stop);
+    release(node, cell, acquisition.fence, &stop).await;
     log::info!(cell, fence = acquisition.fence; "cell_left");
 }
 
 /// Runs a loaded cell, with its watch and its reads of pressure, until it is lost or can be
-/// released.
-async fn run_cell(node: &Rc<Node>, cell: u32, acquisition: &Acquisition, snapshot: Snapshot) {
+/// released. Returns when the leases are over that this owner and earlier ones granted, in milliseconds.
+async fn run_cell(
+    node: &Rc<Node>,
+    cell: u32,
+    acquisition: &Acquisition,
+    snapshot: Snapshot,
+) -> u64 {
     let Snapshot { cancelled, revision, cell: loaded } = snapshot;
     let (events, inbox) = mpsc::unbounded_channel();
     let executor = Rc::new(Executor::new(node.clone(), cell, acquisition.fence, events));
@@ -97,9 +106,12 @@
         .starting_after(revision);
     let watch_task = spawn_local(watch_keys(executor.clone(), follower));
     let pressure_task = spawn_local(read_pressures(executor.clone()));
-    handle_events(&executor, loaded, inbox).await;
+    let (previous, revision) = &acquisition.previous;
+    let inputs = Inputs::new(previous.owner.clone(), *revision);
+    let leases_over_at = handle_events(&executor, loaded, inbox, inputs).await;
     watch_task.abort();
     pressure_task.abort();
+    leases_over_at
 }
 
 /// Acquires a cell as soon as its last owner's entry is gone. Returns `None` when the cell is no
@@ -149,6 +161,7 @@
         owner: node.incarnation.clone(),
         sequence: 0,
         settled: false,
+        settling_ms: 0,
         ..old.clone()
     };
     let owner = node.incarnation.clone().into_bytes();
@@ -308,19 +321,16 @@
             _ => {}
         }
     }
-    let (previous, previous_revision) = &acquisition.previous;
-    let mark = items.items.iter().find(|item| item.key == keys::released(cell));
-    let released = mark.and_then(|item| item.value.as_deref())
-        == Some(previous.generation.to_string().as_bytes());
-    let ended = released || node.has_ended(&previous.owner, *previous_revision);
-    let predecessor = Predecessor::new(previous, ended);
+    let released = items.items.iter().find(|item| item.key == keys::released(cell));
+    let predecessor = predecessor(node, cell, acquisition, released);
     let config = node.config.borrow().clone().unwrap_or_default();
     log::info!(
-        cell, jobs = jobs.len(), revision = items.revision, ended,
-        settled = predecessor.settled, vacated = predecessor.vacated.len(); "cell_loaded"
+        cell, jobs = jobs.len(), revision = items.revision,
+        predecessor:? = predecessor.end, settled = predecessor.settled, vacated = predecessor.vacated.len(); "cell_loaded"
     );
     let start = cell::Start {
         acquired_at: acquisition.sent_at,
+        loaded_at: time::now(),
         config,
         head: acquisition.head.clone(),
         head_revision: acquisition.head_revision,
@@ -334,6 +344,30 @@
     Some(Snapshot { cancelled, revision: items.revision, cell: loaded })
 }
 
+/// Returns what is known of the owner before an acquisition. `released` is the mark of the last owner
+/// that has stopped, if it was read.
+fn predecessor(
+    node: &Node,
+    cell: u32,
+    acquisition: &Acquisition,
+    released: Option<&Item>,
+) -> Predecessor {
+    let (previous, revision) = &acquisition.previous;
+    let own = node.stops.borrow().get(&cell).copied();
+    let own = own.filter(|stop| {
+        previous.owner == node.incarnation && previous.generation == stop.generation
+    });
+    let release = released.and_then(decode::<Release>);
+    let release = release.filter(|release| release.generation == previous.generation);
+    let end = match (own, release) {
+        (Some(stop), _) => End::Stopped { leases_over_at: stop.leases_over_at },
+        (None, Some(release)) => release.end(time::now()),
+        (None, None) if node.has_ended(&previous.owner, *revision) => End::Ended,
+        (None, None) => End::Unknown,
+    };
+    Predecessor::new(previous, end)
+}
+
 /// Turns changes of the cell's keys into events. An owner's entry other than this executor's, or
 /// none, means that the cell is lost.
 async fn watch_keys(executor: Rc<Executor>, mut follower: Follower) {
@@ -353,6 +387,10 @@
                 Some(keys::Kind::Cancelled(id)) if item.value.is_some() => {
                     executor.send(Event::Cancelled { id, revision: item.revision });
                 }
+                Some(keys::Kind::Released) => {
+                    let Some(release) = decode(&item) else { continue };
+                    executor.send(Event::Released(release));
+                }
                 _ => {}
             }
             if !owned && !complete {
@@ -389,15 +427,16 @@
 
 /// Passes events and shared state to the cell and executes its actions, until the cell is lost or
 /// its owner has left it. The lease, the age of the view and changes of the shared state are looked
-/// at before an event, since it may be the first one after a pause.
+/// at before an event, since it may be the first one after a pause. Returns when the leases are over
+/// that this owner and earlier ones granted, in milliseconds.
 async fn handle_events(
     executor: &Rc<Executor>,
     mut cell: Cell,
     mut inbox: mpsc::UnboundedReceiver<Event>,
-) {
+    mut inputs: Inputs,
+) -> u64 {
     let node = &executor.node;
     let wake = node.cells.borrow().get(&executor.cell).cloned().unwrap_or_default();
-    let mut inputs = Inputs::default();
     loop {
         let event = tokio::select! {
             event = inbox.recv() => event.unwrap_or(Event::Tick),
@@ -415,27 +454,55 @@
         }
         if lost {
             log::warn!(cell = executor.cell, fence = executor.fence, silent; "cell_lost");
-            return;
+            return cell.leases_over_at(clock.now);
         }
         let quiet = cell.is_quiet();
         if inputs.leaving_since.is_some_and(|since| quiet || clock.now > since + LEAVE_TIMEOUT_MS) {
             log::info!(cell = executor.cell, sequence = cell.head().0.sequence; "cell_handed_over");
-            return;
+            return cell.leases_over_at(clock.now);
         }
     }
 }
 
-/// Removes the owner's entry, so that the next owner does not wait for the lease to expire, and tries
-/// until the store has answered.
-async fn release(node: &Rc<Node>, cell: u32, acquisition: &Acquisition) {
-    let generation = acquisition.head.generation.to_string().into_bytes();
-    let txn = Txn {
-        expected: vec![(keys::owner(cell), acquisition.fence)],
-        removed: vec![keys::owner(cell)],
-        writes: vec![(keys::released(cell), generation, 0)],
-    };
-    while let Err(error) = remove(node, &txn).await {
-        node.store_failed("give-up", &error);
+/// Removes the owner's entry, so that the next owner does not wait for the lease to expire, and leaves
+/// the mark that it has stopped. Tries until the store has answered.
+async fn release(node: &Rc<Node>, cell: u32, fence: u64, stop: &Stop) {
+    loop {
+        let txn = Txn {
+            expected: vec![(keys::owner(cell), fence)],
+            removed: vec![keys::owner(cell)],
+            writes: vec![(keys::released(cell), record::encode(&stop.release()), 0)],
+        };
+        match node.store.txn(&txn).await {
+            Ok(_) => return,
+            // The entry has gone with the VM's lease, or an earlier try was carried out.
+            Err(store::Error::Conflict(_)) => return leave_mark(node, cell, stop).await,
+            Err(error) => node.store_failed("give-up", &error),
+        }
         sleep(RELEASE_RETRY_DELAY).await;
     }
 }
+
+/// Leaves the mark of an owner that has stopped, unless it is there or a later owner has left one.
+/// Tries until the store has answered.
+async fn leave_mark(node: &Rc<Node>, cell: u32, stop: &Stop) {
+    while let Err(error) = try_leave_mark(node, cell, stop).await {
+        node.store_failed("mark", &error);
+        sleep(RELEASE_RETRY_DELAY).await;
+    }
+}
+
+async fn try_leave_mark(node: &Rc<Node>, cell: u32, stop: &Stop) -> Result<(), store::Error> {
+    let key = keys::released(cell);
+    let item = node.store.get(&key).await?;
+    let is_over = |release: Release| release.generation >= stop.generation;
+    if item.as_ref().and_then(decode::<Release>).is_some_and(is_over) {
+        return Ok(());
+    }
+    let txn = Txn {
+        expected: vec![(key.clone(), item.map_or(0, |item| item.revision))],
+        writes: vec![(key, record::encode(&stop.release()), 0)],
+        ..Txn::default()
+    };
+    node.store.txn(&txn).await.map(drop)
+}
