A VM that took a cell without an answer waits as long as for the owner before it

A take whose answer is lost makes this process the last owner in the head, one that never ran: its next try found an owner of which it knew nothing, and waited 9.7 s for workers that don't answer. The owner before the unanswered try counts now. Nor is there anything to wait for where a cell had no owner before.

lasting_tasks_restart_after_a_take_without_an_answer fails without the change (timed out after 6 s).

--- a/crates/fleet/src/predecessor.rs
+++ b/crates/fleet/src/predecessor.rs
@@ -7,7 +7,7 @@
 /// The last owner of a cell, as its successor knows it.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Predecessor {
-    /// Its number.
+    /// Its number, counted from 1; 0 if the cell had no owner before.
     pub generation: u32,
     /// How its ownership ended.
     pub end: End,
@@ -41,7 +41,7 @@
         Self {
             generation: head.generation,
             end,
-            settled: head.settled || head.generation == 0,
+            settled: head.settled,
             settling_ms: head.settling_ms,
             vacated: head.vacated.clone(),
         }
@@ -52,6 +52,7 @@
     pub fn leases_over_at(&self, now: u64, limits: &Limits) -> u64 {
         let lease_ms = limits.longest_lease_ms();
         match self.end {
+            _ if self.generation == 0 => now,
             End::Stopped { leases_over_at } => leases_over_at,
             End::Ended if self.settled => now + lease_ms,
             End::Ended if self.settling_ms > 0 => now + lease_ms.max(self.settling_ms),
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -118,13 +118,15 @@
 /// longer assigned to this VM.
 async fn acquire(node: &Rc<Node>, cell: u32) -> Option<Acquisition> {
     let mut wait = Wait::new(cell, time::now());
+    // The owner before a try that may have taken the cell.
+    let mut unanswered = None;
     loop {
         node.assigned_members(cell)?;
         let Some(lease) = node.lease.get() else {
             sleep(RETRY_DELAY).await;
             continue;
         };
-        match try_acquire(node, cell, lease).await {
+        match try_acquire(node, cell, lease, &mut unanswered).await {
             Ok(Attempt::Acquired(acquisition)) => {
                 node.confirm_lease(lease, acquisition.sent_at);
                 node.meter.cell_taken(wait.waited_ms(acquisition.sent_at));
@@ -148,8 +150,14 @@
     Owned(String),
 }
 
-/// Tries once to acquire a cell under the VM's lease.
-async fn try_acquire(node: &Rc<Node>, cell: u32, lease: u64) -> Result<Attempt, store::Error> {
+/// Tries once to acquire a cell under the VM's lease. An earlier try without an answer may have made this
+/// process the last owner, which has sent no orders: the one before it counts, kept in `unanswered`.
+async fn try_acquire(
+    node: &Rc<Node>,
+    cell: u32,
+    lease: u64,
+    unanswered: &mut Option<(Head, u64)>,
+) -> Result<Attempt, store::Error> {
     let item = node.store.get(&keys::head(cell)).await?;
     let (old, previous_revision) = match &item {
         Some(item) => (decode::<Head>(item).unwrap_or_default(), item.revision),
@@ -176,7 +184,9 @@
     let sent_at = time::now();
     match node.store.txn(&txn).await {
         Ok(fence) => {
-            let previous = (old, previous_revision);
+            let read = (old, previous_revision);
+            let is_own = read.0.owner == node.incarnation;
+            let previous = unanswered.take().filter(|_| is_own).unwrap_or(read);
             Ok(Attempt::Acquired(Box::new(Acquisition {
                 sent_at,
                 fence,
@@ -198,7 +208,12 @@
             remove_entry(node, cell, revision).await?;
             Ok(Attempt::Cleared)
         }
-        Err(error) => Err(error),
+        Err(error) => {
+            if old.owner != node.incarnation || unanswered.is_none() {
+                *unanswered = Some((old, previous_revision));
+            }
+            Err(error)
+        }
     }
 }
 
--- a/crates/node/tests/outage.rs
+++ b/crates/node/tests/outage.rs
@@ -39,7 +39,7 @@
     async fn start(vm: &str) -> Self {
         let (store, address) = UsersStore::start().await.unwrap();
         store.put("op/config", &config());
-        store.put("m/map", &json!({"owners": [vm], "workers": {"i-1": 0, "i-2": 0}}));
+        assign(&store, vm);
         let ledger = UsersLedger::default();
         let workers = [
             start_worker("i-1", &store, &ledger).await,
@@ -78,6 +78,11 @@
     }
 }
 
+/// Assigns the cell to a VM.
+fn assign(store: &UsersStore, vm: &str) {
+    store.put("m/map", &json!({"owners": [vm], "workers": {"i-1": 0, "i-2": 0, "i-3": 0}}));
+}
+
 async fn start_worker(id: &str, store: &UsersStore, ledger: &UsersLedger) -> UsersWorker {
     let (worker, address) = UsersWorker::start(id, ledger.clone()).await.unwrap();
     worker.register(store, address, false);
@@ -120,3 +125,25 @@
         assert_eq!(cell.generation(), before + 1);
     });
 }
+
+/// The VM had taken the cell without an answer, and then waited as long for itself as for an owner of
+/// which it knew nothing.
+#[test]
+fn lasting_tasks_restart_after_a_take_without_an_answer() {
+    process::run(async {
+        let cell = Cell::start("vm-unanswered").await;
+        let _third = start_worker("i-3", &cell.store, &cell.ledger).await;
+        let is_free = || cell.store.values("c/0/@owner").is_empty();
+        cell.store.put("m/vm/vm-a", &json!({"processors_milli": 500}));
+        assign(&cell.store, "vm-a");
+        wait_until("the cell without an owner", TIMEOUT, is_free).await;
+        cell.workers[1].leave();
+        cell.store.set_availability(Availability::Mute);
+        assign(&cell.store, "vm-unanswered");
+        wait_until("the owner's entry", TIMEOUT, || !is_free()).await;
+        cell.store.set_availability(Availability::Up);
+        let restarted = || cell.is_running(0) && cell.is_running(1);
+        wait_until("the lasting tasks to run again", RESTART_TIMEOUT, restarted).await;
+        assert_eq!(cell.ledger.violations(), Vec::<String>::new());
+    });
+}
