Tasks that come back before the answer to their split run here

Cause: the answer to a split was lost, and the other cell moved the tasks back before the store answered again. The addition was seen while the tasks still counted as waiting here, so it added nothing; then the late answer marked them as run elsewhere. They ran nowhere until the next owner of the cell.

Change: an addition that is seen while a split waits for its outcome is applied after it. If the split was made, the addition came later, as the split would otherwise have failed on the ticket's revision; if it was not made, its tasks are still here.

--- a/crates/fleet/src/cell.rs
+++ b/crates/fleet/src/cell.rs
@@ -278,7 +278,7 @@
             return;
         }
         if let Some(job) = self.jobs.get_mut(&id) {
-            self.placement_due |= job.add_tasks(&record, revision);
+            self.placement_due |= job.add_tasks(record, revision);
             return;
         }
         let queue = self.config.queue_named(&record.queue).cloned().unwrap_or_else(|| {
--- a/crates/fleet/src/cell_record.rs
+++ b/crates/fleet/src/cell_record.rs
@@ -174,7 +174,10 @@
     pub(crate) fn handle_commit(&mut self, clock: Clock, outcome: Outcome) {
         let Some(mut pending) = self.commit.take() else { return };
         match outcome {
-            Outcome::Committed(revision) => self.apply_commit(clock, &pending, revision),
+            Outcome::Committed(revision) => {
+                self.apply_commit(clock, &pending, revision);
+                self.apply_additions(&pending.commit);
+            }
             Outcome::Conflict(tickets) => {
                 for (id, _, _) in &pending.commit.records {
                     if let Some(job) = self.jobs.get_mut(id) {
@@ -188,6 +191,7 @@
                 for (id, revision, ticket) in tickets {
                     self.apply_conflict(id, revision, ticket.as_ref());
                 }
+                self.apply_additions(&pending.commit);
             }
             Outcome::Lost => self.mark_lost(),
             Outcome::Refused | Outcome::Unknown => {
@@ -250,6 +254,16 @@
         }
     }
 
+    /// Adds the tasks that other cells added while splits of this commit waited for its outcome.
+    fn apply_additions(&mut self, commit: &Commit) {
+        for (id, _, _) in &commit.records {
+            let Some(job) = self.jobs.get_mut(id) else { continue };
+            if let Some((record, revision)) = job.addition.take() {
+                self.placement_due |= job.add_tasks(record, revision);
+            }
+        }
+    }
+
     /// Applies a ticket that another process changed since this owner last wrote it; that happens
     /// when the caller cancels the job.
     fn apply_conflict(&mut self, id: job::Id, revision: u64, ticket: Option<&Ticket>) {
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -97,6 +97,9 @@
     pub additions: u32,
     /// The number of additions by its ticket.
     pub ticket_additions: u32,
+    /// Its record with tasks that another cell added, and the record's revision, while a split waits for
+    /// the answer of the store: the added tasks may be those of the split, which have come back.
+    pub addition: Option<(Record, u64)>,
     /// The cell that the job is being moved to.
     pub moving_to: Option<u32>,
     /// Since when tasks of a lasting job that has begun have been waiting, in milliseconds.
@@ -201,6 +204,7 @@
             also: record.ticket.as_ref().map(|ticket| ticket.also.clone()).unwrap_or_default(),
             additions: record.ticket.as_ref().map_or(0, |ticket| ticket.additions),
             ticket_additions: record.ticket.as_ref().map_or(0, |ticket| ticket.additions),
+            addition: None,
             moving_to: None,
             splitting: None,
             waiting_since: None,
@@ -295,12 +299,18 @@
     }
 
     /// Adds the tasks that another cell has added to this cell's record, which was written at `revision`
-    /// together with its ticket. Returns whether there are any.
-    pub fn add_tasks(&mut self, record: &Record, revision: u64) -> bool {
+    /// together with its ticket. Returns whether there are any. During a split they wait for its outcome.
+    pub fn add_tasks(&mut self, record: Record, revision: u64) -> bool {
         let Some(ticket) = record.ticket.as_ref() else { return false };
         if ticket.additions <= self.additions {
             return false;
         }
+        if self.splitting.is_some() {
+            if self.addition.as_ref().is_none_or(|(_, seen)| *seen < revision) {
+                self.addition = Some((record, revision));
+            }
+            return false;
+        }
         self.additions = ticket.additions;
         if revision > self.ticket_revision {
             self.ticket_revision = revision;
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -32,6 +32,8 @@
 
 pub struct World {
     pub cell: Cell,
+    /// The number of the cell.
+    pub number: u32,
     pub now: u64,
     pub store: Store,
     pub head: (Head, u64),
@@ -147,6 +149,11 @@
 
     /// Returns a cell with workers of 16 cores, which have not answered their owner yet.
     pub fn unanswered(workers: &[&str]) -> Self {
+        Self::numbered(0, workers)
+    }
+
+    /// Returns the cell of this number with workers of 16 cores, which have not answered their owner yet.
+    pub fn numbered(number: u32, workers: &[&str]) -> Self {
         let fakes = workers.iter().map(|id| ((*id).to_owned(), Worker::default())).collect();
         let mut world = Self {
             cell: Cell::new(
@@ -163,9 +170,10 @@
                 Vec::new(),
                 BTreeMap::new(),
             ),
+            number,
             now: 1_000,
             store: Store::Up,
-            head: (Head::default(), 1),
+            head: (Head { cell: number, ..Head::default() }, 1),
             progress: BTreeMap::new(),
             tickets: BTreeMap::new(),
             records: BTreeMap::new(),
@@ -211,7 +219,7 @@
         let jobs = self
             .records
             .iter()
-            .filter(|((cell, _), _)| *cell == 0)
+            .filter(|((cell, _), _)| *cell == self.number)
             .map(|((_, id), record)| {
                 let progress = self.progress.get(id).cloned().unwrap_or_default();
                 (*id, record.clone(), progress, self.tickets[id].1)
@@ -285,9 +293,9 @@
         self.revision += 1;
         let queue = record.queue.clone();
         let state = oleanderstage_fleet::State::Queued;
-        let ticket = Ticket { also: Vec::new(), additions: 0, cell: 0, queue, state };
+        let ticket = Ticket { also: Vec::new(), additions: 0, cell: self.number, queue, state };
         self.tickets.insert(id, (ticket, self.revision));
-        self.records.insert((0, id), record.clone());
+        self.records.insert((self.number, id), record.clone());
         self.handle(Event::Accepted { id, record, revision: self.revision });
     }
 
@@ -554,7 +562,7 @@
             self.records.insert((*cell, *id), (**record).clone());
         }
         for id in &commit.removed {
-            self.records.remove(&(0, *id));
+            self.records.remove(&(self.number, *id));
             self.progress.remove(id);
         }
         if self.store == Store::LosesAnswers {
