Lasting tasks follow into any cell of a job in three cells or more

Cause: a task that waits without room could be added only to the single other cell of its job, as of several it was not known which tasks each has.

Change: the ticket tells the cell of each task, as ranges (division), written by each split together with both cells' records on condition of the ticket's revision. A cell that the ticket gives tasks that it has not seen moves nothing until it has. A cell learns of a ticket that others changed from the conflict of its own split, and plans it again; the room that the split had set aside in the other cell's load is returned, since an idle cell's head does not change and would not be read as newer. A division belongs to one count of additions. Tickets without one behave as before, and get one with the next split between two cells. Six entries a split as before, no further store calls.

Existing tests name the new field of Ticket and are otherwise as they were.

--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -143,6 +143,13 @@
         Some((cell, count))
     }
 
+    /// Takes tasks that `find_room` has added to the load of a cell, and that were not sent, off it again.
+    pub fn return_room(&mut self, cell: u32, task_milli: u64, tasks: usize) {
+        if let Some(load) = self.cells.get_mut(&cell) {
+            load.sent_milli = load.sent_milli.saturating_sub(task_milli * tasks as u64);
+        }
+    }
+
     /// Returns when a job with filling work would be done in the cell that is fastest. `None` without such
     /// work, and if too little is known of some cell: it may have room.
     pub fn outlook(
--- a/crates/fleet/src/cell_balance.rs
+++ b/crates/fleet/src/cell_balance.rs
@@ -166,8 +166,7 @@
         let mut splits = Vec::new();
         for (_, _, id) in &self.unfinished_jobs {
             let Some(job) = self.jobs.get_mut(id) else { continue };
-            let outdated = job.additions != job.ticket_additions;
-            if !job.begun || !job.is_lasting() || job.splitting.is_some() || outdated {
+            if !job.begun || !job.is_lasting() || job.splitting.is_some() {
                 continue;
             }
             let waiting = job.waiting_tasks();
@@ -175,17 +174,18 @@
                 job.waiting_since = None;
                 continue;
             };
+            if job.is_outdated(self.head.cell) {
+                continue;
+            }
             let since = *job.waiting_since.get_or_insert(clock.now);
             if clock.now < since + SPLIT_AFTER_MS {
                 continue;
             }
             let Some(step) = job.stage(0, step).map(|stage| stage.step.clone()) else { continue };
-            // Which tasks the other cells have is known only if there is one.
-            let mut excluded: Vec<u32> = job.other_cells(self.head.cell).into_iter().collect();
-            if excluded.len() == 1 {
-                excluded.clear();
+            let mut excluded = vec![self.head.cell];
+            if job.division(self.head.cell).is_none() {
+                excluded.extend(job.other_cells(self.head.cell));
             }
-            excluded.push(self.head.cell);
             let milli = step.reserved().processors_milli;
             if let Some((to, count)) = self.balancer.find_room(&excluded, milli, waiting.len()) {
                 let tasks = waiting.into_iter().take(count).collect();
@@ -202,4 +202,15 @@
             }
         }
     }
+
+    /// Gives up a planned split.
+    pub(crate) fn drop_split(&mut self, id: job::Id) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let Some(split) = job.splitting.take() else { return };
+        let step = split.tasks.first().and_then(|&(step, _)| job.stage(0, step));
+        if let Some(stage) = step {
+            let milli = stage.step.reserved().processors_milli;
+            self.balancer.return_room(split.to, milli, split.tasks.len());
+        }
+    }
 }
--- a/crates/fleet/src/cell_record.rs
+++ b/crates/fleet/src/cell_record.rs
@@ -182,8 +182,8 @@
                 for (id, _, _) in &pending.commit.records {
                     if let Some(job) = self.jobs.get_mut(id) {
                         job.moving_to = None;
-                        job.splitting = None;
                     }
+                    self.drop_split(*id);
                 }
                 self.dirty.extend(pending.commit.progress.iter().map(|(id, _)| *id));
                 self.dirty.extend(pending.commit.removed.iter().copied());
@@ -217,9 +217,7 @@
         for (id, ticket) in &commit.tickets {
             if let Some(job) = self.jobs.get_mut(id) {
                 job.ticket_state = ticket.state;
-                job.ticket_revision = revision;
-                job.also.clone_from(&ticket.also);
-                job.ticket_additions = ticket.additions;
+                job.set_ticket(ticket, revision);
                 // The split may have been planned after this commit was sent.
                 let made = |split: &job::Split| {
                     commit.records.iter().any(|(job, cell, _)| job == id && *cell == split.to)
@@ -256,7 +254,7 @@
 
     /// Adds the tasks that other cells added while splits of this commit waited for its outcome.
     fn apply_additions(&mut self, commit: &Commit) {
-        for (id, _, _) in &commit.records {
+        for (id, _) in &commit.tickets {
             let Some(job) = self.jobs.get_mut(id) else { continue };
             if let Some((record, revision)) = job.addition.take() {
                 self.placement_due |= job.add_tasks(record, revision);
@@ -274,12 +272,12 @@
         job.ticket_revision = revision;
         if let Some(ticket) = ticket {
             job.ticket_state = ticket.state;
-            job.home = Some(ticket.cell);
-            job.also.clone_from(&ticket.also);
-            job.ticket_additions = ticket.additions;
+            job.set_ticket(ticket, revision);
         }
+        // It was planned by the ticket as it was.
+        self.drop_split(id);
         let cancelled = ticket.is_none_or(|ticket| ticket.state == State::Cancelled);
-        if cancelled {
+        if cancelled && let Some(job) = self.jobs.get_mut(&id) {
             job.cancelled = true;
             job.ticket_state = State::Cancelled;
             self.set_final_state(id, State::Cancelled);
@@ -293,7 +291,8 @@
     if let Some(cell) = job.moving_to.filter(|_| job.final_state.is_none()) {
         commit.expected.push((id, job.ticket_revision));
         let queue = job.queue.name.clone();
-        let ticket = Ticket { also: Vec::new(), additions: 0, cell, queue, state: State::Queued };
+        let state = State::Queued;
+        let ticket = Ticket { also: Vec::new(), additions: 0, cell, division: None, queue, state };
         commit.tickets.push((id, ticket));
         let crashes = job.crashes(|_| true);
         let record = job::Record { begun: job.may_have_begun(), crashes, ..(*job.record).clone() };
@@ -327,18 +326,26 @@
 }
 
 /// Adds a split to a commit: a record of the moved tasks for their new cell, and one of the
-/// remaining tasks for this cell. If the new cell has tasks of the job already, it is the only other one
-/// (`Cell::split_waiting_jobs`), and has all that are not here.
+/// remaining tasks for this cell. The new cell has tasks of the job already only if it is known which
+/// (`Cell::split_waiting_jobs`); its record then holds them too.
 fn add_split(commit: &mut Commit, id: job::Id, job: &Job, cell: u32, split: &job::Split) {
     let rest: BTreeSet<_> = job.own_tasks().difference(&split.tasks).copied().collect();
     let mut ticket = job.ticket_as(cell, State::Running);
-    let moved = if job.other_cells(cell).contains(&split.to) {
+    if job.other_cells(cell).contains(&split.to) {
         ticket.additions += 1;
-        job.all_tasks().difference(&rest).copied().collect()
     } else {
         ticket.also.push(split.to);
-        split.tasks.clone()
-    };
+    }
+    let mut moved = split.tasks.clone();
+    ticket.division = job.division(cell).map(|division| {
+        let all = job.all_tasks();
+        moved.append(&mut division.tasks_of(split.to, &all));
+        let cell_of = |task: &(u16, u16)| match moved.contains(task) {
+            true => split.to,
+            false => division.cell_of(task).unwrap_or(cell),
+        };
+        Division::new(ticket.additions, &all, cell_of)
+    });
     let record = |tasks: BTreeSet<(u16, u16)>| {
         Arc::new(job::Record {
             crashes: job.crashes(|task| tasks.contains(&task)),
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -97,6 +97,8 @@
     pub additions: u32,
     /// The number of additions by its ticket.
     pub ticket_additions: u32,
+    /// Which cell has which tasks by its ticket, if that is known.
+    pub ticket_division: Option<Division>,
     /// Its record with tasks that another cell added, and the record's revision, while a split waits for
     /// the answer of the store: the added tasks may be those of the split, which have come back.
     pub addition: Option<(Record, u64)>,
@@ -182,7 +184,7 @@
 
 impl Job {
     /// Returns the job of `record` with the done and failed runs of `progress` applied. `revision`
-    /// is that of its ticket.
+    /// is the one at which the record was written, with a ticket that may have been replaced since.
     pub fn new(record: Record, progress: &Progress, queue: Arc<Queue>, revision: u64) -> Self {
         let record = Arc::new(record);
         let submission = &record.submission;
@@ -204,6 +206,7 @@
             also: record.ticket.as_ref().map(|ticket| ticket.also.clone()).unwrap_or_default(),
             additions: record.ticket.as_ref().map_or(0, |ticket| ticket.additions),
             ticket_additions: record.ticket.as_ref().map_or(0, |ticket| ticket.additions),
+            ticket_division: record.ticket.as_ref().and_then(Ticket::known_division).cloned(),
             addition: None,
             moving_to: None,
             splitting: None,
@@ -313,10 +316,7 @@
         }
         self.additions = ticket.additions;
         if revision > self.ticket_revision {
-            self.ticket_revision = revision;
-            self.ticket_additions = ticket.additions;
-            self.also.clone_from(&ticket.also);
-            self.home = Some(ticket.cell);
+            self.set_ticket(ticket, revision);
         }
         let mut added = false;
         for (step, index) in record.tasks.iter().flatten() {
@@ -332,6 +332,41 @@
         added
     }
 
+    /// Notes its ticket as of `revision`, apart from the state.
+    pub fn set_ticket(&mut self, ticket: &Ticket, revision: u64) {
+        self.ticket_revision = revision;
+        self.ticket_additions = ticket.additions;
+        self.ticket_division = ticket.known_division().cloned();
+        self.also.clone_from(&ticket.also);
+        self.home = Some(ticket.cell);
+    }
+
+    /// Returns which cell has which tasks, seen from `cell`; `None` if that is not known.
+    pub fn division(&self, cell: u32) -> Option<Division> {
+        if self.ticket_division.is_some() {
+            return self.ticket_division.clone();
+        }
+        let (own, all, others) = (self.own_tasks(), self.all_tasks(), self.other_cells(cell));
+        let other = match others.first() {
+            Some(&other) if others.len() == 1 => other,
+            None if own == all => cell,
+            _ => return None,
+        };
+        let cell_of = |task: &(u16, u16)| if own.contains(task) { cell } else { other };
+        Some(Division::new(self.ticket_additions, &all, cell_of))
+    }
+
+    /// Returns whether another cell has added tasks to those of `cell`, this job's own, that have not been
+    /// seen here.
+    pub fn is_outdated(&self, cell: u32) -> bool {
+        match &self.ticket_division {
+            Some(division) => {
+                !division.tasks_of(cell, &self.all_tasks()).is_subset(&self.own_tasks())
+            }
+            None => self.additions != self.ticket_additions,
+        }
+    }
+
     /// Returns the job's ticket with the given state, with `cell` as the job's own cell if `home`
     /// is not known.
     pub fn ticket_as(&self, cell: u32, state: State) -> Ticket {
@@ -339,6 +374,7 @@
             also: self.also.clone(),
             additions: self.ticket_additions,
             cell: self.home.unwrap_or(cell),
+            division: self.ticket_division.clone(),
             queue: self.queue.name.clone(),
             state,
         }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,13 +16,14 @@
 
 pub use {
     action::Action, assignment::Assignment, cell::Cell, clock::Clock, commit::Commit,
-    config::Config, continuity::Continuity, crash::Crash, evacuation::Evacuation, event::Event,
-    fit::Fit, forecast::Forecast, gate::Gate, head::Head, headroom::Headroom, job::Job,
-    lateness::Lateness, lifetime::Lifetime, limits::Limits, listing::Listing, load::Load,
-    policy::Policy, predecessor::Predecessor, progress::Progress, queue::Queue,
-    registration::Registration, registry::Registry, reservation::Reservation, run::Run,
-    settling::Settling, state::State, step::Step, submission::Submission, suspicion::Suspicion,
-    throughput::Throughput, ticket::Ticket, trace::Trace, usage::Usage, worker::Worker,
+    config::Config, continuity::Continuity, crash::Crash, division::Division,
+    evacuation::Evacuation, event::Event, fit::Fit, forecast::Forecast, gate::Gate, head::Head,
+    headroom::Headroom, job::Job, lateness::Lateness, lifetime::Lifetime, limits::Limits,
+    listing::Listing, load::Load, policy::Policy, predecessor::Predecessor, progress::Progress,
+    queue::Queue, registration::Registration, registry::Registry, reservation::Reservation,
+    run::Run, settling::Settling, state::State, step::Step, submission::Submission,
+    suspicion::Suspicion, throughput::Throughput, ticket::Ticket, trace::Trace, usage::Usage,
+    worker::Worker,
 };
 
 pub mod action;
@@ -34,6 +35,7 @@
 pub mod config;
 pub mod continuity;
 pub mod crash;
+pub mod division;
 pub mod evacuation;
 pub mod event;
 pub mod fit;
--- a/crates/fleet/src/ticket.rs
+++ b/crates/fleet/src/ticket.rs
@@ -14,12 +14,22 @@
     pub additions: u32,
     /// The cell that runs the job.
     pub cell: u32,
+    /// Which cell has which tasks, if the job was split among cells; see [`Ticket::known_division`].
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub division: Option<Division>,
     /// The name of its queue.
     pub queue: String,
     /// The state of the job when the ticket was written.
     pub state: State,
 }
 
+impl Ticket {
+    /// Returns which cell has which tasks; `None` if the process that wrote the ticket did not know.
+    pub fn known_division(&self) -> Option<&Division> {
+        self.division.as_ref().filter(|division| division.additions == self.additions)
+    }
+}
+
 fn is_zero(number: &u32) -> bool {
     *number == 0
 }
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -40,6 +40,8 @@
     pub progress: BTreeMap<job::Id, Progress>,
     pub tickets: BTreeMap<job::Id, (Ticket, u64)>,
     pub records: BTreeMap<(u32, job::Id), job::Record>,
+    /// When this cell's records were written; that of a job that is not listed is as old as its ticket.
+    pub record_revisions: BTreeMap<job::Id, u64>,
     pub workers: BTreeMap<String, Worker>,
     pub reports: Vec<Report>,
     /// When jobs were completed, in milliseconds.
@@ -177,6 +179,7 @@
             progress: BTreeMap::new(),
             tickets: BTreeMap::new(),
             records: BTreeMap::new(),
+            record_revisions: BTreeMap::new(),
             workers: fakes,
             reports: Vec::new(),
             completed: BTreeMap::new(),
@@ -222,7 +225,8 @@
             .filter(|((cell, _), _)| *cell == self.number)
             .map(|((_, id), record)| {
                 let progress = self.progress.get(id).cloned().unwrap_or_default();
-                (*id, record.clone(), progress, self.tickets[id].1)
+                let revision = self.record_revisions.get(id).copied();
+                (*id, record.clone(), progress, revision.unwrap_or(self.tickets[id].1))
             })
             .collect();
         let start = cell::Start {
@@ -293,7 +297,14 @@
         self.revision += 1;
         let queue = record.queue.clone();
         let state = oleanderstage_fleet::State::Queued;
-        let ticket = Ticket { also: Vec::new(), additions: 0, cell: self.number, queue, state };
+        let ticket = Ticket {
+            also: Vec::new(),
+            additions: 0,
+            cell: self.number,
+            division: None,
+            queue,
+            state,
+        };
         self.tickets.insert(id, (ticket, self.revision));
         self.records.insert((self.number, id), record.clone());
         self.handle(Event::Accepted { id, record, revision: self.revision });
--- a/crates/node/src/requests.rs
+++ b/crates/node/src/requests.rs
@@ -65,8 +65,14 @@
         return not_run(node);
     };
     let queue_name = queue.name.clone();
-    let ticket =
-        Ticket { also: Vec::new(), additions: 0, cell, queue: queue_name, state: State::Queued };
+    let ticket = Ticket {
+        also: Vec::new(),
+        additions: 0,
+        cell,
+        division: None,
+        queue: queue_name,
+        state: State::Queued,
+    };
     let encoded_record = record::encode(&record);
     let mut revision = 0;
     loop {
@@ -143,7 +149,7 @@
     refusal: Reply,
 ) -> Reply {
     let (queue, state) = (queue.name.clone(), State::Refused);
-    let refused = Ticket { also: Vec::new(), additions: 0, cell: 0, queue, state };
+    let refused = Ticket { also: Vec::new(), additions: 0, cell: 0, division: None, queue, state };
     while time::now() < deadline {
         let txn = Txn {
             expected: vec![(keys::ticket(id), expected_revision)],
