--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -32,12 +32,16 @@
 
 pub struct World {
     pub cell: Cell,
+    /// The number of the cell.
+    pub number: u32,
     pub now: u64,
     pub store: Store,
     pub head: (Head, u64),
     pub progress: BTreeMap<job::Id, Progress>,
     pub tickets: BTreeMap<job::Id, (Ticket, u64)>,
     pub records: BTreeMap<(u32, job::Id), job::Record>,
+    /// When this cell's records were written; that of a job that is not listed is as old as its ticket.
+    pub record_revisions: BTreeMap<job::Id, u64>,
     pub workers: BTreeMap<String, Worker>,
     pub reports: Vec<Report>,
     /// When jobs were completed, in milliseconds.
@@ -147,6 +151,11 @@
 
     /// Returns a cell with workers of 16 cores, which have not answered their owner yet.
     pub fn unanswered(workers: &[&str]) -> Self {
+        Self::numbered(0, workers)
+    }
+
+    /// Returns the cell of this number with workers of 16 cores, which have not answered their owner yet.
+    pub fn numbered(number: u32, workers: &[&str]) -> Self {
         let fakes = workers.iter().map(|id| ((*id).to_owned(), Worker::default())).collect();
         let mut world = Self {
             cell: Cell::new(
@@ -164,12 +173,14 @@
                 Vec::new(),
                 BTreeMap::new(),
             ),
+            number,
             now: 1_000,
             store: Store::Up,
-            head: (Head::default(), 1),
+            head: (Head { cell: number, ..Head::default() }, 1),
             progress: BTreeMap::new(),
             tickets: BTreeMap::new(),
             records: BTreeMap::new(),
+            record_revisions: BTreeMap::new(),
             workers: fakes,
             reports: Vec::new(),
             completed: BTreeMap::new(),
@@ -213,10 +224,11 @@
         let jobs = self
             .records
             .iter()
-            .filter(|((cell, _), _)| *cell == 0)
+            .filter(|((cell, _), _)| *cell == self.number)
             .map(|((_, id), record)| {
                 let progress = self.progress.get(id).cloned().unwrap_or_default();
-                (*id, record.clone(), progress, self.tickets[id].1)
+                let revision = self.record_revisions.get(id).copied();
+                (*id, record.clone(), progress, revision.unwrap_or(self.tickets[id].1))
             })
             .collect();
         let start = cell::Start {
@@ -288,9 +300,16 @@
         self.revision += 1;
         let queue = record.queue.clone();
         let state = oleanderstage_fleet::State::Queued;
-        let ticket = Ticket { also: Vec::new(), additions: 0, cell: 0, queue, state };
+        let ticket = Ticket {
+            also: Vec::new(),
+            additions: 0,
+            cell: self.number,
+            division: None,
+            queue,
+            state,
+        };
         self.tickets.insert(id, (ticket, self.revision));
-        self.records.insert((0, id), record.clone());
+        self.records.insert((self.number, id), record.clone());
         self.handle(Event::Accepted { id, record, revision: self.revision });
     }
 
@@ -557,7 +576,7 @@
             self.records.insert((*cell, *id), (**record).clone());
         }
         for id in &commit.removed {
-            self.records.remove(&(0, *id));
+            self.records.remove(&(self.number, *id));
             self.progress.remove(id);
         }
         if self.store == Store::LosesAnswers {
