Soak: outages of the store beside lasting jobs

What: `--outages` runs seeded series of outages. The store answers nothing for 3 to 10 s and then keeps its leases or has ended them; all VMs are killed up to twice, workers say that they leave and are gone, others crash, and a VM may be frozen across the end. Jobs of lasting tasks run beside short work; one is added in each series, and one may be cancelled. Once the store answers and all VMs run for 3 s, and 4 s and 3 s more have passed, each of these tasks has to run, from 6 s after its last run and with room for it on two workers (RULES.md, LOST). What the soak checks otherwise stays. The stand-in store has a mode in which it answers no call, watches included.

Why: after an outage a new owner waits 9.7 s for a worker that left (docs/incidents/2026-12-04-lasting-tasks-waited-after-an-outage.md); no test or soak had lasting tasks across an outage.

--- a/crates/soak/src/disruption.rs
+++ b/crates/soak/src/disruption.rs
@@ -9,4 +9,6 @@
     Faults,
     /// Planned work: workers leave and VMs restart, each in a series of its own.
     Maintenance,
+    /// Outages of the store, beside lasting jobs, kills of all VMs and workers that leave or crash.
+    Outages,
 }
--- a/crates/soak/src/job.rs
+++ b/crates/soak/src/job.rs
@@ -3,16 +3,20 @@
 use super::*;
 
 /// A submitted job, as its caller knows it from answers.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Job {
     /// Whether a submission was answered with success.
     pub accepted: bool,
+    /// Whether a cancellation was sent.
+    pub cancelling: bool,
     /// When a cancellation was answered with success.
     pub cancelled: Option<Instant>,
     /// Whether its first task crashes each worker that starts it.
     pub crashing: bool,
     /// Job ID, as in the path of its requests.
     pub id: String,
+    /// Processors of each task in thousandths of a core, if its tasks run until it is cancelled.
+    pub lasting_milli: Option<u64>,
     /// State in the last answer to a query, empty before the first.
     pub state: String,
     /// Whether every submission so far was refused or did not reach a VM.
@@ -27,6 +31,10 @@
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(3);
 /// Maximum number of times that a submission or a cancellation is sent.
 const MAX_TRIES: usize = 4;
+/// Number of the first lasting job in its ID.
+const FIRST_LASTING: u32 = 1 << 31;
+/// Run time of a lasting task at a worker, in milliseconds: longer than any run of the soak.
+const LASTING_MS: u64 = 24 * 60 * 60 * 1_000;
 /// For this long after SIGTERM, a VM answers every request that it has read.
 const GRACEFUL_PERIOD: Duration = Duration::from_secs(4);
 /// For this long after a fault other than a graceful stop, an unanswered request is no violation.
@@ -67,18 +75,17 @@
     /// the last half of the job's ID.
     pub(crate) async fn submit(self: Rc<Self>, number: u64) {
         let (id, steps, body, cancels, crashing) = self.random_job(number);
-        self.jobs.borrow_mut().insert(
-            id.clone(),
-            Job {
-                accepted: false,
-                cancelled: None,
-                crashing,
-                id: id.clone(),
-                state: String::new(),
-                refused: true,
-                steps,
-            },
-        );
+        let job = Job { crashing, id: id.clone(), refused: true, steps, ..Job::default() };
+        if self.offer(job, body).await && cancels {
+            sleep(Duration::from_millis(150)).await;
+            self.cancel(&id).await;
+        }
+    }
+
+    /// Submits a job until it is accepted, and returns whether it was.
+    async fn offer(&self, job: Job, body: Vec<u8>) -> bool {
+        let id = job.id.clone();
+        self.jobs.borrow_mut().insert(id.clone(), job);
         for _ in 0..MAX_TRIES {
             let vm = self.random_vm();
             let answer = self.send(&vm, Method::POST, &format!("/q/{id}"), body.clone()).await;
@@ -87,17 +94,52 @@
             self.update(&id, |job| job.refused &= refused);
             if matches!(status, Ok(200)) {
                 self.update(&id, |job| job.accepted = true);
-                break;
+                return true;
             }
             sleep(Duration::from_millis(700)).await;
         }
-        if cancels && self.jobs.borrow()[&id].accepted {
-            sleep(Duration::from_millis(150)).await;
-            self.cancel(&id).await;
+        false
+    }
+
+    /// Submits a job at a time: `count` tasks that run until it is cancelled, each on `milli`
+    /// thousandths of a core and another worker. `number` counts the lasting jobs.
+    pub(crate) async fn submit_lasting(
+        self: Rc<Self>,
+        number: u32,
+        count: u32,
+        milli: u64,
+        at: Instant,
+    ) {
+        let id = format!("{:08x}{:08x}", self.plan.seed, FIRST_LASTING + number);
+        let body = json!({
+            "spec": format!("{LASTING_MS} {milli}"),
+            "steps": [{
+                "count": count, "cpu": milli, "mem_mb": 64, "estimate_ms": 500, "long_running": true,
+                "anti_affinity": 1,
+            }],
+        });
+        let job = Job {
+            id,
+            lasting_milli: Some(milli),
+            refused: true,
+            steps: vec![count],
+            ..Job::default()
+        };
+        sleep_until(at).await;
+        self.offer(job, body.to_string().into_bytes()).await;
+    }
+
+    /// Cancels every lasting job that is not cancelled.
+    pub(crate) async fn cancel_lasting(&self) {
+        let jobs: Vec<Job> = self.jobs.borrow().values().cloned().collect();
+        let is_open = |job: &&Job| job.lasting_milli.is_some() && job.cancelled.is_none();
+        for job in jobs.iter().filter(is_open) {
+            self.cancel(&job.id).await;
         }
     }
 
-    async fn cancel(&self, id: &str) {
+    pub(crate) async fn cancel(&self, id: &str) {
+        self.update(id, |job| job.cancelling = true);
         for _ in 0..MAX_TRIES {
             let vm = self.random_vm();
             let answer = self.send(&vm, Method::DELETE, &format!("/q/{id}"), Vec::new()).await;
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -18,7 +18,7 @@
     serde_json::{Value, json},
     std::{
         cell::{Cell, RefCell},
-        collections::BTreeMap,
+        collections::{BTreeMap, BTreeSet},
         fs,
         net::{Ipv4Addr, SocketAddr},
         path::PathBuf,
@@ -29,7 +29,7 @@
     },
     tokio::{
         task::{LocalSet, spawn_local},
-        time::{Instant, sleep},
+        time::{Instant, sleep, sleep_until},
     },
 };
 
@@ -42,8 +42,11 @@
 mod fault;
 mod job;
 mod maintenance;
+mod outage;
+mod outages;
 mod ownership;
 mod plan;
+mod presence;
 mod report;
 mod soak;
 mod vm;
@@ -75,6 +78,9 @@
     /// let tasks crash workers, and workers shrink and grow, instead of random faults
     #[argh(switch)]
     crashes: bool,
+    /// let the store fall silent while VMs are killed and workers leave, instead of random faults
+    #[argh(switch)]
+    outages: bool,
     /// directory for the VMs' settings and logs
     #[argh(option)]
     logs: PathBuf,
@@ -83,11 +89,12 @@
 /// Runs the program `oleanderstage-soak`, which prints a report for each seed.
 pub fn main() -> miette::Result<()> {
     let arguments: Arguments = argh::from_env();
-    let disruption = match (arguments.maintenance, arguments.crashes) {
-        (true, false) => Disruption::Maintenance,
-        (false, true) => Disruption::Crashes,
-        (false, false) => Disruption::Faults,
-        (true, true) => return Err(miette::miette!("choose one of --maintenance and --crashes")),
+    let disruption = match (arguments.maintenance, arguments.crashes, arguments.outages) {
+        (true, false, false) => Disruption::Maintenance,
+        (false, true, false) => Disruption::Crashes,
+        (false, false, true) => Disruption::Outages,
+        (false, false, false) => Disruption::Faults,
+        _ => return Err(miette::miette!("choose one of --maintenance, --crashes and --outages")),
     };
     let mut broken = 0;
     for seed in arguments.seed..arguments.seed + arguments.seeds {
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -13,6 +13,8 @@
     pub completed: usize,
     /// Number of injected faults by the name of their kind.
     pub faults: BTreeMap<&'static str, usize>,
+    /// The longest absence of a lasting task that came back, as far as it counts.
+    pub max_absence: Duration,
     /// Number of jobs whose every submission was refused.
     pub refused: usize,
     /// Seed of the run.
@@ -27,7 +29,7 @@
         json!({
             "seed": self.seed, "accepted": self.accepted, "completed": self.completed,
             "refused": self.refused, "starts": self.starts, "faults": self.faults,
-            "broken": self.broken,
+            "max_absence_ms": self.max_absence.as_millis() as u64, "broken": self.broken,
         })
         .to_string()
     }
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -5,6 +5,8 @@
 /// The state of a run in progress.
 pub struct Soak {
     pub(crate) ledger: UsersLedger,
+    /// Since when the store answers and all VMs run; `None` during and before a series of outages.
+    pub(crate) calm_since: Cell<Option<Instant>>,
     /// Jobs by ID.
     pub(crate) jobs: RefCell<BTreeMap<String, Job>>,
     /// When a fault of the store for all VMs last began or ended.
@@ -12,6 +14,8 @@
     /// Number of injected faults by the name of their kind.
     fault_counts: RefCell<BTreeMap<&'static str, usize>>,
     pub(crate) http: Http,
+    /// The longest absence of a lasting task that came back, as far as it counts.
+    pub(crate) max_absence: Cell<Duration>,
     pub(crate) plan: Plan,
     pub(crate) random: RefCell<Pcg64Mcg>,
     pub(crate) store: UsersStore,
@@ -30,6 +34,8 @@
 pub(crate) const ZONES: [&str; 2] = ["a", "b"];
 /// Time between submissions of new jobs.
 const SUBMIT_INTERVAL: Duration = Duration::from_millis(70);
+/// The same beside lasting jobs, which need room on the workers that outages leave.
+const SPARSE_INTERVAL: Duration = Duration::from_millis(200);
 /// Shortest time between injected faults, in milliseconds; the longest is four times that.
 const MIN_FAULT_INTERVAL_MS: u64 = 300;
 
@@ -57,10 +63,12 @@
         }
         let soak = Rc::new(Self {
             ledger,
+            calm_since: Cell::new(None),
             jobs: RefCell::default(),
             disturbed_at: Cell::new(None),
             fault_counts: RefCell::default(),
             http: Http::default(),
+            max_absence: Cell::default(),
             random: RefCell::new(Pcg64Mcg::seed_from_u64(plan.seed)),
             plan,
             store,
@@ -78,9 +86,12 @@
             Disruption::Crashes => spawn_local(self.clone().crash(end)),
             Disruption::Faults => spawn_local(self.clone().inject(end)),
             Disruption::Maintenance => spawn_local(self.clone().maintain(end)),
+            Disruption::Outages => spawn_local(self.clone().interrupt(end)),
         };
+        let outlasts_end = self.plan.disruption == Disruption::Outages;
+        let interval = if outlasts_end { SPARSE_INTERVAL } else { SUBMIT_INTERVAL };
         let mut number = 0;
-        while Instant::now() < end {
+        while Instant::now() < end || outlasts_end && !injecting.is_finished() {
             number += 1;
             spawn_local(self.clone().submit(number));
             let queried = self.random_job_id();
@@ -88,10 +99,11 @@
                 let soak = self.clone();
                 spawn_local(async move { soak.query(&id).await });
             }
-            sleep(SUBMIT_INTERVAL).await;
+            sleep(interval).await;
         }
         injecting.await.into_diagnostic()?;
         self.heal()?;
+        self.cancel_lasting().await;
         self.settle().await;
         Ok(self.report())
     }
@@ -225,6 +237,11 @@
             Fault::StoreBusy => self.disrupt_store(Availability::Busy, duration).await,
             Fault::Mute => self.disrupt_store(Availability::Mute, duration / 2).await,
         }
+        self.spawn_vms();
+    }
+
+    /// Starts ended VMs again.
+    pub(crate) fn spawn_vms(&self) {
         for vm in &self.vms {
             if vm.spawn().is_err() {
                 self.ledger.record_violation("an ended VM could not be started again".into());
@@ -259,11 +276,7 @@
     async fn settle(&self) {
         let end = Instant::now() + SETTLE_TIMEOUT;
         loop {
-            for vm in &self.vms {
-                if vm.spawn().is_err() {
-                    self.ledger.record_violation("an ended VM could not be started again".into());
-                }
-            }
+            self.spawn_vms();
             let open: Vec<String> = self
                 .jobs
                 .borrow()
@@ -321,6 +334,7 @@
             broken: self.ledger.violations(),
             completed: count_in("completed"),
             faults: self.fault_counts.borrow().clone(),
+            max_absence: self.max_absence.get(),
             refused: jobs.values().filter(|job| job.refused).count(),
             seed: self.plan.seed,
             starts: self.ledger.tasks().iter().map(|(_, entry)| entry.starts).sum(),
--- a/crates/standin/src/users_store.rs
+++ b/crates/standin/src/users_store.rs
@@ -33,6 +33,9 @@
     Busy,
     /// Executes transactions but never answers them; answers other calls.
     Mute,
+    /// Executes and answers nothing, watches included, and ends no lease. Each lease that is left
+    /// afterwards is as long again as when it was granted.
+    Silent,
 }
 
 /// A key's value, with the revisions of its creation and of its last change.
@@ -105,6 +108,9 @@
 
     /// Ends the leases whose time is up, and returns whether there were any.
     fn expire(&mut self, now: Instant) -> bool {
+        if self.availability == Availability::Silent {
+            return false;
+        }
         let expired: Vec<u64> =
             self.leases.iter().filter(|(_, (end, _))| *end <= now).map(|(id, _)| *id).collect();
         expired.iter().for_each(|lease| self.end_lease(*lease));
@@ -153,7 +159,12 @@
 
     /// Sets how the store treats calls.
     pub fn set_availability(&self, availability: Availability) {
-        lock(&self.state).availability = availability;
+        let mut state = lock(&self.state);
+        if state.availability == Availability::Silent {
+            let now = Instant::now();
+            state.leases.values_mut().for_each(|(end, ttl)| *end = now + *ttl);
+        }
+        state.availability = availability;
     }
 
     /// Makes reads of ranges whose prefix starts with `prefix` wait until the next call of this
@@ -250,8 +261,10 @@
 
     async fn answer(&self, parts: &Parts, body: &Value) -> Response<Full<Bytes>> {
         let availability = lock(&self.state).availability;
-        if availability == Availability::Busy {
-            return respond(503, &json!({}));
+        match availability {
+            Availability::Busy => return respond(503, &json!({})),
+            Availability::Silent => std::future::pending().await,
+            Availability::Up | Availability::Mute => {}
         }
         let query = query(parts.uri.query().unwrap_or_default());
         let path = parts.uri.path();
@@ -274,7 +287,8 @@
             (&Method::DELETE, path) if path.starts_with("/-/kv-lease-end/") => self.revoke(path),
             _ => (404, json!({})),
         };
-        if availability == Availability::Mute && path == "/-/kv-txn" {
+        let is_silent = lock(&self.state).availability == Availability::Silent;
+        if is_silent || availability == Availability::Mute && path == "/-/kv-txn" {
             std::future::pending::<()>().await;
         }
         respond(status, &answer)
--- a/crates/standin/src/users_worker.rs
+++ b/crates/standin/src/users_worker.rs
@@ -236,6 +236,12 @@
         lock(&self.state).draining_since.is_some()
     }
 
+    /// Returns the processors that its runs leave, in thousandths of a core.
+    pub fn free_milli(&self) -> u64 {
+        let state = lock(&self.state);
+        state.capacity_milli.saturating_sub(state.used_milli)
+    }
+
     /// Sets the processors that its entry tells from the next registration on, in thousandths of a core.
     pub fn set_capacity(&self, milli: u64) {
         let mut state = lock(&self.state);
