A worker that has not answered its owner yet is no sign of a failing rack

Cause: a poll that fails was noted as a silence also for workers that have never answered this owner. Where a crashed worker comes back under another ID, its successor is polled before it is up: each crash counted as two silences, and two tasks tried in a rack, as many as may be, looked like a rack of which half has failed. The class: to be silent is taken for to have fallen silent.

Change: a silence is noted only of a worker that has answered this owner, and the share of the rack is of those workers. The second half also excuses what was not excused before: where most of a rack was down when the owner came, the rest may fail as a rack.

Tests that failed first: a_worker_that_has_not_answered_yet_has_not_fallen_silent, a_rack_that_fails_for_good_singles_out_no_task.

Conclusion: what is lost with an owner stays lost; what is known decides sooner.

--- a/crates/fleet/src/cell_crashes.rs
+++ b/crates/fleet/src/cell_crashes.rs
@@ -41,10 +41,11 @@
 }
 
 impl Cell {
-    /// Notes that a worker has missed its first poll.
+    /// Notes that a worker has missed its first poll. One that has not answered this owner yet may have
+    /// been down all along, or is to take the place of a crashed one.
     pub(crate) fn note_silence(&mut self, clock: Clock, id: &Arc<str>) {
         let Some(worker) = self.workers.get_mut(id) else { return };
-        if worker.silent_since.is_some() {
+        if worker.silent_since.is_some() || !worker.fenced {
             return;
         }
         worker.silent_since = Some(clock.now);
@@ -131,7 +132,8 @@
         let silent: BTreeSet<&Arc<str>> =
             self.silences.iter().filter(together).map(|silence| &silence.worker).collect();
         let in_rack = |worker: &&Worker| {
-            worker.registration.as_ref().is_some_and(|entry| entry.labels == own.labels)
+            worker.fenced
+                && worker.registration.as_ref().is_some_and(|entry| entry.labels == own.labels)
         };
         let rack = self.workers.values().filter(in_rack).count();
         silent.len() >= suspicion::MIN_COMMON_WORKERS
--- a/crates/fleet/tests/crashes.rs
+++ b/crates/fleet/tests/crashes.rs
@@ -33,6 +33,13 @@
     starts.filter(|(at, task, _)| *task == name && *at > third && undisturbed(*at)).count()
 }
 
+/// Returns for each known crash under a task whether it singled the task out.
+fn singled_out(world: &World, name: task::Name) -> Vec<bool> {
+    let job = world.cell.job(&name.job).expect("the job");
+    let suspicion = &job.task(&name).expect("the task").suspicion;
+    suspicion.crashes().iter().map(|crash| crash.singled_out).collect()
+}
+
 /// Issue 32: one task crashed 13 workers, one after the other, with all that ran there.
 #[test]
 fn a_task_does_not_crash_worker_after_worker() {
@@ -225,6 +232,48 @@
     assert_eq!(world.starts(name("1", 0, 0)).len(), 2);
 }
 
+/// The successors of two crashed workers had not answered yet: the four looked like a rack that fails.
+#[test]
+fn a_worker_that_has_not_answered_yet_has_not_fallen_silent() {
+    let mut world = World::new(&WORKERS);
+    world.replaces_crashed = true;
+    world.run_ms = 60_000;
+    for job in ["1", "2"] {
+        world.submit(job, QUEUE, vec![step(1, 16)]);
+    }
+    world.advance(100);
+    for job in ["1", "2"] {
+        let holder = world.running(name(job, 0, 0))[0].to_owned();
+        world.crash(&holder);
+    }
+    world.advance(4_000);
+    for job in ["1", "2"] {
+        assert_eq!(singled_out(&world, name(job, 0, 0)), [true], "{job}");
+    }
+}
+
+/// All workers of a rack that have answered the new owner crash together; the others were down before.
+#[test]
+fn a_rack_that_fails_for_good_singles_out_no_task() {
+    let mut world = World::new(&["w1", "w2", "w3", "w4", "w5", "w6", "w7", "w8"]);
+    for id in ["w4", "w5", "w6", "w7", "w8"] {
+        world.worker(id).unreachable = true;
+    }
+    world.take_over();
+    world.run_ms = 60_000;
+    for job in ["1", "2", "3"] {
+        world.submit(job, QUEUE, vec![step(1, 16)]);
+    }
+    world.advance(4_000);
+    for id in ["w1", "w2", "w3"] {
+        world.crash(id);
+    }
+    world.advance(4_000);
+    for job in ["1", "2", "3"] {
+        assert_eq!(singled_out(&world, name(job, 0, 0)), [false], "{job}");
+    }
+}
+
 /// Lasting tasks that find no room go to another cell, with the crashes under them.
 #[test]
 fn crashes_under_a_lasting_task_go_with_it_to_another_cell() {
