--- a/crates/node/src/inputs.rs
+++ b/crates/node/src/inputs.rs
@@ -11,7 +11,8 @@
     evacuation_version: u64,
     /// Since when the cell is assigned to another VM, or this VM leaves, in milliseconds.
     pub(crate) leaving_since: Option<u64>,
-    /// The incarnation of the last owner, and the revision of its last head, until it is known to have ended.
+    /// The incarnation of the last owner and the revision of its last head, until its process is known to
+    /// have ended.
     predecessor: Option<(String, u64)>,
     /// Whether the workers' entries were too old for new runs.
     stale: bool,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -58,6 +58,7 @@
 mod executor;
 mod follower;
 mod front;
+mod handover;
 mod inputs;
 mod keys;
 mod meter;
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -9,7 +9,7 @@
 /// Delay before another attempt to acquire a cell that another VM still owns, or to load it.
 const RETRY_DELAY: Duration = Duration::from_millis(40);
 /// Delay before another attempt to remove an owner's entry.
-const RELEASE_RETRY_DELAY: Duration = Duration::from_millis(100);
+pub(crate) const RELEASE_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// How long a leaving owner waits for its pending orders and commits, in milliseconds.
 const LEAVE_TIMEOUT_MS: u64 = 1_200;
 /// Interval between reads of the other cells' pressure records: about as often as they are written.
@@ -18,16 +18,17 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(oleanderstage_fleet::limits::TICK_MS);
 
 /// The transaction that made this process the owner of a cell.
-struct Acquisition {
-    /// When the transaction was sent, and when it was answered, in milliseconds.
-    sent_at: u64,
+pub(crate) struct Acquisition {
+    /// When the transaction was sent, in milliseconds.
+    pub(crate) sent_at: u64,
+    /// When it was answered, in milliseconds.
     answered_at: u64,
     /// The fencing token: the revision of the owner's entry.
     fence: u64,
     head: Head,
     head_revision: u64,
     /// The head of the last owner, and its revision.
-    previous: (Head, u64),
+    pub(crate) previous: (Head, u64),
 }
 
 /// A cell as loaded from the store.
@@ -80,7 +81,7 @@
     let leases_over_at = match load(node, cell, &acquisition).await {
         Some(snapshot) => run_cell(node, cell, &acquisition, snapshot).await,
         // The cell was assigned to another VM while it was loaded.
-        None => predecessor(node, cell, &acquisition, None).leases_over_at(
+        None => handover::predecessor(node, cell, &acquisition, None).leases_over_at(
             acquisition.answered_at,
             time::now(),
             &node.limits(),
@@ -88,7 +89,7 @@
     };
     let stop = Stop { generation: acquisition.head.generation, leases_over_at };
     node.stops.borrow_mut().insert(cell, stop);
-    release(node, cell, acquisition.fence, &stop).await;
+    handover::release(node, cell, acquisition.fence, &stop).await;
     log::info!(cell, fence = acquisition.fence; "cell_left");
 }
 
@@ -342,7 +343,7 @@
         }
     }
     let released = items.items.iter().find(|item| item.key == keys::released(cell));
-    let predecessor = predecessor(node, cell, acquisition, released);
+    let predecessor = handover::predecessor(node, cell, acquisition, released);
     let config = node.config.borrow().clone().unwrap_or_default();
     log::info!(
         cell, jobs = jobs.len(), revision = items.revision,
@@ -364,32 +365,6 @@
     Some(Snapshot { cancelled, revision: items.revision, cell: loaded })
 }
 
-/// Returns what is known of the owner before an acquisition. `released` is the mark of the last owner
-/// that has stopped, if it was read.
-fn predecessor(
-    node: &Node,
-    cell: u32,
-    acquisition: &Acquisition,
-    released: Option<&Item>,
-) -> Predecessor {
-    let (previous, revision) = &acquisition.previous;
-    let own = node.stops.borrow().get(&cell).copied();
-    let own = own.filter(|stop| {
-        previous.owner == node.incarnation && previous.generation == stop.generation
-    });
-    let release = released.and_then(decode::<Release>);
-    let release = release.filter(|release| release.generation == previous.generation);
-    let end = match (own, release) {
-        (Some(stop), _) => End::Stopped { leases_over_at: stop.leases_over_at },
-        (None, Some(release)) => release.end(time::now()),
-        // The cell had no owner before.
-        (None, None) if *revision == 0 => End::Stopped { leases_over_at: acquisition.sent_at },
-        (None, None) if node.has_ended(&previous.owner, *revision) => End::Ended,
-        (None, None) => End::Unknown,
-    };
-    Predecessor::new(previous, end)
-}
-
 /// Turns changes of the cell's keys into events. An owner's entry other than this executor's, or
 /// none, means that the cell is lost.
 async fn watch_keys(executor: Rc<Executor>, mut follower: Follower) {
@@ -485,46 +460,3 @@
         }
     }
 }
-
-/// Removes the owner's entry, so that the next owner does not wait for the lease to expire, and leaves
-/// the mark that it has stopped. Tries until the store has answered.
-async fn release(node: &Rc<Node>, cell: u32, fence: u64, stop: &Stop) {
-    loop {
-        let txn = Txn {
-            expected: vec![(keys::owner(cell), fence)],
-            removed: vec![keys::owner(cell)],
-            writes: vec![(keys::released(cell), record::encode(&stop.release()), 0)],
-        };
-        match node.store.txn(&txn).await {
-            Ok(_) => return,
-            // The entry has gone with the VM's lease, or an earlier try was carried out.
-            Err(store::Error::Conflict(_)) => return leave_mark(node, cell, stop).await,
-            Err(error) => node.store_failed("give-up", &error),
-        }
-        sleep(RELEASE_RETRY_DELAY).await;
-    }
-}
-
-/// Leaves the mark of an owner that has stopped, unless it is there or a later owner has left one.
-/// Tries until the store has answered.
-async fn leave_mark(node: &Rc<Node>, cell: u32, stop: &Stop) {
-    while let Err(error) = try_leave_mark(node, cell, stop).await {
-        node.store_failed("mark", &error);
-        sleep(RELEASE_RETRY_DELAY).await;
-    }
-}
-
-async fn try_leave_mark(node: &Rc<Node>, cell: u32, stop: &Stop) -> Result<(), store::Error> {
-    let key = keys::released(cell);
-    let item = node.store.get(&key).await?;
-    let is_over = |release: Release| release.generation >= stop.generation;
-    if item.as_ref().and_then(decode::<Release>).is_some_and(is_over) {
-        return Ok(());
-    }
-    let txn = Txn {
-        expected: vec![(key.clone(), item.map_or(0, |item| item.revision))],
-        writes: vec![(key, record::encode(&stop.release()), 0)],
-        ..Txn::default()
-    };
-    node.store.txn(&txn).await.map(drop)
-}
