--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
 # Prints what was seen; record.txt holds what was sent, answered and run.
-exec "$(dirname "$0")/../run-case.sh" "$(dirname "$0")" new_route
+exec "$(dirname "$0")/../run-case.sh" "$(dirname "$0")" missing_label
