--- a/review/standin/src/bin/many_ends.rs
+++ b/review/standin/src/bin/many_ends.rs
@@ -16,7 +16,9 @@
 const TASKS: u64 = 32;
 /// Run time of a task, its processors in thousandths of a core, its memory in MB, and the spread of
 /// the run times.
-const SPEC: &str = "3000 100 300 1500";
+const SPEC: &str = "5000 100 300 1500";
+/// Time from the first start to the outage: shortly before the first end, in milliseconds.
+const OUTAGE_AFTER_MS: u64 = 4_500;
 /// How long the store is down: the site file's troubles list 4.5 s.
 const OUTAGE_MS: u64 = 4_500;
 
@@ -46,7 +48,7 @@
         ("count", TASKS.into()),
         ("cpu", 100.into()),
         ("mem_mb", 300.into()),
-        ("estimate_ms", 3_500.into()),
+        ("estimate_ms", 5_500.into()),
     ]);
     let jobs: Vec<String> = (0..JOBS).map(|number| fleet::job_id(1, number)).collect();
     for (number, job) in jobs.iter().enumerate() {
@@ -58,7 +60,9 @@
         pause(50);
     }
     let started = || case.ledger.runs().len() as u64;
-    wait_until("starts", Duration::from_secs(3), || started() >= JOBS * TASKS)?;
+    wait_until("starts", Duration::from_secs(4), || started() >= JOBS * TASKS)?;
+    let first = case.ledger.runs().first().map_or(0, |run| run.started);
+    pause((first + OUTAGE_AFTER_MS).saturating_sub(case.record.now_ms()));
     if case.trouble {
         case.store.set_availability(Availability::Busy);
     }
