--- a/crates/cli/src/audit.rs
+++ b/crates/cli/src/audit.rs
@@ -209,13 +209,13 @@
         }
     }
     for queue in &new.queues {
-        match old.queue_named(&queue.name) {
-            None => lines.push(format!("queue `{}` is new", queue.name)),
-            Some(before) if before != queue => {
-                let fields = changed_fields(before, queue).join(", ");
-                lines.push(format!("queue `{}` changes: {fields}", queue.name));
-            }
-            Some(_) => {}
+        let Some(before) = old.queue_named(&queue.name) else {
+            lines.push(format!("queue `{}` is new", queue.name));
+            continue;
+        };
+        let fields = changed_fields(before, queue);
+        if !fields.is_empty() {
+            lines.push(format!("queue `{}` changes: {}", queue.name, fields.join(", ")));
         }
     }
     lines
--- a/crates/fleet/src/cell.rs
+++ b/crates/fleet/src/cell.rs
@@ -205,7 +205,7 @@
             }
             Event::Cancelled { id, revision } => self.cancel_job(id, revision),
             Event::Commit(outcome) => self.handle_commit(clock, outcome),
-            Event::Configured(config) => self.config = config,
+            Event::Configured(config) => self.apply_config(config),
             Event::Pressure(others) => self.other_pressure = others,
             Event::Evacuated(zones) => {
                 self.evacuated_zones = zones;
@@ -319,19 +319,7 @@
             self.placement_due |= job.add_tasks(record, revision);
             return;
         }
-        let queue = self.config.queue_named(&record.queue).cloned().unwrap_or_else(|| {
-            Arc::new(Queue {
-                advised: false,
-                host: String::new(),
-                max_attempts: 1,
-                name: record.queue.clone(),
-                objective_ms: 0,
-                prefix: String::new(),
-                priority: u32::MAX,
-                service: String::new(),
-                stretch: 1.0,
-            })
-        });
+        let queue = self.config.queue_of(&record);
         let mut job = Job::new(record, progress, queue, revision);
         job.recovered = recovered;
         self.unfinished_jobs.insert((job.queue.priority, job.accepted_at_ms, id));
@@ -343,6 +331,39 @@
         self.placement_due = true;
     }
 
+    /// Applies a version of the configuration, also to the jobs that are there already.
+    fn apply_config(&mut self, config: Arc<Config>) {
+        let redeclared = |(_, _, id): &(u32, u64, job::Id)| {
+            let known = &self.jobs.get(id)?.queue;
+            let queue = config.queue_named(&known.name)?;
+            (queue.version > known.version).then(|| (*id, queue.clone()))
+        };
+        let redeclared: Vec<(job::Id, Arc<Queue>)> =
+            self.unfinished_jobs.iter().filter_map(redeclared).collect();
+        self.config = config;
+        for (id, queue) in redeclared {
+            self.redeclare_queue(id, queue);
+        }
+    }
+
+    /// Replaces the declaration of an unfinished job's queue. The job fails if that allows no more attempts.
+    fn redeclare_queue(&mut self, id: job::Id, queue: Arc<Queue>) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        self.unfinished_jobs.remove(&(job.queue.priority, job.accepted_at_ms, id));
+        self.unfinished_jobs.insert((queue.priority, job.accepted_at_ms, id));
+        self.placement_due = true;
+        job.queue = queue;
+        if job.is_exhausted() {
+            self.fail_job(id);
+        }
+    }
+
+    /// Fails a job whose tasks get no more attempts.
+    pub(crate) fn fail_job(&mut self, id: job::Id) {
+        self.set_final_state(id, State::Failed);
+        self.stop_job(id, action::StopReason::Failed);
+    }
+
     /// Cancels a job at the request of its caller and stops its runs.
     fn cancel_job(&mut self, id: job::Id, revision: u64) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
--- a/crates/fleet/src/cell_crashes.rs
+++ b/crates/fleet/src/cell_crashes.rs
@@ -3,7 +3,7 @@
 
 use {
     super::*,
-    action::{Proof, Report, StopReason},
+    action::{Proof, Report},
     run::Phase,
     task::Status,
 };
@@ -115,8 +115,7 @@
         self.placement_due = true;
         if proven && open {
             self.report(Report::GivenUp { task: name, crashes });
-            self.set_final_state(name.job, State::Failed);
-            self.stop_job(name.job, StopReason::Failed);
+            self.fail_job(name.job);
         }
     }
 
--- a/crates/fleet/src/cell_polls.rs
+++ b/crates/fleet/src/cell_polls.rs
@@ -231,7 +231,7 @@
         let Some(job) = self.jobs.get_mut(&name.job) else { return };
         let attempts = job.queue.max_attempts;
         let Some(stage) = job.stage_mut(name.occurrence, name.step) else { return };
-        let (gang, lasting) = (stage.step.gang, stage.step.lasting);
+        let lasting = stage.step.lasting;
         let Some(task) = stage.tasks.get_mut(usize::from(name.index)) else { return };
         task.last_run = task.last_run.max(end.run);
         task.last_failed_worker = Some(id.clone());
@@ -244,20 +244,12 @@
         if !task.failed_runs.contains(&end.run) {
             task.failed_runs.push(end.run);
         }
-        let failures = if gang {
-            let runs: BTreeSet<u32> =
-                stage.tasks.iter().flat_map(|task| task.failed_runs.iter().copied()).collect();
-            runs.len()
-        } else {
-            task.failed_runs.len()
-        };
-        let exhausted = failures >= attempts as usize;
+        let exhausted = stage.is_exhausted(attempts);
         let open = job.final_state.is_none();
         self.mark_dirty(name.job);
         self.requeue(name, id, end.run);
         if exhausted && open {
-            self.set_final_state(name.job, State::Failed);
-            self.stop_job(name.job, StopReason::Failed);
+            self.fail_job(name.job);
         }
     }
 
--- a/crates/fleet/src/cell_record.rs
+++ b/crates/fleet/src/cell_record.rs
@@ -302,7 +302,12 @@
         let ticket = Ticket { also: Vec::new(), additions: 0, cell, division: None, queue, state };
         commit.tickets.push((id, ticket));
         let crashes = job.crashes(|_| true);
-        let record = job::Record { begun: job.may_have_begun(), crashes, ..(*job.record).clone() };
+        let record = job::Record {
+            begun: job.may_have_begun(),
+            crashes,
+            declared: Some(job.queue.clone()),
+            ..(*job.record).clone()
+        };
         commit.records.push((id, cell, Arc::new(record)));
         commit.removed.push(id);
         return;
--- a/crates/fleet/src/config.rs
+++ b/crates/fleet/src/config.rs
@@ -27,4 +27,17 @@
     pub fn queue_named(&self, name: &str) -> Option<&Arc<Queue>> {
         self.queues.iter().find(|queue| queue.name == name)
     }
+
+    /// Returns the newest declaration of a job's queue, which is that of its record if this version is
+    /// older or no longer has the queue.
+    pub(crate) fn queue_of(&self, record: &job::Record) -> Arc<Queue> {
+        let configured = self.queue_named(&record.queue);
+        let version = configured.map_or(0, |queue| queue.version);
+        let declared = record.declared.as_ref().filter(|declared| declared.version > version);
+        match (declared, configured) {
+            (Some(declared), _) => declared.clone(),
+            (None, Some(configured)) => configured.clone(),
+            (None, None) => Arc::new(Queue::undeclared(&record.queue)),
+        }
+    }
 }
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -28,6 +28,11 @@
     /// crash.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub crashes: Vec<(u32, u16, u16, Crash)>,
+    /// Its queue as declared when the job was accepted, or by its last owner when it was moved. The next
+    /// owner may not know that version yet, or only a later one that has removed the queue. `None` in
+    /// records of earlier versions of this program.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub declared: Option<Arc<Queue>>,
     /// The name of its queue.
     pub queue: String,
     /// The submission by its caller.
@@ -86,7 +91,7 @@
     pub progress_stored: bool,
     /// The job's occurrences, at least one.
     pub occurrences: Vec<Occurrence>,
-    /// The queue, as configured when this owner loaded the job.
+    /// The newest declaration of its queue that this owner knows.
     pub queue: Arc<Queue>,
     /// The job's own cell by its ticket; `None` if no ticket has been read since this owner loaded
     /// the job and its record holds none.
@@ -170,6 +175,22 @@
 }
 
 impl Stage {
+    /// Returns whether a task that is not done, or the whole gang, has failed in as many runs as `attempts`
+    /// allows. Lasting tasks have no such limit.
+    pub fn is_exhausted(&self, attempts: u32) -> bool {
+        if self.step.lasting {
+            return false;
+        }
+        let open = || self.tasks.iter().filter(|task| task.status != task::Status::Done);
+        let failures = if self.step.gang {
+            let runs: BTreeSet<u32> = open().flat_map(|task| task.failed_runs.clone()).collect();
+            runs.len()
+        } else {
+            open().map(|task| task.failed_runs.len()).max().unwrap_or(0)
+        };
+        failures >= attempts as usize
+    }
+
     fn new(step: &Arc<Step>) -> Self {
         let count = usize::from(step.count);
         Self {
@@ -477,6 +498,12 @@
         !self.is_lasting() && stages.all(|stage| stage.remaining == 0)
     }
 
+    /// Returns whether its queue allows no more attempts at one of its tasks.
+    pub fn is_exhausted(&self) -> bool {
+        let mut stages = self.occurrences.iter().flat_map(|occurrence| &occurrence.stages);
+        stages.any(|stage| stage.is_exhausted(self.queue.max_attempts))
+    }
+
     /// Returns whether one of its tasks is at a worker.
     pub fn is_active(&self) -> bool {
         let stages = self.occurrences.iter().flat_map(|occurrence| &occurrence.stages);
--- a/crates/fleet/tests/cells.rs
+++ b/crates/fleet/tests/cells.rs
@@ -47,6 +47,7 @@
         priority,
         service: "desk".into(),
         stretch: 1.0,
+        version: 1,
     }
 }
 
--- a/crates/fleet/tests/crashes.rs
+++ b/crates/fleet/tests/crashes.rs
@@ -295,7 +295,7 @@
     world.advance(3_000);
     let record = world.records.get(&(1, id("1"))).expect("a record in the other cell");
     assert_eq!(record.crashes.len(), 2, "{record:?}");
-    let job = Job::new(record.clone(), &Progress::default(), world::config().queues[0].clone(), 1);
+    let job = Job::new(record.clone(), &Progress::default(), world::queue(QUEUE, 0).into(), 1);
     assert_eq!(job.task(&name("1", 0, 1)).expect("the task").suspicion.level(), 1);
 }
 
--- a/crates/fleet/tests/gate.rs
+++ b/crates/fleet/tests/gate.rs
@@ -27,7 +27,7 @@
 const FILLING_MILLI: f64 = 2_000.0;
 
 fn queue() -> Queue {
-    (**world::config().queue_named("render").expect("the queue")).clone()
+    world::queue("render", 2)
 }
 
 fn submission(tasks: u16) -> Submission {
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -34,6 +34,8 @@
     pub cell: Cell,
     /// The number of the cell.
     pub number: u32,
+    /// The configuration that the next owner starts with.
+    pub config: Arc<Config>,
     pub now: u64,
     pub store: Store,
     pub head: (Head, u64),
@@ -121,22 +123,30 @@
     Step { checkpoints: true, fills: true, image: image.into(), ..step(count, 2) }
 }
 
-pub fn config() -> Arc<Config> {
-    let queue = |name: &str, priority| {
-        Arc::new(Queue {
-            advised: false,
-            host: "a.example".into(),
-            max_attempts: 2,
-            name: name.into(),
-            objective_ms: 250,
-            prefix: format!("/{name}/"),
-            priority,
-            service: "desk".into(),
-            stretch: 1.5,
-        })
-    };
-    let queues = vec![queue(QUEUE, 0), queue("render", 2)];
-    Arc::new(Config { body_limit_bytes: 1 << 18, queues, version: 1 })
+/// Returns a queue of the service of all workers, as version 1 of the configuration declares it.
+pub fn queue(name: &str, priority: u32) -> Queue {
+    Queue {
+        advised: false,
+        host: "a.example".into(),
+        max_attempts: 2,
+        name: name.into(),
+        objective_ms: 250,
+        prefix: format!("/{name}/"),
+        priority,
+        service: "desk".into(),
+        stretch: 1.5,
+        version: 1,
+    }
+}
+
+/// Returns a version of the configuration with these queues.
+pub fn config(version: u64, queues: Vec<Queue>) -> Arc<Config> {
+    let queues = queues.into_iter().map(|queue| Arc::new(Queue { version, ..queue })).collect();
+    Arc::new(Config { body_limit_bytes: 1 << 18, queues, version })
+}
+
+fn first_config() -> Arc<Config> {
+    config(1, vec![queue(QUEUE, 0), queue("render", 2)])
 }
 
 pub fn limits() -> Limits {
@@ -164,7 +174,7 @@
                 cell::Start {
                     acquired_at: 0,
                     loaded_at: 0,
-                    config: config(),
+                    config: first_config(),
                     head: Head::default(),
                     head_revision: 0,
                     limits: limits(),
@@ -176,6 +186,7 @@
                 BTreeMap::new(),
             ),
             number,
+            config: first_config(),
             now: 1_000,
             store: Store::Up,
             head: (Head { cell: number, ..Head::default() }, 1),
@@ -237,7 +248,7 @@
         let start = cell::Start {
             acquired_at: self.now - self.load_ms,
             loaded_at: self.now,
-            config: config(),
+            config: self.config.clone(),
             head,
             head_revision: self.revision,
             limits: limits(),
@@ -288,6 +299,7 @@
             accepted_at_ms: START_UNIX_MS + self.now,
             begun: false,
             crashes: Vec::new(),
+            declared: None,
             queue: queue.into(),
             submission: Submission { spec: "work".into(), steps, ..Submission::default() },
             tasks: None,
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -65,6 +65,7 @@
                 crashes: Vec::new(),
                 accepted_at_ms: received.unix,
                 begun: false,
+                declared: Some(queue.clone()),
                 queue: queue.name.clone(),
                 submission,
                 tasks: None,
