--- a/crates/fleet/src/cell.rs
+++ b/crates/fleet/src/cell.rs
@@ -110,7 +110,8 @@
     pub(crate) predecessor: Predecessor,
     /// Whether it was reported that no order of an earlier owner is left.
     pub(crate) settled: bool,
-    /// Workers that have not answered this owner and may run orders of an earlier one.
+    /// Workers that may run orders of an earlier owner, or hold ends that it did not record: they have not
+    /// answered this owner, or not listed all of their ends yet.
     pub(crate) unfenced: BTreeSet<Arc<str>>,
     /// The workers' entries are too old: some worker may drain by now.
     pub(crate) view_stale: bool,
--- a/crates/fleet/src/cell_orders.rs
+++ b/crates/fleet/src/cell_orders.rs
@@ -259,9 +259,15 @@
         }
     }
 
-    /// Ends the wait for orders of earlier owners once their leases are over.
+    /// Ends the wait for orders of earlier owners once their leases are over. Workers that answer renew
+    /// their leases, so that their ends count until all are listed.
     pub(crate) fn settle(&mut self, clock: Clock) {
-        if self.settled || !self.unfenced.is_empty() && clock.now < self.leases_over_at {
+        let may_list_more = |id: &Arc<str>| {
+            self.workers.get(id).is_some_and(|worker| worker.may_list_more_ends(clock.now))
+        };
+        let waits = !self.unfenced.is_empty()
+            && (clock.now < self.leases_over_at || self.unfenced.iter().any(may_list_more));
+        if self.settled || waits {
             return;
         }
         self.settled = true;
--- a/crates/fleet/src/cell_polls.rs
+++ b/crates/fleet/src/cell_polls.rs
@@ -61,6 +61,7 @@
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.missed_polls += 1;
         worker.poll_at = clock.now + REPLACED_POLL_MS;
+        worker.has_more_ends = false;
         let runs = worker.runs.len();
         self.note_silence(clock, id);
         self.unfenced.remove(id);
@@ -88,12 +89,15 @@
         worker.clock = Some((listing.clock_ms, clock.now));
         worker.fenced = true;
         worker.missed_polls = 0;
+        worker.has_more_ends = !listing.complete;
         if restarted || answers_again {
             self.placement_due = true;
             let state = if restarted { WorkerState::Reborn } else { WorkerState::Fenced };
             self.report(Report::Worker { worker: id.clone(), state, runs });
         }
-        self.unfenced.remove(id);
+        if listing.complete {
+            self.unfenced.remove(id);
+        }
         if restarted {
             self.note_silence(clock, id);
             self.suspect_runs(id, true);
@@ -375,8 +379,8 @@
         }
     }
 
-    /// Releases runs that are missing from a listing although the poll was sent after their start
-    /// or stop was confirmed.
+    /// Releases runs that are missing from a complete listing although the poll was sent after their
+    /// start or stop was confirmed.
     fn release_unlisted(&mut self, id: &Arc<str>, sent: u64, listing: &Listing) {
         let listed: BTreeMap<task::Name, u32> =
             listing.running.iter().map(|row| (row.task, row.run)).collect();
@@ -388,6 +392,9 @@
             .map(|row| (row.task, row.run))
             .filter(|(name, _)| !worker.runs.contains_key(name))
             .collect();
+        if !listing.complete {
+            return;
+        }
         let over: Vec<(task::Name, Proof)> = worker
             .runs
             .iter()
--- a/crates/fleet/src/listing.rs
+++ b/crates/fleet/src/listing.rs
@@ -9,6 +9,9 @@
     pub born: Option<u64>,
     /// The worker's own steady clock, in milliseconds.
     pub clock_ms: u64,
+    /// Whether it holds every end that has not been acknowledged. A worker lists a limited number of ends
+    /// at a time, so that without this nothing follows from a run that is not listed.
+    pub complete: bool,
     /// Ends that have not been acknowledged, oldest first.
     pub ended: Vec<End>,
     /// Runs in progress.
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -27,6 +27,8 @@
     pub poll_at: u64,
     /// Consecutive polls without an answer.
     pub missed_polls: u32,
+    /// Whether it has more ends to list than its last listing held.
+    pub has_more_ends: bool,
     /// Runs that it held when its lease ran out, while it is unknown whether it has crashed.
     pub lapsed_runs: Vec<(task::Name, u32)>,
     /// Since when it has not answered, in milliseconds; `None` while it answers.
@@ -82,6 +84,7 @@
             polling: false,
             poll_at: 0,
             missed_polls: 0,
+            has_more_ends: false,
             lapsed_runs: Vec::new(),
             silent_since: None,
             processed: 0,
@@ -119,6 +122,17 @@
         Some(at + left * 100 / (100 - limits::CLOCK_SLOW_PERCENT) + limits::LEASE_SLACK_MS)
     }
 
+    /// Returns whether it is silent and its lease has expired, even if its clock is slow.
+    fn has_lapsed(&self, now: u64) -> bool {
+        self.missed_polls > 0 && self.lapsed_at().is_some_and(|at| at <= now)
+    }
+
+    /// Returns whether it may list more ends of runs that count: those that it has not listed before its
+    /// lease expires are void.
+    pub fn may_list_more_ends(&self, now: u64) -> bool {
+        self.has_more_ends && !self.has_lapsed(now)
+    }
+
     /// Returns the worker's total resources.
     pub fn capacity(&self) -> Resources {
         self.registration.as_ref().map(|entry| entry.capacity).unwrap_or_default()
@@ -141,11 +155,11 @@
 
     /// Returns whether it holds no runs and gets none until it answers, or at all.
     pub fn is_vacated(&self, now: u64) -> bool {
-        let is_empty = self.runs.is_empty() && !self.holds_unknown_runs();
+        let is_empty =
+            self.runs.is_empty() && !self.holds_unknown_runs() && !self.may_list_more_ends(now);
         let draining = self.registration.as_ref().is_some_and(|entry| entry.draining);
-        let lapsed = self.missed_polls > 0 && self.lapsed_at().is_some_and(|at| at <= now);
         match self.fenced {
-            true => is_empty && (draining || lapsed),
+            true => is_empty && (draining || self.has_lapsed(now)),
             // As an earlier owner knew it.
             false => is_empty && self.vacated,
         }
--- a/crates/fleet/tests/runs.rs
+++ b/crates/fleet/tests/runs.rs
@@ -225,6 +225,7 @@
         answer: Ok(oleanderstage_fleet::Listing {
             born: Some(0),
             clock_ms: world.now,
+            complete: true,
             ..Default::default()
         }),
     };
--- a/crates/fleet/tests/world/worker.rs
+++ b/crates/fleet/tests/world/worker.rs
@@ -51,8 +51,13 @@
     pub zone: &'static str,
     /// Its rack.
     pub rack: u32,
+    /// How many ends a listing holds; 0 for `ENDS_PER_LISTING`.
+    pub ends_per_listing: usize,
 }
 
+/// How many ends a worker of the users' platform lists at a time.
+const ENDS_PER_LISTING: usize = 500;
+
 impl Worker {
     pub fn end(&mut self, task: task::Name, run: u32, reason: EndReason, checkpoint: String) {
         self.ends += 1;
@@ -115,7 +120,13 @@
                 task: *task,
             })
             .collect();
-        Listing { born: Some(self.born), clock_ms: now, ended: self.ended.clone(), running }
+        let limit = match self.ends_per_listing {
+            0 => ENDS_PER_LISTING,
+            limit => limit,
+        };
+        let ended: Vec<listing::End> = self.ended.iter().take(limit).cloned().collect();
+        let complete = ended.len() < limit;
+        Listing { born: Some(self.born), clock_ms: now, complete, ended, running }
     }
 
     pub fn is_down(&self, now: u64) -> bool {
@@ -136,6 +147,7 @@
             starts: std::mem::take(&mut self.starts),
             zone: self.zone,
             rack: self.rack,
+            ends_per_listing: self.ends_per_listing,
             ..Self::default()
         };
     }
--- a/crates/standin/src/users_worker.rs
+++ b/crates/standin/src/users_worker.rs
@@ -117,6 +117,8 @@
 pub const MAX_CRASHES: u32 = 3;
 /// Number of starts of such a task that violates the guarantees.
 pub const MAX_LATE_STARTS: u32 = 3;
+/// The most ended runs of an answer to a poll.
+const ENDS_PER_ANSWER: usize = 500;
 /// How long a crashed worker does nothing.
 const DOWN_TIME: Duration = Duration::from_millis(1_500);
 /// Time between the start of a task that crashes its worker and the crash.
@@ -513,6 +515,7 @@
     let ended: Vec<Value> = state
         .ended
         .iter()
+        .take(ENDS_PER_ANSWER)
         .map(|(sequence, task, run, outcome)| json!([sequence, task, run, outcome, ""]))
         .collect();
     let clock_ms = state.started.elapsed().as_millis() as u64;
