A head lists no worker as empty whose ends are not recorded

What callers would see: TWICE. A new owner starts tasks again that have ended done at a draining worker.

Cause: the head tells the next owner for which workers it need not wait. A worker without runs that drains was among them as soon as its ends were processed, also when the commit had no room for all of them (32 entries).

Change: a commit that leaves changes out lists no worker of which it leaves out an end.

Test: a_worker_whose_ends_are_not_recorded_is_not_left_out_by_the_next_owner; before the change task a30.0.0.0 runs twice.

--- a/crates/fleet/src/cell_record.rs
+++ b/crates/fleet/src/cell_record.rs
@@ -114,6 +114,7 @@
             let mut next = commit.clone();
             add_changes(&mut next, id, job, self.head_cell());
             if next.entries() > MAX_ENTRIES {
+                commit.head.vacated.retain(|id| self.has_recorded_ends(id));
                 return (commit, false);
             }
             commit = next;
@@ -122,6 +123,13 @@
         (commit, true)
     }
 
+    /// Returns whether the store holds all ends that a worker has listed.
+    fn has_recorded_ends(&self, id: &str) -> bool {
+        let recorded =
+            |worker: &Worker| worker.unrecorded.iter().all(|&(_, change)| change <= self.durable);
+        self.workers.get(id).is_none_or(recorded)
+    }
+
     fn head_cell(&self) -> u32 {
         self.head.cell
     }
--- a/crates/fleet/tests/listings.rs
+++ b/crates/fleet/tests/listings.rs
@@ -125,3 +125,46 @@
     world.advance(3_000);
     assert_eq!(world.worker("w1").acknowledged, u64::from(TASKS));
 }
+
+/// TWICE: the store held that a worker has no runs, before it held all of their ends. A new owner did not
+/// wait for the worker's list.
+#[test]
+fn a_worker_whose_ends_are_not_recorded_is_not_left_out_by_the_next_owner() {
+    let mut world = World::new(&["w1", "w2"]);
+    world.cores = 64;
+    let members = world.members();
+    world.handle(Event::Workers(members));
+    // More jobs than one commit takes.
+    let jobs: Vec<String> = (0..40).map(|number| format!("a{number}")).collect();
+    for job in &jobs {
+        world.submit(job, QUEUE, vec![step(1, 1), Step { after: vec![0], ..step(1, 1) }]);
+    }
+    world.advance(200);
+    world.store = Store::Down;
+    for worker in ["w1", "w2"] {
+        world.worker(worker).draining = true;
+    }
+    let members = world.members();
+    world.handle(Event::Workers(members));
+    world.advance(1_500);
+    world.store = Store::Up;
+    while world.commits == 0 || world.progress.is_empty() {
+        world.advance(10);
+    }
+    assert!(world.progress.len() < jobs.len(), "the first of several commits");
+    world.add_worker("w3");
+    for worker in ["w1", "w2"] {
+        world.worker(worker).unreachable = true;
+    }
+    world.owner_end = End::Stopped { leases_over_at: world.now };
+    world.take_over();
+    world.advance(1_000);
+    for worker in ["w1", "w2"] {
+        world.worker(worker).unreachable = false;
+    }
+    world.advance(4_000);
+    for job in &jobs {
+        assert_eq!(world.starts(name(job, 0, 0)).len(), 1, "{job}");
+        assert_eq!(world.state(job), State::Completed, "{job}");
+    }
+}
