--- a/crates/core/src/resources.rs
+++ b/crates/core/src/resources.rs
@@ -36,6 +36,14 @@
             && self.processors_milli <= available.processors_milli
     }
 
+    /// Returns how many times this amount fits into `available`; `u64::MAX` if it is nothing.
+    pub fn times_in(&self, available: &Self) -> u64 {
+        let times = |needed: u64, available: u64| available.checked_div(needed).unwrap_or(u64::MAX);
+        times(self.accelerators.into(), available.accelerators.into())
+            .min(times(self.memory_mib, available.memory_mib))
+            .min(times(self.processors_milli, available.processors_milli))
+    }
+
     /// Returns the rest after subtracting `other`, at least zero in every dimension.
     pub fn saturating_sub(&self, other: &Self) -> Self {
         Self {
--- a/crates/fleet/src/action.rs
+++ b/crates/fleet/src/action.rs
@@ -198,6 +198,22 @@
         /// Why it is stopped.
         reason: StopReason,
     },
+    /// No worker of the cell can hold a task of a step, or all members of a gang at the same time, however
+    /// busy they are now.
+    Unheld {
+        /// The job.
+        job: job::Id,
+        /// The step's number.
+        step: u16,
+        /// The service whose workers may run it.
+        service: String,
+        /// The label that the worker must carry.
+        label: Option<String>,
+        /// What a task reserves.
+        resources: Resources,
+        /// The number of tasks that have to be held at the same time.
+        members: u16,
+    },
     /// What the cell is used for, and what waits.
     Usage(Usage),
     /// Workers of an availability zone get no new runs, since it is evacuated, or get them again.
--- a/crates/fleet/src/cell.rs
+++ b/crates/fleet/src/cell.rs
@@ -57,6 +57,8 @@
     pub(crate) planned: BTreeSet<(Arc<str>, task::Name)>,
     /// Workers that fell silent lately, oldest first.
     pub(crate) silences: VecDeque<cell_crashes::Silence>,
+    /// The job with which the next placement pass goes on, if the last one stopped before it.
+    pub(crate) resume_at: Option<job::Id>,
     /// The jobs for which workers' room was held in the last placement pass.
     pub(crate) reserved: BTreeMap<Arc<str>, job::Id>,
     /// Recently removed jobs and the revisions of their removal. A record read at an earlier
@@ -70,6 +72,12 @@
     /// How much lasting jobs may hold.
     pub(crate) headroom: Headroom,
     pub(crate) head_revision: u64,
+    /// What the workers that get new runs can hold.
+    pub(crate) inventory: Inventory,
+    /// Workers have come, left or changed since `inventory` was taken.
+    pub(crate) inventory_due: bool,
+    /// When `inventory` was last taken, in milliseconds.
+    pub(crate) inventoried_at: u64,
     pub(crate) jobs: HashMap<job::Id, Job>,
     /// The contention between images measured by the owners of other cells.
     pub(crate) other_pressure: pressure::Pressure,
@@ -110,6 +118,8 @@
     pub(crate) predecessor: Predecessor,
     /// Whether it was reported that no order of an earlier owner is left.
     pub(crate) settled: bool,
+    /// Steps of jobs that no worker can hold, as last reported.
+    pub(crate) unheld: BTreeSet<(job::Id, u16)>,
     /// Workers that may run orders of an earlier owner, or hold ends that it did not record: they have not
     /// answered this owner, or not listed all of their ends yet.
     pub(crate) unfenced: BTreeSet<Arc<str>>,
@@ -148,6 +158,7 @@
             usage_reported_at: 0,
             planned: BTreeSet::new(),
             silences: VecDeque::new(),
+            resume_at: None,
             reserved: BTreeMap::new(),
             removed: HashMap::new(),
             removed_order: VecDeque::new(),
@@ -155,6 +166,9 @@
             head: start.head,
             headroom: Headroom::default(),
             head_revision: start.head_revision,
+            inventory: Inventory::default(),
+            inventory_due: true,
+            inventoried_at: 0,
             jobs: HashMap::new(),
             other_pressure: pressure::Pressure::default(),
             leases_over_at: start
@@ -173,6 +187,7 @@
             placement_due: true,
             predecessor: start.predecessor,
             settled: false,
+            unheld: BTreeSet::new(),
             unfenced: members.keys().filter(|id| !vacated.contains(&***id)).cloned().collect(),
             view_stale: false,
             workers: BTreeMap::new(),
@@ -242,6 +257,7 @@
     fn run_due_work(&mut self, clock: Clock) {
         self.forget_lapsed(clock);
         self.settle(clock);
+        self.take_inventory(clock);
         self.release_expired(clock);
         self.resend_orders(clock);
         self.relocate_filling_tasks(clock);
@@ -408,6 +424,7 @@
     /// until its runs are over.
     fn update_members(&mut self, clock: Clock, members: BTreeMap<Arc<str>, Option<Registration>>) {
         self.placement_due = true;
+        self.inventory_due = true;
         for (id, entry) in &members {
             match self.workers.get_mut(id) {
                 Some(worker) => {
@@ -445,6 +462,26 @@
         self.mark_evacuated_workers();
     }
 
+    /// Takes the inventory of the workers that get new runs. Those that don't answer drop out of it with time.
+    fn take_inventory(&mut self, clock: Clock) {
+        if !self.inventory_due && clock.now < self.inventoried_at + cell_record::LOAD_INTERVAL_MS {
+            return;
+        }
+        self.inventory_due = false;
+        self.inventoried_at = clock.now;
+        let available = self.workers.values().filter(|worker| worker.is_available(clock.now));
+        let inventory = Inventory::new(available.filter_map(|worker| worker.registration.as_ref()));
+        if inventory != self.inventory {
+            self.inventory = inventory;
+            self.placement_due = true;
+        }
+    }
+
+    /// Returns whether the workers that get new runs can hold a step of a job, however busy they are now.
+    pub(crate) fn holds(&self, job: &Job, step: &Step) -> bool {
+        !self.policy.inventory || self.inventory.holds(&job.queue.service, step)
+    }
+
     /// Marks the workers whose zone is to be evacuated, and reports each zone of this cell that has
     /// changed.
     fn mark_evacuated_workers(&mut self) {
@@ -461,6 +498,7 @@
             }
         }
         self.placement_due |= !changed.is_empty();
+        self.inventory_due |= !changed.is_empty();
         for ((zone, evacuated), (workers, runs)) in changed {
             self.report(action::Report::Zone { zone, evacuated, workers, runs });
         }
--- a/crates/fleet/src/cell_balance.rs
+++ b/crates/fleet/src/cell_balance.rs
@@ -85,7 +85,8 @@
                 continue;
             }
             let stages = job.occurrences.iter().flat_map(|occurrence| &occurrence.stages);
-            for stage in stages.filter(|stage| stage.step.fills) {
+            let counts = |step: &Step| step.fills && self.holds(job, step);
+            for stage in stages.filter(|stage| counts(&stage.step)) {
                 let Some(entry) = throughput.get_mut(&stage.step.image) else { continue };
                 let task_ms = self.forecast.step_ms(&job.queue.name, stage.step.estimate_ms);
                 let work = stage.step.work(stage.remaining as u64, task_ms);
@@ -105,6 +106,9 @@
         for (_, _, id) in &self.unfinished_jobs {
             let Some(job) = self.jobs.get(id).filter(|job| !job.is_lasting()) else { continue };
             for (occurrence, number, step) in cell_schedule::ready_stages(job, clock.unix) {
+                if !self.holds(job, &step) {
+                    continue;
+                }
                 let waiting = job.stage(occurrence, number).map_or(0, |stage| stage.waiting.len());
                 demand.add_waiting(&step, waiting as u64);
             }
--- a/crates/fleet/src/cell_polls.rs
+++ b/crates/fleet/src/cell_polls.rs
@@ -46,6 +46,7 @@
             Err(Refusal::Reborn) => self.handle_replacement(clock, id),
             Err(_) => {
                 worker.missed_polls += 1;
+                worker.unanswered_since.get_or_insert(clock.now);
                 let (missed, runs) = (worker.missed_polls, worker.runs.len());
                 self.note_silence(clock, id);
                 if missed == 1 {
@@ -60,6 +61,7 @@
     fn handle_replacement(&mut self, clock: Clock, id: &Arc<str>) {
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.missed_polls += 1;
+        worker.unanswered_since.get_or_insert(clock.now);
         worker.poll_at = clock.now + REPLACED_POLL_MS;
         worker.has_more_ends = false;
         let runs = worker.runs.len();
@@ -89,9 +91,11 @@
         worker.clock = Some((listing.clock_ms, clock.now));
         worker.fenced = true;
         worker.missed_polls = 0;
+        worker.unanswered_since = None;
         worker.has_more_ends = !listing.complete;
         if restarted || answers_again {
             self.placement_due = true;
+            self.inventory_due = true;
             let state = if restarted { WorkerState::Reborn } else { WorkerState::Fenced };
             self.report(Report::Worker { worker: id.clone(), state, runs });
         }
--- a/crates/fleet/src/cell_record.rs
+++ b/crates/fleet/src/cell_record.rs
@@ -176,7 +176,8 @@
         head.steps = fits.map(|(queue, fit)| (queue.clone(), fit.rounded())).collect();
         head.lasting_limit_milli = self.headroom.lasting_limit(head.total_milli);
         for job in self.jobs.values().filter(|job| job.final_state.is_none()) {
-            *head.backlog.entry(job.queue.priority).or_default() += job.work_left();
+            let work = job.work_left(|step| self.holds(job, step));
+            *head.backlog.entry(job.queue.priority).or_default() += work;
             if !job.begun {
                 *head.pending.entry(job.queue.name.clone()).or_default() += 1;
             }
--- a/crates/fleet/src/cell_schedule.rs
+++ b/crates/fleet/src/cell_schedule.rs
@@ -1,11 +1,8 @@
 //! Places waiting tasks on workers: by queue priority, then by whether the job can still meet its
 //! latency objective, then by age.
 
-use super::*;
+use {super::*, shortage::Shortage, window::Window};
 
-/// Number of steps that do not fit anywhere after which a pass ends and the rest waits for the next
-/// change, so that a long queue costs no more than a short one.
-const MAX_MISSES: usize = 48;
 /// Run numbers reserved for each owner of a recovered task, so that a new owner's numbers are
 /// higher than those of starts that earlier owners did not record.
 const RUNS_PER_GENERATION: u32 = 64;
@@ -23,6 +20,29 @@
 /// The platform counts a job as lost if it waits for seconds while half the fleet is free.
 const MAX_RESERVED_PERCENT: u64 = 60;
 
+/// What a placement pass goes by.
+struct Pass {
+    /// The steps for which room to hold was searched for; at most `window::MAX_MISSES`.
+    held_for: usize,
+    /// Room that is held for tasks that fit nowhere.
+    reservations: reservation::Book,
+    /// What has found no worker.
+    shortage: Shortage,
+    /// Whether the cell has spare capacity.
+    spare: bool,
+}
+
+/// The outcome of a search for workers of a step's waiting tasks.
+enum Search {
+    /// None is left waiting for a worker.
+    Placed,
+    /// A task found no worker.
+    Missed {
+        /// Whether nothing but its constraint and its size kept the task from one.
+        general: bool,
+    },
+}
+
 impl Cell {
     /// Places waiting tasks if free resources or work have changed since the last pass.
     pub(crate) fn place_tasks(&mut self, clock: Clock) {
@@ -31,44 +51,106 @@
         }
         self.placement_due = false;
         self.reserved.retain(|_, job| self.jobs.contains_key(job));
-        let all_fenced = self.unfenced.is_empty();
+        self.unheld.retain(|(job, _)| self.jobs.contains_key(job));
+        let mut pass = Pass {
+            held_for: 0,
+            reservations: reservation::Book::default(),
+            shortage: Shortage::default(),
+            spare: self.policy.waits && self.has_spare_capacity(),
+        };
+        let ranked = self.jobs_by_rank(clock);
+        let resume_at = self.resume_at.take();
+        let resume_at = resume_at.and_then(|job| ranked.iter().position(|id| *id == job));
+        let mut window = Window::new(resume_at.unwrap_or(0));
+        let mut position = 0;
+        while let Some(&id) = ranked.get(position) {
+            let misses = self.place_job(clock, id, &mut pass);
+            let Some(next) = window.next(position, misses) else {
+                self.resume_at = ranked.get(position + 1).copied();
+                return;
+            };
+            position = next;
+        }
+    }
+
+    /// Places the waiting tasks of a job and returns how many searches found no worker. Those for filling tasks
+    /// don't count: each image has few of them.
+    fn place_job(&mut self, clock: Clock, id: job::Id, pass: &mut Pass) -> usize {
+        let Some(job) = self.jobs.get(&id) else { return 0 };
+        let moving = job.moving_to.is_some() || job.splitting.is_some();
+        let unsettled = job.recovered && !self.unfenced.is_empty();
+        if moving || unsettled || self.is_held_back(id, job) {
+            return 0;
+        }
+        let waited = clock.unix.saturating_sub(job.accepted_at_ms);
+        let slowly = pass.spare && waited >= FULL_PACE_WAIT_MS && !job.is_active();
         let mut misses = 0;
-        let mut reservations = reservation::Book::default();
-        let spare = self.policy.waits && self.has_spare_capacity();
-        // The smallest request of each filling image that found no worker, in thousandths of a
-        // core, by whether a task that starts slowly was looked for.
-        let mut smallest_missed: BTreeMap<(String, bool), u64> = BTreeMap::new();
-        for id in self.jobs_by_rank(clock) {
-            let Some(job) = self.jobs.get(&id) else { continue };
-            let moving = job.moving_to.is_some() || job.splitting.is_some();
-            if moving || (job.recovered && !all_fenced) || self.is_held_back(id, job) {
+        for (occurrence, number, step) in ready_stages(job, clock.unix) {
+            if !self.is_held(id, number, &step) {
                 continue;
             }
-            let waited = clock.unix.saturating_sub(job.accepted_at_ms);
-            let slowly = spare && waited >= FULL_PACE_WAIT_MS && !job.is_active();
-            for (occurrence, step_number, step) in ready_stages(job, clock.unix) {
-                let milli = step.resources.processors_milli;
-                let key = (step.image.clone(), slowly);
-                let cannot_fit = smallest_missed.get(&key).is_some_and(|&least| milli >= least);
-                let stage = (id, occurrence, step_number);
-                if step.fills && cannot_fit
-                    || self.place_stage(clock, stage, slowly, &mut reservations)
-                {
-                    continue;
-                }
-                if step.fills {
-                    let (image, slowly) = key;
-                    let began = self.jobs.get(&id).is_some_and(Job::is_active);
-                    smallest_missed.insert((image, slowly && !began), milli);
-                    continue;
-                }
-                self.reserve(clock, id, occurrence, step_number, &mut reservations);
-                misses += 1;
-                if misses >= MAX_MISSES {
-                    return;
+            let Some((mut constraint, request)) = self.request(id, &step, slowly) else { break };
+            let stage = (id, occurrence, number);
+            if !pass.shortage.covers(&constraint, &request) {
+                let search = self.place_stage(clock, stage, slowly, &mut pass.reservations);
+                let Search::Missed { general } = search else { continue };
+                // Only the first task of a job starts slowly.
+                constraint.slowly &= !self.jobs.get(&id).is_some_and(Job::is_active);
+                if general {
+                    pass.shortage.add(constraint, request);
                 }
+                misses += usize::from(!step.fills);
+            }
+            if !step.fills && pass.held_for < window::MAX_MISSES {
+                pass.held_for += 1;
+                self.reserve(clock, id, occurrence, number, &mut pass.reservations);
+            }
+            if misses >= window::MAX_MISSES {
+                break;
             }
         }
+        misses
+    }
+
+    /// Returns whether a worker of the cell can hold tasks of a step, and reports it once if none can.
+    fn is_held(&mut self, id: job::Id, number: u16, step: &Step) -> bool {
+        let Some(job) = self.jobs.get(&id) else { return false };
+        if self.holds(job, step) {
+            self.unheld.remove(&(id, number));
+            return true;
+        }
+        let service = job.queue.service.clone();
+        if self.unheld.insert((id, number)) {
+            self.report(action::Report::Unheld {
+                job: id,
+                step: number,
+                service,
+                label: step.label.clone(),
+                resources: step.reserved(),
+                members: if step.gang { step.count } else { 1 },
+            });
+        }
+        false
+    }
+
+    /// Returns what a waiting task of a step asks for.
+    fn request(
+        &self,
+        id: job::Id,
+        step: &Step,
+        slowly: bool,
+    ) -> Option<(shortage::Constraint, shortage::Request)> {
+        let job = self.jobs.get(&id)?;
+        let constraint = shortage::Constraint {
+            service: job.queue.service.clone(),
+            label: step.label.clone(),
+            filling: step.fills.then(|| step.image.clone()),
+            slowly,
+            takes_reserved: job.restarts(),
+        };
+        // Reservations hold no filling task back.
+        let duration_ms = self.duration_ms(job, step).filter(|_| !step.fills);
+        Some((constraint, shortage::Request { duration_ms, resources: step.resources }))
     }
 
     /// Returns whether a lasting job has to wait until others have ended, so that room is left for
@@ -105,28 +187,30 @@
         ranked.into_iter().map(|(.., id)| id).collect()
     }
 
-    /// Places the waiting tasks of a step and returns whether none is left waiting. With `slowly`, the first
-    /// task may start where its pace is low.
+    /// Places the waiting tasks of a step. With `slowly`, the first task may start where its pace is low.
     fn place_stage(
         &mut self,
         clock: Clock,
         (id, occurrence, step_number): (job::Id, u32, u16),
         mut slowly: bool,
         reservations: &mut reservation::Book,
-    ) -> bool {
-        let Some(job) = self.jobs.get(&id) else { return true };
-        let Some(stage) = job.stage(occurrence, step_number) else { return true };
+    ) -> Search {
+        let Some(job) = self.jobs.get(&id) else { return Search::Placed };
+        let Some(stage) = job.stage(occurrence, step_number) else { return Search::Placed };
         let step = stage.step.clone();
         let duration_ms = self.duration_ms(job, &step);
         // Lasting tasks that have ended restart at once, also in reserved room.
-        let restarts = job.is_lasting() && job.may_have_begun();
+        let restarts = job.restarts();
         let none = reservation::Book::default();
         let service = job.queue.service.clone();
         let recovered = job.recovered;
         let mut placed = tasks_per_worker(stage);
         let waiting: Vec<u16> = stage.waiting.iter().copied().collect();
         if step.gang {
-            return self.place_gang(clock, id, occurrence, step_number, reservations);
+            return match self.place_gang(clock, id, occurrence, step_number, reservations) {
+                true => Search::Placed,
+                false => Search::Missed { general: false },
+            };
         }
         for index in waiting {
             let name = task::Name { job: id, occurrence, step: step_number, index };
@@ -135,7 +219,7 @@
                 continue;
             }
             let Some(job) = self.jobs.get(&id).filter(|job| job.final_state.is_none()) else {
-                return true;
+                return Search::Placed;
             };
             let Some(task) = job.task(&name) else { continue };
             let criteria = placement::Criteria {
@@ -152,7 +236,8 @@
                 duration_ms,
             };
             let Some(worker) = placement::choose(&self.workers, &criteria).cloned() else {
-                return false;
+                let general = step.per_worker == 0 && task.suspicion.level() == 0;
+                return Search::Missed { general };
             };
             reservations.take(&worker, clock.now, &step, duration_ms);
             let run = self.next_run(task.last_run, recovered);
@@ -160,7 +245,7 @@
             self.start(clock, &worker, name, run);
             slowly = false;
         }
-        true
+        Search::Placed
     }
 
     /// Reserves a worker for each waiting task of a step that fits nowhere now, as far as the pass
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -511,12 +511,18 @@
         tasks.any(|task| matches!(task.status, task::Status::Active { .. }))
     }
 
-    /// Returns the estimated work of unfinished tasks, in core-milliseconds, without lasting tasks.
-    pub fn work_left(&self) -> u64 {
+    /// Returns whether its tasks are lasting ones that have run before: they restart at once.
+    pub fn restarts(&self) -> bool {
+        self.is_lasting() && self.may_have_begun()
+    }
+
+    /// Returns the estimated work of unfinished tasks of the steps for which `counts` holds, in
+    /// core-milliseconds, without lasting tasks.
+    pub fn work_left(&self, counts: impl Fn(&Step) -> bool) -> u64 {
         self.occurrences
             .iter()
             .flat_map(|occurrence| &occurrence.stages)
-            .filter(|stage| !stage.step.lasting)
+            .filter(|stage| !stage.step.lasting && stage.remaining > 0 && counts(&stage.step))
             .map(|stage| stage.step.work(stage.remaining as u64, stage.step.estimate_ms))
             .sum()
     }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -18,12 +18,12 @@
     action::Action, assignment::Assignment, cell::Cell, clock::Clock, commit::Commit,
     config::Config, continuity::Continuity, crash::Crash, division::Division,
     evacuation::Evacuation, event::Event, fit::Fit, forecast::Forecast, gate::Gate, head::Head,
-    headroom::Headroom, job::Job, lateness::Lateness, lifetime::Lifetime, limits::Limits,
-    listing::Listing, load::Load, policy::Policy, predecessor::Predecessor, progress::Progress,
-    queue::Queue, registration::Registration, registry::Registry, release::Release,
-    reservation::Reservation, run::Run, settling::Settling, state::State, step::Step,
-    submission::Submission, suspicion::Suspicion, throughput::Throughput, ticket::Ticket,
-    trace::Trace, usage::Usage, worker::Worker,
+    headroom::Headroom, inventory::Inventory, job::Job, lateness::Lateness, lifetime::Lifetime,
+    limits::Limits, listing::Listing, load::Load, policy::Policy, predecessor::Predecessor,
+    progress::Progress, queue::Queue, registration::Registration, registry::Registry,
+    release::Release, reservation::Reservation, run::Run, settling::Settling, shape::Shape,
+    state::State, step::Step, submission::Submission, suspicion::Suspicion, throughput::Throughput,
+    ticket::Ticket, trace::Trace, usage::Usage, worker::Worker,
 };
 
 pub mod action;
@@ -43,6 +43,7 @@
 pub mod gate;
 pub mod head;
 pub mod headroom;
+pub mod inventory;
 pub mod job;
 pub mod lateness;
 pub mod lifetime;
@@ -63,6 +64,8 @@
 pub mod reservation;
 pub mod run;
 pub mod settling;
+pub mod shape;
+mod shortage;
 pub mod state;
 pub mod step;
 pub mod submission;
@@ -72,6 +75,7 @@
 pub mod ticket;
 pub mod trace;
 pub mod usage;
+mod window;
 pub mod worker;
 
 mod cell_balance;
--- a/crates/fleet/src/policy.rs
+++ b/crates/fleet/src/policy.rs
@@ -13,6 +13,8 @@
     pub backfill: bool,
     /// The share that lasting jobs may hold follows what short work needs.
     pub headroom: bool,
+    /// Steps that no worker of the cell can hold are set aside.
+    pub inventory: bool,
     /// Jobs that can still be in time go before those that can't.
     pub lateness: bool,
     /// Jobs that have not begun move to cells that serve them sooner.
@@ -44,6 +46,7 @@
             affinity: true,
             backfill: true,
             headroom: true,
+            inventory: true,
             lateness: true,
             moves: true,
             pressure: true,
@@ -72,6 +75,7 @@
             "affinity" => &mut self.affinity,
             "backfill" => &mut self.backfill,
             "headroom" => &mut self.headroom,
+            "inventory" => &mut self.inventory,
             "lateness" => &mut self.lateness,
             "moves" => &mut self.moves,
             "pressure" => &mut self.pressure,
--- a/crates/fleet/src/usage.rs
+++ b/crates/fleet/src/usage.rs
@@ -26,6 +26,8 @@
     pub serving_tasks: usize,
     /// Processors of the workers that get new runs.
     pub total_milli: u64,
+    /// Tasks that could start now and that no worker of the cell can hold. They count nowhere else.
+    pub unheld_tasks: usize,
     /// Unfinished jobs of which no task has started, without lasting ones.
     pub waiting_jobs: usize,
     /// Processors that filling tasks ask for which could start now and wait.
@@ -79,6 +81,10 @@
             }
             for (occurrence, number, step) in cell_schedule::ready_stages(job, clock.unix) {
                 let waiting = job.stage(occurrence, number).map_or(0, |stage| stage.waiting.len());
+                if !self.holds(job, &step) {
+                    usage.unheld_tasks += waiting;
+                    continue;
+                }
                 let milli = match (step.lasting, step.fills) {
                     (true, _) => &mut usage.waiting_lasting_milli,
                     (_, true) => &mut usage.waiting_filling_milli,
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -29,6 +29,8 @@
     pub missed_polls: u32,
     /// Whether it has more ends to list than its last listing held.
     pub has_more_ends: bool,
+    /// Since when it has missed each poll, in milliseconds; `None` while it answers, and before the first.
+    pub unanswered_since: Option<u64>,
     /// Runs that it held when its lease ran out, while it is unknown whether it has crashed.
     pub lapsed_runs: Vec<(task::Name, u32)>,
     /// Since when it has not answered, in milliseconds; `None` while it answers.
@@ -67,6 +69,9 @@
     pub vacated: bool,
 }
 
+/// How long a worker that misses its polls counts as one that gets new runs again, in milliseconds: answers are
+/// lost or late for less.
+const MAX_UNANSWERED_MS: u64 = 3_000;
 /// Consecutive missed polls after which a draining worker without an entry counts as gone.
 const MISSED_POLLS_TO_LEAVE: u32 = 2;
 
@@ -85,6 +90,7 @@
             poll_at: 0,
             missed_polls: 0,
             has_more_ends: false,
+            unanswered_since: None,
             lapsed_runs: Vec::new(),
             silent_since: None,
             processed: 0,
@@ -183,6 +189,12 @@
             && self.registration.as_ref().is_some_and(|entry| !entry.draining)
     }
 
+    /// Returns whether the worker gets new runs, now or once it has room and answers again.
+    pub fn is_available(&self, now: u64) -> bool {
+        let answers = self.unanswered_since.is_none_or(|since| now < since + MAX_UNANSWERED_MS);
+        answers && self.accepts_runs()
+    }
+
     /// Adds a run and its reservation.
     pub fn insert(&mut self, name: task::Name, run: Run) {
         self.remove(&name);
--- a/crates/fleet/tests/policy.rs
+++ b/crates/fleet/tests/policy.rs
@@ -43,6 +43,7 @@
         reserved_milli: 16_000,
         serving_tasks: 0,
         total_milli: 16_000,
+        unheld_tasks: 0,
         waiting_jobs: 0,
         waiting_filling_milli: 0,
         waiting_milli: 8_000,
--- a/crates/node/src/meter.rs
+++ b/crates/node/src/meter.rs
@@ -112,6 +112,7 @@
             }
             Report::Settled { .. } => "cell_settled",
             Report::Stop { .. } => "run_stopped",
+            Report::Unheld { .. } => "step_unheld",
             Report::Usage(_) => "cell_usage",
             Report::Worker { .. } => "worker_believed",
             Report::Zone { .. } => "cell_zone_changed",
