--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -29,8 +29,11 @@
 }
 
 /// The demand of a job on a cell.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Demand<'a> {
+    /// Whether its tasks have run, so that only a cell whose owner goes on with what is done may get it: one
+    /// that tells its inventory. Owners of earlier versions would run them again.
+    pub begun: bool,
     /// The image of its filling step with the most work, if any.
     pub filling: Option<&'a str>,
     /// The job's ID, by which jobs are spread over cells.
@@ -41,12 +44,36 @@
     pub priority: u32,
     /// Processors that its widest step reserves, in thousandths of a core.
     pub reserved_milli: u64,
+    /// The service whose workers may run its tasks.
+    pub service: &'a str,
+    /// The steps that have tasks left.
+    pub steps: Vec<Remainder<'a>>,
     /// Processors that its largest task reserves, in thousandths of a core.
     pub task_milli: u64,
     /// Its estimated work, in core-milliseconds.
     pub work: u64,
 }
 
+/// A step of a job that has tasks left.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Remainder<'a> {
+    /// The step.
+    pub step: &'a Step,
+    /// Whether every step that it depends on is done.
+    pub ready: bool,
+}
+
+/// A cell's rank for a job; the least one is the best.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct Rank {
+    /// What the cell's workers can't hold of the job.
+    gap: Gap,
+    /// The expected time until the job is done, in units of `WAIT_RESOLUTION_MS`.
+    wait: u64,
+    /// The share of the processors that would be reserved, in thousandths.
+    reserved: u64,
+}
+
 /// Expected wait of a job for reserved processors that are in use, in milliseconds: about the
 /// duration of a short task.
 const RESERVED_WAIT_MS: u64 = 1_000;
@@ -68,20 +95,35 @@
 
 impl<'a> Demand<'a> {
     /// Returns the demand of a job that was submitted to a queue.
-    pub fn new(id: job::Id, submission: &'a Submission, queue: &Queue) -> Self {
+    pub fn new(id: job::Id, submission: &'a Submission, queue: &'a Queue) -> Self {
+        let steps = submission.steps.iter();
+        let steps = steps.map(|step| Remainder { step, ready: step.after.is_empty() });
+        Self::with_steps(id, steps.collect(), queue)
+    }
+
+    /// Returns the demand of what is left of a job.
+    pub fn of_rest(id: job::Id, job: &'a Job) -> Self {
+        Self { begun: job.begun, ..Self::with_steps(id, job.remainders(), &job.queue) }
+    }
+
+    fn with_steps(id: job::Id, steps: Vec<Remainder<'a>>, queue: &'a Queue) -> Self {
         let work = |step: &Step| step.work(step.count.into(), step.estimate_ms);
         let reserved =
             |step: &Step| u64::from(step.count).saturating_mul(step.reserved().processors_milli);
-        let filling = submission.steps.iter().filter(|step| step.fills).max_by_key(|s| work(s));
         let task = |step: &Step| step.reserved().processors_milli;
+        let all = || steps.iter().map(|rest| rest.step);
+        let filling = all().filter(|step| step.fills).max_by_key(|step| work(step));
         Self {
+            begun: false,
             filling: filling.map(|step| step.image.as_str()),
             id,
-            lasting: submission.steps.iter().any(|step| step.lasting),
+            lasting: all().any(|step| step.lasting),
             priority: queue.priority,
-            reserved_milli: submission.steps.iter().map(reserved).max().unwrap_or(0),
-            task_milli: submission.steps.iter().map(task).max().unwrap_or(0),
-            work: submission.steps.iter().filter(|step| !step.lasting).map(work).sum(),
+            reserved_milli: all().map(reserved).max().unwrap_or(0),
+            service: &queue.service,
+            task_milli: all().map(task).max().unwrap_or(0),
+            work: all().filter(|step| !step.lasting).map(work).sum(),
+            steps,
         }
     }
 }
@@ -102,38 +144,48 @@
         *load = Load { head, observed_at: now, revision, ..Load::default() };
     }
 
-    /// Returns a cell other than `own` that serves a job sooner by at least `margin_ms`, and adds
-    /// the job to its load.
-    pub fn find_sooner_cell(
+    /// Returns a cell other than `own` whose workers can hold more of a job, or as much of it and serve it
+    /// sooner by at least `margin_ms`, and adds the job to its load.
+    pub fn find_better_cell(
         &mut self,
         own: u32,
-        demand: Demand<'_>,
+        demand: &Demand<'_>,
         margin_ms: u64,
     ) -> Option<u32> {
-        let here = self.cells.get(&own)?.wait_ms(demand);
-        let (cell, load) = self.soonest(demand, Some(own))?;
-        if load.wait_ms(demand) + margin_ms > here {
+        let here = self.cells.get(&own)?;
+        let (gap, wait_ms) = (here.gap(demand), here.wait_ms(demand));
+        let (cell, load) = self.best(demand, Some(own))?;
+        let is_better = match load.gap(demand).cmp(&gap) {
+            Ordering::Less => true,
+            Ordering::Equal => load.wait_ms(demand) + margin_ms <= wait_ms,
+            Ordering::Greater => false,
+        };
+        if !is_better {
             return None;
         }
         load.add_job(demand);
         Some(cell)
     }
 
-    /// Returns the cell that has the most processors free on one worker, if a task of `task_milli`
-    /// thousandths of a core fits there, and how many of `tasks` such tasks fit on that worker.
-    /// Skips `excluded`; adds the tasks to the load of the returned cell.
+    /// Returns the cell that has the most processors free on one worker, among those with workers that can
+    /// hold a task of the step, if such a task fits there, and how many of `tasks` such tasks fit on that
+    /// worker. Skips `excluded`; adds the tasks to the load of the returned cell.
     pub fn find_room(
         &mut self,
         excluded: &[u32],
-        task_milli: u64,
+        service: &str,
+        step: &Step,
         tasks: usize,
     ) -> Option<(u32, usize)> {
+        let task_milli = step.reserved().processors_milli;
         let (&cell, load) = self
             .cells
             .iter_mut()
             .filter(|(cell, load)| {
                 let sent = load.sent_milli;
-                !excluded.contains(cell) && load.head.largest_milli >= task_milli + sent
+                !excluded.contains(cell)
+                    && load.head.largest_milli >= task_milli.saturating_add(sent)
+                    && load.holds(service, step)
             })
             .max_by_key(|(_, load)| load.head.largest_milli)?;
         let left = load.head.largest_milli - load.sent_milli;
@@ -155,12 +207,14 @@
     pub fn outlook(
         &self,
         now: u64,
-        demand: Demand<'_>,
+        demand: &Demand<'_>,
         submission: &Submission,
         queue: &Queue,
     ) -> Option<gate::Outlook> {
         let image = demand.filling?;
-        let loads = || self.cells.values().filter(|load| load.head.total_milli > 0);
+        let all = || self.cells.values().filter(|load| load.head.total_milli > 0);
+        let least = all().map(|load| load.gap(demand)).min()?;
+        let loads = || all().filter(|load| load.gap(demand) == least);
         let step_ms = |step: &Step| {
             let fit = loads().find_map(|load| load.head.steps.get(&queue.name));
             fit.map_or(step.estimate_ms, |fit| fit.expected_ms(step.estimate_ms))
@@ -180,37 +234,40 @@
         self.cells.values().filter_map(|load| load.head.pending.get(queue)).sum()
     }
 
-    /// Returns the cell that serves the job soonest and adds the job to its load.
-    pub fn choose(&mut self, demand: Demand<'_>) -> Option<u32> {
-        let (cell, load) = self.soonest(demand, None)?;
+    /// Returns the cell whose workers can hold the most of the job, among equal ones that which serves it
+    /// soonest, and adds the job to its load.
+    pub fn choose(&mut self, demand: &Demand<'_>) -> Option<u32> {
+        let (cell, load) = self.best(demand, None)?;
         load.add_job(demand);
         Some(cell)
     }
 
-    /// Returns the cell that serves the job soonest among those with workers that answer, except
-    /// `excluded`. With many processes, one of the cells that serve it about as soon.
-    fn soonest(&mut self, demand: Demand<'_>, excluded: Option<u32>) -> Option<(u32, &mut Load)> {
+    /// Returns the cell with the best rank among those with workers that answer, except `excluded`. With
+    /// many processes, one of the cells that hold as much of the job and serve it about as soon.
+    fn best(&mut self, demand: &Demand<'_>, excluded: Option<u32>) -> Option<(u32, &mut Load)> {
         let spread = self.processes >= MANY_PROCESSES;
-        let mut cells: Vec<(u32, &mut Load)> = self
-            .cells
-            .iter_mut()
-            .map(|(cell, load)| (*cell, load))
+        let cells = self.cells.iter_mut().map(|(cell, load)| (*cell, load));
+        let mut cells: Vec<(Rank, u32, &mut Load)> = cells
             .filter(|(cell, load)| Some(*cell) != excluded && load.head.total_milli > 0)
+            .filter(|(_, load)| !demand.begun || load.head.inventory.is_some())
+            .map(|(cell, load)| (load.rank(demand), cell, load))
             .collect();
-        if !spread {
-            return cells.into_iter().min_by_key(|(cell, load)| (load.rank(demand), *cell));
-        }
-        let least = cells.iter().map(|(_, load)| load.rank(demand).0).min()?;
-        cells.retain(|(_, load)| load.rank(demand).0 <= least + 1);
-        cells.into_iter().min_by(|(a, left), (b, right)| {
-            left.draw(demand, *a).total_cmp(&right.draw(demand, *b))
-        })
+        let best = if spread {
+            let least = cells.iter().map(|(rank, ..)| *rank).min()?;
+            cells.retain(|(rank, ..)| rank.gap == least.gap && rank.wait <= least.wait + 1);
+            cells.into_iter().min_by(|(_, a, left), (_, b, right)| {
+                left.draw(demand, *a).total_cmp(&right.draw(demand, *b))
+            })
+        } else {
+            cells.into_iter().min_by_key(|(rank, cell, _)| (*rank, *cell))
+        };
+        best.map(|(_, cell, load)| (cell, load))
     }
 }
 
 impl Load {
     /// Adds a job sent to the cell.
-    fn add_job(&mut self, demand: Demand<'_>) {
+    fn add_job(&mut self, demand: &Demand<'_>) {
         self.sent_milli += demand.reserved_milli;
         *self.sent_work.entry(demand.priority).or_default() += demand.work;
         if let Some(image) = demand.filling {
@@ -230,18 +287,29 @@
         Some(ahead.saturating_mul(1_000) / throughput.milli.max(1))
     }
 
-    /// Returns the cell's rank, lower is better: the expected time until the job is done, in units
-    /// of `WAIT_RESOLUTION_MS`, then the share of the processors that would be reserved, in
-    /// thousandths.
-    fn rank(&self, demand: Demand<'_>) -> (u64, u64) {
+    /// Returns whether a worker of the cell can hold a task of the step; true if that is not known.
+    fn holds(&self, service: &str, step: &Step) -> bool {
+        self.head.inventory.as_ref().is_none_or(|inventory| inventory.holds(service, step))
+    }
+
+    /// Returns what the cell's workers can't hold of the job.
+    fn gap(&self, demand: &Demand<'_>) -> Gap {
+        Gap::new(self.head.inventory.as_ref(), demand)
+    }
+
+    fn rank(&self, demand: &Demand<'_>) -> Rank {
         let total = self.head.total_milli.max(1);
-        let reserved = self.reserved_milli() + demand.reserved_milli;
-        (self.wait_ms(demand) / WAIT_RESOLUTION_MS, reserved * 1_000 / total)
+        let reserved = self.reserved_milli().saturating_add(demand.reserved_milli);
+        Rank {
+            gap: self.gap(demand),
+            wait: self.wait_ms(demand) / WAIT_RESOLUTION_MS,
+            reserved: reserved.saturating_mul(1_000) / total,
+        }
     }
 
     /// Returns the expected time until the job is done, or until it runs if it lasts, in
     /// milliseconds.
-    fn wait_ms(&self, demand: Demand<'_>) -> u64 {
+    fn wait_ms(&self, demand: &Demand<'_>) -> u64 {
         let total = self.head.total_milli.max(1);
         let missing = demand.reserved_milli.saturating_sub(self.room(demand));
         if demand.lasting {
@@ -266,7 +334,7 @@
     }
 
     /// Returns the processors that the job could reserve now, in thousandths of a core.
-    fn room(&self, demand: Demand<'_>) -> u64 {
+    fn room(&self, demand: &Demand<'_>) -> u64 {
         if self.head.largest_milli < demand.task_milli {
             return 0;
         }
@@ -282,7 +350,7 @@
 
     /// Returns the cell's draw for the job, the lowest wins: exponentially distributed by the job's
     /// ID, with a rate that is the cell's room, so that cells win in proportion to it.
-    fn draw(&self, demand: Demand<'_>, cell: u32) -> f64 {
+    fn draw(&self, demand: &Demand<'_>, cell: u32) -> f64 {
         let room = match demand.filling {
             Some(image) => self.head.usable_milli.get(image).copied().unwrap_or(0),
             None => self.room(demand),
--- a/crates/fleet/src/cell_balance.rs
+++ b/crates/fleet/src/cell_balance.rs
@@ -10,10 +10,10 @@
 const SPLIT_AFTER_MS: u64 = 800;
 /// How much sooner another cell must serve a job to get it, in milliseconds.
 const MOVE_MARGIN_MS: u64 = 400;
-/// Maximum number of jobs moved, and of jobs split, in one pass.
+/// Maximum number of jobs moved to be served sooner, and of jobs split, in one pass.
 const MAX_MOVES: usize = 4;
-/// The same while every zone of the cell is evacuated, when its jobs can only wait here.
-const MAX_MOVES_WITHOUT_ROOM: usize = 64;
+/// Maximum number of jobs moved in one pass, with those that can only wait in this cell.
+const MAX_URGENT_MOVES: usize = 64;
 
 impl Cell {
     /// Every `LOAD_INTERVAL_MS`, updates the contention between images and the processors that
@@ -117,46 +117,77 @@
         self.headroom.observe(clock.now, demand, total_milli);
     }
 
-    /// Moves jobs that have not begun to cells that serve them sooner.
+    /// Moves jobs that have not begun to cells that serve them sooner, and jobs whose next steps no worker of
+    /// this cell can hold to cells that can.
     pub(crate) fn move_jobs(&mut self, clock: Clock) {
         if self.leaving || clock.now < self.rebalanced_at + REBALANCE_INTERVAL_MS {
             return;
         }
         self.rebalanced_at = clock.now;
-        let all_fenced = self.unfenced.is_empty();
         let without_room =
             !self.workers.is_empty() && self.workers.values().all(|worker| worker.evacuated);
-        let (max_moves, after_ms) = match without_room {
-            true => (MAX_MOVES_WITHOUT_ROOM, 0),
-            false => (MAX_MOVES, MOVE_AFTER_MS),
-        };
         let mut moves = Vec::new();
+        let mut sooner = 0;
         for (_, _, id) in self.unfinished_jobs.iter().filter(|_| self.policy.moves) {
+            if moves.len() >= MAX_URGENT_MOVES {
+                break;
+            }
             let Some(job) = self.jobs.get(id) else { continue };
-            let waited = clock.unix.saturating_sub(job.accepted_at_ms);
-            let may_move = all_fenced || !job.recovered;
-            if job.begun || job.moving_to.is_some() || !may_move || waited < after_ms {
+            if job.moving_to.is_some() || job.recovered && !self.unfenced.is_empty() {
                 continue;
             }
-            if job.record.submission.is_timed() {
+            let waited = clock.unix.saturating_sub(job.accepted_at_ms);
+            let urgent = without_room && !job.begun || self.is_stuck(clock, *id, job);
+            let may_wait_less = !job.begun
+                && !job.record.submission.is_timed()
+                && waited >= MOVE_AFTER_MS
+                && sooner < MAX_MOVES;
+            if !urgent && !may_wait_less {
                 continue;
             }
-            let demand = admission::Demand::new(*id, &job.record.submission, &job.queue);
-            if let Some(cell) =
-                self.balancer.find_sooner_cell(self.head.cell, demand, MOVE_MARGIN_MS)
-            {
+            let demand = admission::Demand::of_rest(*id, job);
+            let found = self.balancer.find_better_cell(self.head.cell, &demand, MOVE_MARGIN_MS);
+            if let Some(cell) = found {
                 moves.push((*id, cell));
-            }
-            if moves.len() >= max_moves {
-                break;
+                sooner += usize::from(!urgent);
             }
         }
         self.split_waiting_jobs(clock);
         for (id, cell) in moves {
-            if let Some(job) = self.jobs.get_mut(&id) {
-                job.moving_to = Some(cell);
-                self.mark_dirty(id);
-            }
+            self.plan_move(id, cell);
+        }
+    }
+
+    /// Returns whether a job has nothing running, and all steps that could start now are ones that no worker of
+    /// this cell can hold.
+    fn is_stuck(&self, clock: Clock, id: job::Id, job: &Job) -> bool {
+        let noted = self.unheld.range((id, 0)..=(id, u16::MAX)).next().is_some();
+        if !noted || job.record.tasks.is_some() || job.begun && job.is_lasting() {
+            return false;
+        }
+        let ready = cell_schedule::ready_stages(job, clock.unix);
+        let unheld = |(_, _, step): &(u32, u16, Arc<Step>)| !self.holds(job, step);
+        !ready.is_empty() && ready.iter().all(unheld) && !self.has_runs(id)
+    }
+
+    /// Returns whether a worker holds or may hold a run of a job.
+    fn has_runs(&self, id: job::Id) -> bool {
+        let names = task::Name::all_of(id);
+        let has_run = |worker: &Worker| worker.runs.range(names.clone()).next().is_some();
+        self.workers.values().any(has_run)
+    }
+
+    /// Plans the move of a job to another cell.
+    fn plan_move(&mut self, id: job::Id, cell: u32) {
+        // The other cell could not tell what became of workers of this one.
+        let waiting = self.jobs.get(&id).map(|job| job.waiting_names(id));
+        for name in waiting.unwrap_or_default() {
+            self.resolve_trace(&name);
+        }
+        let open = |job: &&mut Job| job.final_state.is_none();
+        if let Some(job) = self.jobs.get_mut(&id).filter(open) {
+            job.moving_to = Some(cell);
+            self.mark_dirty(id);
         }
     }
 
@@ -174,10 +205,10 @@
                 continue;
             }
             let waiting = job.waiting_tasks();
-            let Some(&(step, _)) = waiting.first().filter(|_| all_fenced || !job.recovered) else {
+            if waiting.is_empty() || job.recovered && !all_fenced {
                 job.waiting_since = None;
                 continue;
-            };
+            }
             if job.is_outdated(self.head.cell) {
                 continue;
             }
@@ -185,16 +216,12 @@
             if clock.now < since + SPLIT_AFTER_MS {
                 continue;
             }
-            let Some(step) = job.stage(0, step).map(|stage| stage.step.clone()) else { continue };
             let mut excluded = vec![self.head.cell];
             if job.division(self.head.cell).is_none() {
                 excluded.extend(job.other_cells(self.head.cell));
             }
-            let milli = step.reserved().processors_milli;
-            if let Some((to, count)) = self.balancer.find_room(&excluded, milli, waiting.len()) {
-                let tasks = waiting.into_iter().take(count).collect();
-                splits.push((*id, job::Split { to, tasks }));
-            }
+            splits
+                .extend(find_split(&mut self.balancer, job, &waiting, &excluded).map(|s| (*id, s)));
             if splits.len() >= MAX_MOVES {
                 break;
             }
@@ -218,3 +245,20 @@
         }
     }
 }
+
+/// Returns a cell with room for waiting lasting tasks of one step of a job, with the tasks to move there.
+fn find_split(
+    balancer: &mut admission::Balancer,
+    job: &Job,
+    waiting: &BTreeSet<(u16, u16)>,
+    excluded: &[u32],
+) -> Option<job::Split> {
+    let numbers: BTreeSet<u16> = waiting.iter().map(|&(step, _)| step).collect();
+    numbers.into_iter().find_map(|number| {
+        let step = &job.stage(0, number)?.step;
+        let tasks = || waiting.iter().copied().filter(|&(step, _)| step == number);
+        let service = &job.queue.service;
+        let (to, count) = balancer.find_room(excluded, service, step, tasks().count())?;
+        Some(job::Split { to, tasks: tasks().take(count).collect() })
+    })
+}
--- a/crates/fleet/src/cell_record.rs
+++ b/crates/fleet/src/cell_record.rs
@@ -81,6 +81,7 @@
             && left.lasting_milli == right.lasting_milli
             && left.total_milli == right.total_milli
             && left.backlog == right.backlog
+            && left.inventory == right.inventory
             && left.pending == right.pending
             && left.settled == right.settled
             && (left.settling_ms == 0) == (right.settling_ms == 0)
@@ -146,6 +147,7 @@
             cell: self.head.cell,
             free_milli: 0,
             generation: self.head.generation,
+            inventory: self.policy.inventory.then(|| self.inventory.clone()),
             largest_milli: 0,
             lasting_limit_milli: 0,
             lasting_milli: 0,
@@ -307,17 +309,10 @@
     if let Some(cell) = job.moving_to.filter(|_| job.final_state.is_none()) {
         commit.expected.push((id, job.ticket_revision));
         let queue = job.queue.name.clone();
-        let state = State::Queued;
+        let state = if job.begun { State::Running } else { State::Queued };
         let ticket = Ticket { also: Vec::new(), additions: 0, cell, division: None, queue, state };
         commit.tickets.push((id, ticket));
-        let crashes = job.crashes(|_| true);
-        let record = job::Record {
-            begun: job.may_have_begun(),
-            crashes,
-            declared: Some(job.queue.clone()),
-            ..(*job.record).clone()
-        };
-        commit.records.push((id, cell, Arc::new(record)));
+        commit.records.push((id, cell, Arc::new(job.record_to_move())));
         commit.removed.push(id);
         return;
     }
--- a/crates/fleet/src/head.rs
+++ b/crates/fleet/src/head.rs
@@ -29,6 +29,9 @@
     /// Processors that tasks of each filling image could use, in thousandths of a core.
     #[serde(default)]
     pub usable_milli: BTreeMap<String, u64>,
+    /// What the workers that get new runs can hold; `None` if it is not known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub inventory: Option<Inventory>,
     /// Unreserved processors of the usable worker with the most, in thousandths of a core.
     #[serde(default)]
     pub largest_milli: u64,
--- a/crates/fleet/src/inventory.rs
+++ b/crates/fleet/src/inventory.rs
@@ -4,7 +4,7 @@
 use super::*;
 
 /// The workers of a cell that get new runs, by what they can hold.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Inventory {
     /// In order; no two of them have the same service and resources.
     shapes: Vec<Shape>,
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -33,6 +33,12 @@
     /// records of earlier versions of this program.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub declared: Option<Arc<Queue>>,
+    /// The highest number of a run in the cells that it was moved from.
+    #[serde(default, skip_serializing_if = "ticket::is_zero")]
+    pub last_run: u32,
+    /// The ends that were recorded in the cell that it was moved from, if its tasks have run there.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub progress: Option<Arc<Progress>>,
     /// The name of its queue.
     pub queue: String,
     /// The submission by its caller.
@@ -239,7 +245,16 @@
             final_state: None,
             record,
         };
+        if let Some(earlier) = job.record.progress.clone() {
+            job.restore(&earlier);
+            job.begun = true;
+            job.ticket_state = State::Running;
+        }
         job.restore(progress);
+        let last_run = job.record.last_run;
+        for task in job.tasks_mut() {
+            task.last_run = task.last_run.max(last_run);
+        }
         if let Some(tasks) = job.record.clone().tasks.as_ref() {
             job.mark_elsewhere(|task| !tasks.contains(&task));
             job.begun = true;
@@ -256,7 +271,9 @@
         }
         for &(occurrence, step, index, run) in &progress.failed {
             if let Some(task) = self.indexed_task_mut(occurrence, step, index) {
-                task.failed_runs.push(run);
+                if !task.failed_runs.contains(&run) {
+                    task.failed_runs.push(run);
+                }
                 task.last_run = task.last_run.max(run);
             }
         }
@@ -273,7 +290,43 @@
                 task.trace = Some(trace.clone());
             }
         }
-        self.begun = *progress != Progress::default();
+        self.begun |= *progress != Progress::default();
+    }
+
+    fn tasks_mut(&mut self) -> impl Iterator<Item = &mut task::Task> {
+        let stages = self.occurrences.iter_mut().flat_map(|occurrence| &mut occurrence.stages);
+        stages.flat_map(|stage| &mut stage.tasks)
+    }
+
+    fn tasks(&self) -> impl Iterator<Item = &task::Task> {
+        let stages = self.occurrences.iter().flat_map(|occurrence| &occurrence.stages);
+        stages.flat_map(|stage| &stage.tasks)
+    }
+
+    /// Returns the steps that have tasks left, in any occurrence.
+    pub fn remainders(&self) -> Vec<admission::Remainder<'_>> {
+        let step = |(number, step): (usize, _)| {
+            let open = |occurrence: &&Occurrence| occurrence.stages[number].remaining > 0;
+            let mut open = self.occurrences.iter().filter(open).peekable();
+            open.peek()?;
+            Some(admission::Remainder { step, ready: open.any(|open| open.is_ready(number)) })
+        };
+        self.record.submission.steps.iter().enumerate().filter_map(step).collect()
+    }
+
+    /// Returns the record by which another cell goes on with the job. No task is at a worker.
+    pub(crate) fn record_to_move(&self) -> Record {
+        let recorded = self.progress();
+        let progress =
+            Progress { done: recorded.done, failed: recorded.failed, ..Progress::default() };
+        Record {
+            begun: self.may_have_begun(),
+            crashes: self.crashes(|_| true),
+            declared: Some(self.queue.clone()),
+            last_run: self.tasks().map(|task| task.last_run).max().unwrap_or(0),
+            progress: self.begun.then(|| Arc::new(progress)),
+            ..(*self.record).clone()
+        }
     }
 
     /// Marks the waiting tasks (step, index) for which `elsewhere` holds as run by other cells.
@@ -298,6 +351,18 @@
             .collect()
     }
 
+    /// Returns the names of all waiting tasks. `job` is its ID.
+    pub(crate) fn waiting_names(&self, job: Id) -> Vec<task::Name> {
+        let mut names = Vec::new();
+        for (occurrence, entry) in (0..).zip(&self.occurrences) {
+            for (step, stage) in (0..).zip(&entry.stages) {
+                let name = |&index: &u16| task::Name { job, occurrence, step, index };
+                names.extend(stage.waiting.iter().map(name));
+            }
+        }
+        names
+    }
+
     /// Returns the tasks of the first occurrence that belong to this cell, as step and index.
     pub fn own_tasks(&self) -> BTreeSet<(u16, u16)> {
         let Some(occurrence) = self.occurrences.first() else { return BTreeSet::new() };
@@ -506,9 +571,7 @@
 
     /// Returns whether one of its tasks is at a worker.
     pub fn is_active(&self) -> bool {
-        let stages = self.occurrences.iter().flat_map(|occurrence| &occurrence.stages);
-        let mut tasks = stages.flat_map(|stage| &stage.tasks);
-        tasks.any(|task| matches!(task.status, task::Status::Active { .. }))
+        self.tasks().any(|task| matches!(task.status, task::Status::Active { .. }))
     }
 
     /// Returns whether its tasks are lasting ones that have run before: they restart at once.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,6 +6,7 @@
     oleanderstage_core::resources::Resources,
     serde::{Deserialize, Serialize},
     std::{
+        cmp::Ordering,
         collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
         fmt::{self, Display, Formatter},
         ops::RangeInclusive,
@@ -17,13 +18,13 @@
 pub use {
     action::Action, assignment::Assignment, cell::Cell, clock::Clock, commit::Commit,
     config::Config, continuity::Continuity, crash::Crash, division::Division,
-    evacuation::Evacuation, event::Event, fit::Fit, forecast::Forecast, gate::Gate, head::Head,
-    headroom::Headroom, inventory::Inventory, job::Job, lateness::Lateness, lifetime::Lifetime,
-    limits::Limits, listing::Listing, load::Load, policy::Policy, predecessor::Predecessor,
-    progress::Progress, queue::Queue, registration::Registration, registry::Registry,
-    release::Release, reservation::Reservation, run::Run, settling::Settling, shape::Shape,
-    state::State, step::Step, submission::Submission, suspicion::Suspicion, throughput::Throughput,
-    ticket::Ticket, trace::Trace, usage::Usage, worker::Worker,
+    evacuation::Evacuation, event::Event, fit::Fit, forecast::Forecast, gap::Gap, gate::Gate,
+    head::Head, headroom::Headroom, inventory::Inventory, job::Job, lateness::Lateness,
+    lifetime::Lifetime, limits::Limits, listing::Listing, load::Load, policy::Policy,
+    predecessor::Predecessor, progress::Progress, queue::Queue, registration::Registration,
+    registry::Registry, release::Release, reservation::Reservation, run::Run, settling::Settling,
+    shape::Shape, state::State, step::Step, submission::Submission, suspicion::Suspicion,
+    throughput::Throughput, ticket::Ticket, trace::Trace, usage::Usage, worker::Worker,
 };
 
 pub mod action;
@@ -40,6 +41,7 @@
 pub mod event;
 pub mod fit;
 pub mod forecast;
+pub mod gap;
 pub mod gate;
 pub mod head;
 pub mod headroom;
--- a/crates/fleet/src/shape.rs
+++ b/crates/fleet/src/shape.rs
@@ -3,7 +3,7 @@
 use super::*;
 
 /// The workers of a service that have the same resources.
-#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Shape {
     /// The resources of each worker.
     capacity: Resources,
--- a/crates/fleet/src/ticket.rs
+++ b/crates/fleet/src/ticket.rs
@@ -30,6 +30,6 @@
     }
 }
 
-fn is_zero(number: &u32) -> bool {
+pub(crate) fn is_zero(number: &u32) -> bool {
     *number == 0
 }
--- a/crates/fleet/tests/cells.rs
+++ b/crates/fleet/tests/cells.rs
@@ -144,13 +144,13 @@
     let mut filling = submission(4);
     filling.steps[0].fills = true;
     filling.steps[0].image = "loud".into();
-    assert_eq!(balancer.choose(Demand::new(id("1"), &filling, &queue)), Some(0));
+    assert_eq!(balancer.choose(&Demand::new(id("1"), &filling, &queue)), Some(0));
     let mut no_workers = head(0, 0, 0);
     no_workers.usable_milli.insert("loud".into(), 0);
     balancer.observe(0, no_workers, 2);
-    assert_eq!(balancer.find_sooner_cell(0, Demand::new(id("1"), &filling, &queue), 100), None);
-    assert_eq!(balancer.choose(Demand::new(id("1"), &job, &queue)), None);
-    assert_eq!(balancer.find_sooner_cell(0, Demand::new(id("1"), &job, &queue), 100), None);
+    assert_eq!(balancer.find_better_cell(0, &Demand::new(id("1"), &filling, &queue), 100), None);
+    assert_eq!(balancer.choose(&Demand::new(id("1"), &job, &queue)), None);
+    assert_eq!(balancer.find_better_cell(0, &Demand::new(id("1"), &job, &queue), 100), None);
 }
 
 #[test]
@@ -162,7 +162,7 @@
     let (job, queue) = (submission(8), queue(0));
     let mut counts = [0; 4];
     for _ in 0..16 {
-        let cell = balancer.choose(Demand::new(id("1"), &job, &queue)).expect("a cell");
+        let cell = balancer.choose(&Demand::new(id("1"), &job, &queue)).expect("a cell");
         counts[cell as usize] += 1;
     }
     assert_eq!(counts, [4, 4, 4, 4]);
@@ -180,7 +180,7 @@
     let mut job = submission(8);
     job.steps[0].fills = true;
     job.steps[0].image = "loud".into();
-    assert_eq!(balancer.choose(Demand::new(id("1"), &job, &queue(2))), Some(1));
+    assert_eq!(balancer.choose(&Demand::new(id("1"), &job, &queue(2))), Some(1));
 }
 
 #[test]
@@ -366,8 +366,9 @@
         let mut front = Balancer::default();
         front.set_processes(147);
         (0..16).for_each(|cell| front.observe(0, head(cell, 1_280_000, 1_280_000), 1));
-        let demand = Demand::new(id(&format!("{job:x}")), &lasting, &queue(0));
-        counts[front.choose(demand).expect("a cell") as usize] += 1;
+        let queue = queue(0);
+        let demand = Demand::new(id(&format!("{job:x}")), &lasting, &queue);
+        counts[front.choose(&demand).expect("a cell") as usize] += 1;
     }
     let mean = JOBS / counts.len();
     assert!(counts.iter().all(|&count| count >= mean / 3 && count <= mean * 2), "{counts:?}");
@@ -382,8 +383,9 @@
         front.observe(0, head(0, 1_280_000, 300_000), 1);
         front.observe(0, head(1, 1_280_000, 600_000), 1);
         let demand = submission(8);
-        let demand = Demand::new(id(&format!("{job:x}")), &demand, &queue(0));
-        counts[front.choose(demand).expect("a cell") as usize] += 1;
+        let queue = queue(0);
+        let demand = Demand::new(id(&format!("{job:x}")), &demand, &queue);
+        counts[front.choose(&demand).expect("a cell") as usize] += 1;
     }
     assert!((75..=125).contains(&counts[0]), "a third of 300: {counts:?}");
 }
@@ -411,7 +413,7 @@
     balancer.observe(0, Head { lasting_milli: 60_000, ..head(0, 64_000, 0) }, 1);
     balancer.observe(0, Head { lasting_milli: 8_000, ..head(1, 64_000, 0) }, 1);
     let job = submission(8);
-    assert_eq!(balancer.choose(Demand::new(id("1"), &job, &queue(0))), Some(1));
+    assert_eq!(balancer.choose(&Demand::new(id("1"), &job, &queue(0))), Some(1));
 }
 
 /// Lasting jobs took every core of a cell within a quarter of a second, and urgent short jobs waited
--- a/crates/fleet/tests/gate.rs
+++ b/crates/fleet/tests/gate.rs
@@ -43,7 +43,7 @@
 
 fn outlook(balancer: &Balancer, now: u64, job: job::Id) -> Option<Outlook> {
     let (queue, submission) = (queue(), submission(4));
-    balancer.outlook(now, Demand::new(job, &submission, &queue), &submission, &queue)
+    balancer.outlook(now, &Demand::new(job, &submission, &queue), &submission, &queue)
 }
 
 /// Eight cores get through 8 core-seconds before the job and its own 8 in two seconds.
@@ -72,7 +72,7 @@
     let (queue, submission) = (queue(), submission(4));
     for number in 0..10 {
         let id = id(&number.to_string());
-        assert_eq!(balancer.choose(Demand::new(id, &submission, &queue)), Some(0));
+        assert_eq!(balancer.choose(&Demand::new(id, &submission, &queue)), Some(0));
     }
     let outlook = outlook(&balancer, 200, id("a")).expect("an outlook");
     assert_eq!(outlook.expected_ms, 11_000);
@@ -194,11 +194,11 @@
         let (head, revision) = world.head.clone();
         balancer.observe(world.now, head, revision);
         let demand = Demand::new(id(&job), &submission, &queue);
-        let outlook = balancer.outlook(world.now, demand, &submission, &queue);
+        let outlook = balancer.outlook(world.now, &demand, &submission, &queue);
         if admission && gate.decide(id(&job), IMAGE, outlook) != Verdict::Accept {
             rejected += 1;
         } else {
-            balancer.choose(demand);
+            balancer.choose(&demand);
             world.submit(&job, "render", submission.steps);
             accepted.push((id(&job), world.now));
         }
--- a/crates/fleet/tests/queues.rs
+++ b/crates/fleet/tests/queues.rs
@@ -43,6 +43,8 @@
         begun: false,
         crashes: Vec::new(),
         declared: declared.map(Arc::new),
+        last_run: 0,
+        progress: None,
         queue: LATE.into(),
         submission,
         tasks: None,
--- a/crates/fleet/tests/splits.rs
+++ b/crates/fleet/tests/splits.rs
@@ -6,53 +6,26 @@
     oleanderstage_fleet::{Event, Head, Step, Ticket, job, predecessor::End, task},
     rand::{Rng, SeedableRng},
     rand_pcg::Pcg64Mcg,
-    std::collections::{BTreeMap, BTreeSet},
-    world::{QUEUE, Store, World, id, name, step},
+    std::collections::BTreeSet,
+    world::{
+        QUEUE, Store, id, name,
+        site::{Site, WATCH_MS},
+        step,
+    },
 };
 
 const JOB: &str = "1";
-/// Interval between reads of the heads, in milliseconds.
-const HEADS_INTERVAL_MS: u64 = 400;
-/// Time from the write of a record until its cell's owner sees it, in milliseconds.
-const WATCH_MS: u64 = 20;
 
-/// Cells with one store. Each has one worker of 16 cores at first.
-struct Site {
-    worlds: Vec<World>,
-    revision: u64,
-    tickets: BTreeMap<job::Id, (Ticket, u64)>,
-    records: BTreeMap<(u32, job::Id), job::Record>,
-    /// Changes of records on their way to the owner of each cell, with the time of arrival.
-    changes: Vec<Vec<(u64, Event)>>,
-    /// Time from the write of a record until each cell's owner sees it, in milliseconds.
-    watch_ms: Vec<u64>,
-    now: u64,
+/// Returns cells whose tasks last for longer than any test.
+fn lasting(cells: u32) -> Site {
+    Site::new(cells, 600_000)
 }
 
 impl Site {
-    fn new(cells: u32) -> Self {
-        let mut site = Self {
-            worlds: Vec::new(),
-            revision: 1,
-            tickets: BTreeMap::new(),
-            records: BTreeMap::new(),
-            changes: (0..cells).map(|_| Vec::new()).collect(),
-            watch_ms: vec![WATCH_MS; cells as usize],
-            now: 0,
-        };
-        for cell in 0..cells {
-            let mut world = World::numbered(cell, &[&format!("c{cell}w0")]);
-            world.run_ms = 600_000;
-            site.worlds.push(world);
-        }
-        site.advance(500);
-        site
-    }
-
     /// Returns three cells, each of which runs two of six lasting tasks of six cores and has no room for
     /// another.
     fn full() -> Self {
-        let mut site = Self::new(3);
+        let mut site = lasting(3);
         site.submit(6);
         site.advance(5_000);
         assert_eq!(site.ticket().also.len(), 2);
@@ -67,90 +40,6 @@
         });
     }
 
-    /// Lets a cell act on the store, and announces the records that it changes.
-    fn with<T>(&mut self, cell: usize, act: impl FnOnce(&mut World) -> T) -> T {
-        let before = self.records.clone();
-        self.swap_store(cell);
-        let result = act(&mut self.worlds[cell]);
-        self.swap_store(cell);
-        for ((other, id), record) in &self.records {
-            if before.get(&(*other, *id)) == Some(record) {
-                continue;
-            }
-            let other = *other as usize;
-            let revision = self.tickets[id].1;
-            let event = Event::Accepted { id: *id, record: record.clone(), revision };
-            self.worlds[other].record_revisions.insert(*id, revision);
-            self.changes[other].push((self.now + self.watch_ms[other], event));
-        }
-        result
-    }
-
-    fn swap_store(&mut self, cell: usize) {
-        let world = &mut self.worlds[cell];
-        std::mem::swap(&mut world.revision, &mut self.revision);
-        std::mem::swap(&mut world.tickets, &mut self.tickets);
-        std::mem::swap(&mut world.records, &mut self.records);
-    }
-
-    fn advance(&mut self, ms: u64) {
-        for _ in 0..ms / 10 {
-            self.now += 10;
-            let heads: Vec<(Head, u64)> =
-                self.worlds.iter().map(|world| world.head.clone()).collect();
-            for cell in 0..self.worlds.len() {
-                let (due, later) = std::mem::take(&mut self.changes[cell])
-                    .into_iter()
-                    .partition(|(at, _)| *at <= self.now);
-                self.changes[cell] = later;
-                let due: Vec<(u64, Event)> = due;
-                let heads = heads.clone();
-                let owners = heads.len();
-                let read = self.now.is_multiple_of(HEADS_INTERVAL_MS);
-                self.with(cell, |world| {
-                    due.into_iter().for_each(|(_, event)| world.handle(event));
-                    if read {
-                        world.handle(Event::Heads { heads, owners });
-                    }
-                    world.advance(10);
-                });
-            }
-            self.assert_none_runs_twice();
-        }
-    }
-
-    /// Advances the time until `done` holds.
-    fn advance_until(&mut self, done: impl Fn(&Self) -> bool) {
-        for _ in 0..3_000 {
-            if done(self) {
-                return;
-            }
-            self.advance(10);
-        }
-        panic!("not done after 30 s; {:?}", self.records);
-    }
-
-    /// Replaces the owner of a cell. The new one reads the store as it is.
-    fn take_over(&mut self, cell: usize) {
-        self.changes[cell].clear();
-        self.with(cell, World::take_over);
-    }
-
-    /// Crashes a worker, which doesn't come back.
-    fn lose_worker(&mut self, cell: usize, worker: &str) {
-        self.with(cell, |world| {
-            world.crash(worker);
-            world.worker(worker).down_until = u64::MAX;
-            world.worker(worker).gone = true;
-            let members = world.members();
-            world.handle(Event::Workers(members));
-        });
-    }
-
-    fn add_worker(&mut self, cell: usize, worker: &str) {
-        self.with(cell, |world| world.add_worker(worker));
-    }
-
     fn ticket(&self) -> &Ticket {
         &self.tickets[&id(JOB)].0
     }
@@ -176,17 +65,6 @@
         (0..self.worlds.len()).filter(holds).collect()
     }
 
-    fn assert_none_runs_twice(&self) {
-        let mut runs: BTreeMap<task::Name, Vec<&str>> = BTreeMap::new();
-        for (id, worker) in self.worlds.iter().flat_map(|world| &world.workers) {
-            for task in worker.held.keys() {
-                runs.entry(*task).or_default().push(id);
-            }
-        }
-        runs.retain(|_, workers| workers.len() > 1);
-        assert!(runs.is_empty(), "{} ms: {runs:?}", self.now);
-    }
-
     fn assert_all_run_once(&self, tasks: u16) {
         let waiting: Vec<u16> =
             (0..tasks).filter(|&task| self.cells_of(name(JOB, 0, task)).len() != 1).collect();
@@ -304,7 +182,7 @@
 /// Where a job has one other cell, a ticket of an earlier version is enough, and the next one tells.
 #[test]
 fn a_ticket_without_a_division_gets_one_when_it_has_two_cells() {
-    let mut site = Site::new(3);
+    let mut site = lasting(3);
     site.submit(4);
     site.advance(5_000);
     assert_eq!(site.ticket().also.len(), 1);
@@ -356,7 +234,7 @@
     const TASKS: u16 = 12;
     let mut random = Pcg64Mcg::seed_from_u64(seed);
     let cells = random.random_range(2..5);
-    let mut site = Site::new(cells as u32);
+    let mut site = lasting(cells as u32);
     for cell in 0..cells {
         let ended = random.random_bool(0.5);
         site.worlds[cell].owner_end = if ended { End::Ended } else { End::Unknown };
@@ -406,7 +284,7 @@
 /// The answer to a split is lost, and the store doesn't answer until the tasks have come back.
 #[test]
 fn tasks_that_come_back_before_the_answer_to_their_split_run_here() {
-    let mut site = Site::new(2);
+    let mut site = lasting(2);
     site.submit(3);
     site.advance(3_000);
     site.worlds[0].store = Store::LosesAnswers;
@@ -414,7 +292,12 @@
     site.advance_until(|site| site.own_tasks(1).len() == 2);
     site.worlds[0].store = Store::Down;
     site.lose_worker(1, "c1w0");
-    let head = Head { largest_milli: 16_000, total_milli: 16_000, ..site.worlds[0].head.0.clone() };
+    let head = Head {
+        inventory: None,
+        largest_milli: 16_000,
+        total_milli: 16_000,
+        ..site.worlds[0].head.0.clone()
+    };
     let heads = vec![(head, site.revision + 1)];
     site.with(1, |world| world.handle(Event::Heads { heads, owners: 2 }));
     site.advance_until(|site| site.own_tasks(1).is_empty());
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -26,6 +26,7 @@
     LosesAnswers,
 }
 
+pub mod site;
 mod worker;
 
 pub use worker::Worker;
@@ -285,7 +286,7 @@
                     draining: worker.draining,
                     labels: vec!["a".into(), format!("r{}", worker.rack + 1)],
                     remaining_ms: None,
-                    service: "desk".into(),
+                    service: if worker.service.is_empty() { "desk" } else { worker.service }.into(),
                     zone: worker.zone.into(),
                 };
                 (Arc::from(id.as_str()), (!worker.gone).then_some(entry))
@@ -300,6 +301,8 @@
             begun: false,
             crashes: Vec::new(),
             declared: None,
+            last_run: 0,
+            progress: None,
             queue: queue.into(),
             submission: Submission { spec: "work".into(), steps, ..Submission::default() },
             tasks: None,
@@ -452,6 +455,9 @@
             }
             for (name, run) in done {
                 worker.held.remove(&name);
+                if !fails {
+                    worker.done.push((now, name));
+                }
                 worker.end(
                     name,
                     run,
--- a/crates/fleet/tests/world/worker.rs
+++ b/crates/fleet/tests/world/worker.rs
@@ -51,6 +51,10 @@
     pub zone: &'static str,
     /// Its rack.
     pub rack: u32,
+    /// Its service; empty for that of all workers.
+    pub service: &'static str,
+    /// All runs that ended as done: time in milliseconds, task.
+    pub done: Vec<(u64, task::Name)>,
     /// How many ends a listing holds; 0 for `ENDS_PER_LISTING`.
     pub ends_per_listing: usize,
 }
@@ -145,6 +149,8 @@
         *self = Self {
             born: self.born + 1,
             starts: std::mem::take(&mut self.starts),
+            done: std::mem::take(&mut self.done),
+            service: self.service,
             zone: self.zone,
             rack: self.rack,
             ends_per_listing: self.ends_per_listing,
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -66,6 +66,8 @@
                 accepted_at_ms: received.unix,
                 begun: false,
                 declared: Some(queue.clone()),
+                last_run: 0,
+                progress: None,
                 queue: queue.name.clone(),
                 submission,
                 tasks: None,
--- a/crates/node/src/requests.rs
+++ b/crates/node/src/requests.rs
@@ -58,10 +58,10 @@
     }
     let deadline = time::now() + STORE_CALLS_MS;
     let demand = admission::Demand::new(id, &record.submission, queue);
-    if let Some(rejection) = reject(node, queue, &record.submission, demand) {
+    if let Some(rejection) = reject(node, queue, &record.submission, &demand) {
         return settle(node, id, 0, queue, deadline, rejection).await;
     }
-    let Some(cell) = node.balancer.borrow_mut().choose(demand) else {
+    let Some(cell) = node.balancer.borrow_mut().choose(&demand) else {
         return not_run(node);
     };
     let queue_name = queue.name.clone();
@@ -110,7 +110,7 @@
     node: &Rc<Node>,
     queue: &Queue,
     submission: &Submission,
-    demand: admission::Demand<'_>,
+    demand: &admission::Demand<'_>,
 ) -> Option<Reply> {
     let image = demand.filling.filter(|_| node.policy.admission)?;
     let outlook = node.balancer.borrow().outlook(time::now(), demand, submission, queue);
