A draining worker is left for workers of the queue's service

Cause: whether a task fits elsewhere was asked of workers of the service that its worker belongs to. A later version of the configuration may send the queue to another one, where the task is started again.

Test: a_lasting_task_leaves_a_draining_worker_for_the_service_of_its_queue in queues.rs; before, the task stayed at the draining worker.

--- a/crates/fleet/src/cell_relocate.rs
+++ b/crates/fleet/src/cell_relocate.rs
@@ -36,7 +36,7 @@
                 run.step.fills && settled && running && cheap_to_move && crowded
             });
             let Some((name, run)) = crowded_run else { continue };
-            if self.has_better_worker(clock, id, run) {
+            if self.fits_elsewhere(clock, name.job, id, run) {
                 stops.push((id.clone(), *name));
             }
         }
@@ -55,15 +55,15 @@
         self.vacated_at = clock.now;
         let mut stops: Vec<(Arc<str>, task::Name)> = Vec::new();
         for (id, worker) in &self.workers {
-            let Some(entry) = worker.registration.as_ref().filter(|entry| entry.draining) else {
+            if !worker.registration.as_ref().is_some_and(|entry| entry.draining) {
                 continue;
-            };
+            }
             let mut steps = BTreeSet::new();
             for (name, run) in &worker.runs {
                 if !matches!(run.phase, run::Phase::Confirmed { .. }) {
                     continue;
                 }
-                let fits = self.fits_elsewhere(clock, &entry.service, id, run);
+                let fits = self.fits_elsewhere(clock, name.job, id, run);
                 let step = (name.job, name.occurrence, name.step);
                 let may_restart = self.may_restart(name.job);
                 if run.step.lasting && may_restart && fits && steps.insert(step) {
@@ -82,13 +82,14 @@
         self.unfenced.is_empty() || self.jobs.get(&id).is_some_and(|job| !job.recovered)
     }
 
-    /// Returns whether another worker has room for the task, at `MIN_NEW_PACE` or more for a
-    /// filling task.
-    fn fits_elsewhere(&self, clock: Clock, service: &str, here: &Arc<str>, run: &Run) -> bool {
+    /// Returns whether another worker of the queue's service has room for the task, at `MIN_NEW_PACE` or
+    /// more for a filling task.
+    fn fits_elsewhere(&self, clock: Clock, id: job::Id, here: &Arc<str>, run: &Run) -> bool {
+        let Some(job) = self.jobs.get(&id) else { return false };
         let criteria = placement::Criteria {
             suspicion: &Suspicion::default(),
             now: clock.now,
-            service,
+            service: &job.queue.service,
             step: &run.step,
             avoid: Some(here),
             policy: self.policy,
@@ -100,13 +101,6 @@
         };
         placement::choose(&self.workers, &criteria).is_some_and(|chosen| chosen != here)
     }
-
-    /// Returns whether another worker would run the task at `MIN_NEW_PACE` or more.
-    fn has_better_worker(&self, clock: Clock, here: &Arc<str>, run: &Run) -> bool {
-        let service = self.workers.get(here).and_then(|worker| worker.registration.as_ref());
-        let Some(service) = service.map(|entry| entry.service.as_str()) else { return false };
-        self.fits_elsewhere(clock, service, here, run)
-    }
 }
 
 /// Returns whether a task's remaining time here is more than `MIN_REMAINING_PERCENT` of a whole run
--- a/crates/fleet/tests/queues.rs
+++ b/crates/fleet/tests/queues.rs
@@ -6,7 +6,7 @@
 
 use {
     oleanderstage_fleet::{
-        Event, Progress, Queue, State, Submission, job, listing::EndReason, task,
+        Event, Progress, Queue, State, Step, Submission, job, listing::EndReason, task,
     },
     std::sync::Arc,
     world::{QUEUE, World, config, id, name, queue, step},
@@ -166,6 +166,32 @@
     assert_eq!(world.state("3"), State::Completed);
 }
 
+/// AVAIL: a lasting task left its draining worker for others of a service that its queue no longer names.
+#[test]
+fn a_lasting_task_leaves_a_draining_worker_for_the_service_of_its_queue() {
+    for service in ["desk", "other"] {
+        let mut world = World::new(&["w1", "w2", "w3"]);
+        world.run_ms = 60_000;
+        world.worker("w3").service = "other";
+        let members = world.members();
+        world.handle(Event::Workers(members));
+        world.submit("1", QUEUE, vec![Step { lasting: true, ..step(1, 1) }]);
+        world.advance(500);
+        let old = world.running(name("1", 0, 0))[0].to_owned();
+        let other = if old == "w1" { "w2" } else { "w1" };
+        let changed = Queue { service: service.into(), ..queue(QUEUE, 0) };
+        configure(&mut world, 2, vec![changed]);
+        for worker in [old.as_str(), if service == "desk" { "w3" } else { other }] {
+            world.worker(worker).draining = true;
+        }
+        let members = world.members();
+        world.handle(Event::Workers(members));
+        world.advance(2_000);
+        let expected = if service == "desk" { other } else { "w3" };
+        assert_eq!(world.running(name("1", 0, 0)), [expected], "{service}");
+    }
+}
+
 /// CONFIG: a declaration in a record doesn't undo a later version of the configuration.
 #[test]
 fn the_newest_declaration_counts() {
