Entries that no worker can have written are left out

An entry of a service that is not named, or at an address where nobody can be reached, was assigned to a cell and polled for ever.

Workers are assigned to cells only if the configuration names their service; a worker that is assigned stays so, as it may hold runs.

--- a/crates/cli/src/audit.rs
+++ b/crates/cli/src/audit.rs
@@ -128,9 +128,8 @@
 
 fn audit(file: &Path, text: &[u8], in_force: Option<(&Path, &[u8])>) -> Result<Audit, Error> {
     let queues = decode(file, text)?;
-    let services = configuration::service_names(text).map_err(|cause| invalid(file, &cause))?;
     let old = in_force.map(|(file, text)| decode(file, text)).transpose()?;
-    let mut findings = Finding::of(&queues, &services);
+    let mut findings = Finding::of(&queues);
     if let Some(old) = old.as_ref().filter(|old| old.version >= queues.version) {
         let (version, in_force) = (queues.version, old.version);
         findings.push(Finding::NotNewer { version, in_force });
@@ -140,17 +139,15 @@
 }
 
 fn decode(file: &Path, text: &[u8]) -> Result<Queues, Error> {
-    configuration::decode(text).map_err(|cause| invalid(file, &cause))
-}
-
-fn invalid(file: &Path, cause: &serde_json::Error) -> Error {
-    let message = format!("`{}`, line {}: {cause}", file.display(), cause.line());
-    Error::new(Exit::Failed, message, "correct the field, or add it")
+    configuration::decode(text).map_err(|cause| {
+        let message = format!("`{}`, line {}: {cause}", file.display(), cause.line());
+        Error::new(Exit::Failed, message, "correct the field, or add it")
+    })
 }
 
 impl Finding {
-    /// Returns the faults of a configuration whose `services` are declared.
-    fn of(queues: &Queues, services: &BTreeSet<String>) -> Vec<Self> {
+    /// Returns the faults of a configuration.
+    fn of(queues: &Queues) -> Vec<Self> {
         let mut findings = Vec::new();
         let mut names = BTreeSet::new();
         for (position, queue) in queues.queues.iter().enumerate() {
@@ -166,7 +163,7 @@
             if let Some(by) = queues.queues[..position].iter().find(takes_all) {
                 findings.push(Self::Hidden { queue: name(), by: by.name.clone() });
             }
-            if !services.contains(&queue.service) {
+            if !queues.services.contains(&queue.service) {
                 findings.push(Self::NoService { queue: name(), service: queue.service.clone() });
             }
             if !queue.prefix.starts_with('/') {
--- a/crates/fleet/src/config.rs
+++ b/crates/fleet/src/config.rs
@@ -9,6 +9,8 @@
     pub body_limit_bytes: usize,
     /// All queues, longest prefix first.
     pub queues: Vec<Arc<Queue>>,
+    /// The names of all services.
+    pub services: BTreeSet<String>,
     /// Rises with each change.
     pub version: u64,
 }
@@ -28,6 +30,11 @@
         self.queues.iter().find(|queue| queue.name == name)
     }
 
+    /// Returns whether a worker of the service may be one to use: it is declared, or a queue names it.
+    pub fn names_service(&self, service: &str) -> bool {
+        self.services.contains(service) || self.queues.iter().any(|queue| queue.service == service)
+    }
+
     /// Returns the newest declaration of a job's queue, which is that of its record if this version is
     /// older or no longer has the queue.
     pub(crate) fn queue_of(&self, record: &job::Record) -> Arc<Queue> {
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -143,7 +143,7 @@
 /// Returns a version of the configuration with these queues.
 pub fn config(version: u64, queues: Vec<Queue>) -> Arc<Config> {
     let queues = queues.into_iter().map(|queue| Arc::new(Queue { version, ..queue })).collect();
-    Arc::new(Config { body_limit_bytes: 1 << 18, queues, version })
+    Arc::new(Config { body_limit_bytes: 1 << 18, queues, services: BTreeSet::new(), version })
 }
 
 fn first_config() -> Arc<Config> {
--- a/crates/node/src/assigner.rs
+++ b/crates/node/src/assigner.rs
@@ -85,6 +85,10 @@
             missing_since.clear();
             continue;
         }
+        // Which entries name workers is known from the configuration.
+        if is_first && node.config.borrow().is_none() {
+            continue;
+        }
         let workers = node.registry.borrow().len();
         if workers != worker_count.0 {
             worker_count = (workers, now);
@@ -127,7 +131,9 @@
     }
 }
 
-/// Returns the assignment for the current VMs and workers, and the revision that it replaces.
+/// Returns the assignment for the current VMs and workers, and the revision that it replaces. A worker of a
+/// service that the configuration doesn't name, or before there is one, is not assigned; one that is assigned
+/// stays so, as it may hold runs.
 /// Workers without an entry are recorded in `missing_since` and stay assigned until their leases
 /// have certainly expired.
 fn next_assignment(
@@ -138,9 +144,10 @@
     let (assignment, revision) = node.assignment.borrow().clone();
     let registry = node.registry.borrow();
     let spread_zones = node.boot.evacuate_ms.is_some();
+    let config = node.config.borrow().clone().unwrap_or_default();
     let workers: BTreeMap<&str, assignment::Member<'_>> = registry
         .iter()
-        .filter(|(_, entry)| !entry.draining)
+        .filter(|(_, entry)| !entry.draining && config.names_service(&entry.service))
         .map(|(id, entry)| {
             let processors_milli = entry.capacity.processors_milli;
             let zone = spread_zones.then_some(entry.zone.as_str());
--- a/crates/node/tests/process/mod.rs
+++ b/crates/node/tests/process/mod.rs
@@ -68,6 +68,11 @@
         self.child = spawn(&self.settings);
     }
 
+    /// Returns whether the process has not ended by itself.
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
+
     /// Pauses the process, or resumes it.
     pub fn pause(&self, paused: bool) {
         let pid = Pid::from_raw(self.child.id() as i32).unwrap();
