--- a/crates/node/tests/odd_entries.rs
+++ b/crates/node/tests/odd_entries.rs
@@ -76,6 +76,26 @@
     ]
 }
 
+/// LOST: the list of workers could not be read beyond a page whose last key needs escapes in a URL.
+#[test]
+fn odd_keys_disturb_no_reading_of_pages() {
+    run(async {
+        let (store, address) = UsersStore::start().await.unwrap();
+        store.put("op/config", &config());
+        // More than two pages, each of which ends with such a key.
+        for number in 0..1_200 {
+            store.put_bytes(&format!("servers/a {number:04} &=#?%+ü"), b"null".to_vec());
+        }
+        let ledger = UsersLedger::default();
+        let (worker, worker_address) = UsersWorker::start("i-1", ledger.clone()).await.unwrap();
+        worker.register(&store, worker_address, false);
+        let mut vm = Process::start("vm-odd-keys", address, 2_000);
+        vm.submit("000000000000000a", 300, json!([step(4, &[])])).await;
+        wait_until("the job", TIMEOUT, || ledger.tasks().len() == 4).await;
+        assert!(vm.is_running());
+    });
+}
+
 /// Writes the odd values among the entries of workers.
 fn put_odd_entries(store: &UsersStore, round: usize) {
     for (number, value) in odd_values().into_iter().enumerate() {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -11,6 +11,7 @@
         vms::{State, Vm},
         workers::StaleEpoch,
     },
+    percent_encoding::percent_decode_str,
     salvo::{
         Depot, FlowCtrl, Handler, Request, Response, Service, async_trait,
         conn::{Accepted, Holding, StraightStream, tcp::TcpAcceptor, tcp::TcpCoupler},
--- a/crates/standin/src/users_store.rs
+++ b/crates/standin/src/users_store.rs
@@ -440,8 +440,9 @@
     })
 }
 
-/// Parses the query of a URL, without percent-decoding.
+/// Parses the query of a URL.
 fn query(text: &str) -> BTreeMap<String, String> {
     let pairs = text.split('&').filter_map(|pair| pair.split_once('='));
-    pairs.map(|(name, value)| (name.into(), value.into())).collect()
+    let decode = |value| percent_decode_str(value).decode_utf8_lossy().into_owned();
+    pairs.map(|(name, value)| (name.into(), decode(value))).collect()
 }
