One part that can't be read costs no more than itself

Cause: a worker's answer was decoded row by row as JSON values, and a row to fixed entries.

Change: rows are read entry by entry. A row that tells the task and the run is a run, one with the number of an end is an end; unknown reasons are reasons of their own, after which the task runs again. Routes, services and limits of a configuration are read one by one, with a log line for each that can't be; an audit still reports them as errors.

--- a/crates/fleet/src/listing.rs
+++ b/crates/fleet/src/listing.rs
@@ -65,4 +65,6 @@
     Lapsed,
     /// It was stopped by an order.
     Stopped,
+    /// In a way that this version doesn't know.
+    Unknown,
 }
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -145,8 +145,13 @@
         };
         let newest = items.into_iter().rfind(|item| item.key == configuration::KEY);
         let Some(value) = newest.and_then(|item| item.value) else { continue };
-        match configuration::decode(&value) {
-            Ok(config) => apply_config(&node, config),
+        match configuration::decode_readable(&value) {
+            Ok((config, errors)) => {
+                for error in errors {
+                    log::error!(version = config.version, error:% = error; "configuration_part_unreadable");
+                }
+                apply_config(&node, config);
+            }
             Err(error) => log::error!(error:% = error; "configuration_unreadable"),
         }
     }
