Absurd figures overflow no sums and times

Cause: a caller may ask for 2^64 - 1 thousandths of a core, or for occurrences at the end of time. Sums of such figures overflow where a cell is chosen and where lateness, rejections and due times are computed. A build with overflow checks gives the cell up and takes it again, over and over; the release build goes on with wrong sums. The same holds for clocks and run numbers of workers, and for heads of cells.

--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -122,7 +122,7 @@
             reserved_milli: all().map(reserved).max().unwrap_or(0),
             service: &queue.service,
             task_milli: all().map(task).max().unwrap_or(0),
-            work: all().filter(|step| !step.lasting).map(work).sum(),
+            work: all().filter(|step| !step.lasting).map(work).fold(0, u64::saturating_add),
             steps,
         }
     }
@@ -157,7 +157,7 @@
         let (cell, load) = self.best(demand, Some(own))?;
         let is_better = match load.gap(demand).cmp(&gap) {
             Ordering::Less => true,
-            Ordering::Equal => load.wait_ms(demand) + margin_ms <= wait_ms,
+            Ordering::Equal => load.wait_ms(demand).saturating_add(margin_ms) <= wait_ms,
             Ordering::Greater => false,
         };
         if !is_better {
@@ -191,7 +191,7 @@
         let left = load.head.largest_milli - load.sent_milli;
         let fitting = (left / task_milli.max(1)).max(1) as usize;
         let count = tasks.min(fitting);
-        load.sent_milli += task_milli * count as u64;
+        load.sent_milli = load.sent_milli.saturating_add(task_milli.saturating_mul(count as u64));
         Some((cell, count))
     }
 
@@ -222,7 +222,8 @@
         let path = submission.steps.iter().map(|step| (step, step_ms(step)));
         let path_ms = submission::critical_path_ms(path);
         let filling = submission.steps.iter().filter(|step| step.fills);
-        let work = filling.map(|step| step.work(step.count.into(), step_ms(step))).sum();
+        let work = filling.map(|step| step.work(step.count.into(), step_ms(step)));
+        let work = work.fold(0, u64::saturating_add);
         let expected: Option<Vec<u64>> =
             loads().map(|load| load.filling_ms(now, image, work)).collect();
         let expected_ms = expected?.into_iter().min()?.max(path_ms);
@@ -254,7 +255,9 @@
             .collect();
         let best = if spread {
             let least = cells.iter().map(|(rank, ..)| *rank).min()?;
-            cells.retain(|(rank, ..)| rank.gap == least.gap && rank.wait <= least.wait + 1);
+            cells.retain(|(rank, ..)| {
+                rank.gap == least.gap && rank.wait <= least.wait.saturating_add(1)
+            });
             cells.into_iter().min_by(|(_, a, left), (_, b, right)| {
                 left.draw(demand, *a).total_cmp(&right.draw(demand, *b))
             })
@@ -268,10 +271,12 @@
 impl Load {
     /// Adds a job sent to the cell.
     fn add_job(&mut self, demand: &Demand<'_>) {
-        self.sent_milli += demand.reserved_milli;
-        *self.sent_work.entry(demand.priority).or_default() += demand.work;
+        self.sent_milli = self.sent_milli.saturating_add(demand.reserved_milli);
+        let sent = self.sent_work.entry(demand.priority).or_default();
+        *sent = sent.saturating_add(demand.work);
         if let Some(image) = demand.filling {
-            *self.sent_filling.entry(image.to_owned()).or_default() += demand.work;
+            let sent = self.sent_filling.entry(image.to_owned()).or_default();
+            *sent = sent.saturating_add(demand.work);
         }
     }
 
@@ -313,24 +318,28 @@
         let total = self.head.total_milli.max(1);
         let missing = demand.reserved_milli.saturating_sub(self.room(demand));
         if demand.lasting {
-            return missing * LASTING_WAIT_MS / demand.reserved_milli.max(1);
+            return missing.saturating_mul(LASTING_WAIT_MS) / demand.reserved_milli.max(1);
         }
-        let ahead =
-            |work: &BTreeMap<u32, u64>| work.range(..=demand.priority).map(|(_, w)| w).sum();
-        let backlog: u64 = ahead(&self.head.backlog);
-        let sent: u64 = ahead(&self.sent_work);
+        let ahead = |work: &BTreeMap<u32, u64>| {
+            work.range(..=demand.priority).fold(0, |sum: u64, (_, work)| sum.saturating_add(*work))
+        };
+        let work = ahead(&self.head.backlog)
+            .saturating_add(ahead(&self.sent_work))
+            .saturating_add(demand.work);
         let usable = demand.filling.and_then(|image| self.head.usable_milli.get(image));
         let least = (total / MAX_SLOWDOWN).max(1);
         let speed = usable.copied().unwrap_or(total).max(least);
         // Only processors that no lasting task holds become free while the job waits.
         let turnover = total.saturating_sub(self.head.lasting_milli).max(least);
-        (backlog + sent + demand.work) * 1_000 / speed + missing * RESERVED_WAIT_MS / turnover
+        let work_ms = work.saturating_mul(1_000) / speed;
+        work_ms.saturating_add(missing.saturating_mul(RESERVED_WAIT_MS) / turnover)
     }
 
     /// Returns the reserved processors, with those of jobs sent since the head was read, in
     /// thousandths of a core.
     fn reserved_milli(&self) -> u64 {
-        self.head.total_milli.saturating_sub(self.head.free_milli) + self.sent_milli
+        let reserved = self.head.total_milli.saturating_sub(self.head.free_milli);
+        reserved.saturating_add(self.sent_milli)
     }
 
     /// Returns the processors that the job could reserve now, in thousandths of a core.
@@ -340,8 +349,8 @@
         }
         let free = self.head.total_milli.saturating_sub(self.reserved_milli());
         if demand.lasting {
-            let lasting = self.head.lasting_milli + self.sent_milli;
-            let base = self.head.total_milli * headroom::BASE_PERCENT / 100;
+            let lasting = self.head.lasting_milli.saturating_add(self.sent_milli);
+            let base = self.head.total_milli.saturating_mul(headroom::BASE_PERCENT) / 100;
             let limit = self.head.lasting_limit_milli.max(base);
             return free.min(limit.saturating_sub(lasting));
         }
--- a/crates/fleet/src/cell_record.rs
+++ b/crates/fleet/src/cell_record.rs
@@ -181,7 +181,8 @@
         head.lasting_limit_milli = self.headroom.lasting_limit(head.total_milli);
         for job in self.jobs.values().filter(|job| job.final_state.is_none()) {
             let work = job.work_left(|step| self.holds(job, step));
-            *head.backlog.entry(job.queue.priority).or_default() += work;
+            let backlog = head.backlog.entry(job.queue.priority).or_default();
+            *backlog = backlog.saturating_add(work);
             if !job.begun {
                 *head.pending.entry(job.queue.name.clone()).or_default() += 1;
             }
--- a/crates/fleet/src/cell_schedule.rs
+++ b/crates/fleet/src/cell_schedule.rs
@@ -395,7 +395,7 @@
     fn next_run(&self, last: u32, recovered: bool) -> u32 {
         let floor =
             if recovered { self.head.generation.saturating_mul(RUNS_PER_GENERATION) } else { 0 };
-        last.max(floor) + 1
+        last.max(floor).saturating_add(1)
     }
 }
 
--- a/crates/fleet/src/gate.rs
+++ b/crates/fleet/src/gate.rs
@@ -51,7 +51,8 @@
             return Verdict::Accept;
         };
         let percent = if self.closed.contains(image) { OPEN_PERCENT } else { CLOSE_PERCENT };
-        if outlook.expected_ms * 100 <= outlook.objective_ms * percent {
+        let objective = outlook.objective_ms.saturating_mul(percent);
+        if outlook.expected_ms.saturating_mul(100) <= objective {
             self.closed.remove(image);
             return Verdict::Accept;
         }
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -218,7 +218,9 @@
         let steps: Vec<Arc<Step>> = submission.steps.iter().cloned().map(Arc::new).collect();
         let occurrences = (0..submission.occurrences.max(1))
             .map(|number| Occurrence {
-                due_at_ms: submission.start_at_ms + u64::from(number) * submission.interval_ms,
+                due_at_ms: submission
+                    .start_at_ms
+                    .saturating_add(u64::from(number).saturating_mul(submission.interval_ms)),
                 stages: steps.iter().map(Stage::new).collect(),
             })
             .collect();
@@ -587,7 +589,7 @@
             .flat_map(|occurrence| &occurrence.stages)
             .filter(|stage| !stage.step.lasting && stage.remaining > 0 && counts(&stage.step))
             .map(|stage| stage.step.work(stage.remaining as u64, stage.step.estimate_ms))
-            .sum()
+            .fold(0, u64::saturating_add)
     }
 
     /// Returns the critical path of the first occurrence, in milliseconds, by the time that each stage
--- a/crates/fleet/src/lateness.rs
+++ b/crates/fleet/src/lateness.rs
@@ -36,9 +36,11 @@
         let left = job.critical_path_ms(left_ms);
         let objective = job.queue.latency_objective_ms(job.critical_path_ms(stage_ms));
         let age = unix.saturating_sub(job.accepted_at_ms);
-        if age + left <= objective {
+        let done_at = age.saturating_add(left);
+        if done_at <= objective {
             return Self::InTime;
         }
-        if age + left <= objective * OVERDUE_FACTOR { Self::Late } else { Self::Overdue }
+        let is_late = done_at <= objective.saturating_mul(OVERDUE_FACTOR);
+        if is_late { Self::Late } else { Self::Overdue }
     }
 }
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -115,7 +115,7 @@
     /// and records it in `granted_until`. Returns `None` before the worker's first answer.
     pub fn grant(&mut self, now: u64, lease_ms: u64) -> Option<u64> {
         let (clock, at) = self.clock?;
-        let until = clock + now.saturating_sub(at) + lease_ms;
+        let until = clock.saturating_add(now.saturating_sub(at)).saturating_add(lease_ms);
         self.granted_until = self.granted_until.max(until);
         Some(until)
     }
@@ -125,7 +125,8 @@
     pub fn lapsed_at(&self) -> Option<u64> {
         let (clock, at) = self.clock?;
         let left = self.granted_until.saturating_sub(clock);
-        Some(at + left * 100 / (100 - limits::CLOCK_SLOW_PERCENT) + limits::LEASE_SLACK_MS)
+        let longest = left.saturating_mul(100) / (100 - limits::CLOCK_SLOW_PERCENT);
+        Some(at.saturating_add(longest).saturating_add(limits::LEASE_SLACK_MS))
     }
 
     /// Returns whether it is silent and its lease has expired, even if its clock is slow.
--- a/crates/node/tests/odd_entries.rs
+++ b/crates/node/tests/odd_entries.rs
@@ -96,6 +96,123 @@
     });
 }
 
+/// Returns jobs with absurd figures. None of them can be done, but for those that have no work.
+fn odd_jobs() -> Vec<String> {
+    let max = u64::MAX;
+    let step = |fields: String| format!(r#"{{"spec":"300 1000","steps":[{{"count":1{fields}}}]}}"#);
+    let timed = |fields: String| {
+        format!(r#"{{"spec":"300 1000","steps":[{{"count":1,"cpu":1}}],"repeat_count":3{fields}}}"#)
+    };
+    let wide = r#"{"spec":"300 1000","steps":[{"count":20000,"cpu":18446744073709551615}]}"#;
+    let many: Vec<String> = (0..200).map(|_| format!(r#"{{"count":100,"cpu":{max}}}"#)).collect();
+    vec![
+        step(format!(r#","cpu":{max}"#)),
+        step(format!(r#","cpu":{max},"fills":true,"image":"odd""#)),
+        step(format!(r#","cpu":{max},"fills":true,"image":"odd","estimate_ms":{max}"#)),
+        step(format!(r#","mem_mb":{max}"#)),
+        step(format!(r#","gpu":{}"#, u32::MAX)),
+        step(format!(r#","cpu":{max},"mem_mb":{max},"estimate_ms":{max},"long_running":true"#)),
+        step(format!(r#","cpu":{max},"target_ms":{max},"long_running":true,"image":"odd""#)),
+        step(format!(r#","cpu":{max},"gang":true,"anti_affinity":65535"#)),
+        timed(format!(r#","start_at_ms":{max},"interval_ms":{max}"#)),
+        timed(format!(r#","start_at_ms":{max},"interval_ms":1"#)),
+        timed(format!(r#","start_at_ms":1,"interval_ms":{max}"#)),
+        format!(r#"{{"spec":"300 1000","steps":[{}]}}"#, many.join(",")),
+        wide.into(),
+        wide.into(),
+    ]
+}
+
+/// Processes that end by themselves, and LOST: jobs with absurd figures overflowed sums and times.
+#[test]
+fn odd_jobs_disturb_no_others() {
+    run(async {
+        let (store, address) = UsersStore::start().await.unwrap();
+        let mut config = config();
+        let mut odd = config["routes"][0].clone();
+        odd["name"] = json!("odd");
+        odd["prefix"] = json!("/odd/");
+        odd["target_duration_ms"] = json!(u64::MAX);
+        odd["stretch"] = json!(1e300);
+        config["routes"].as_array_mut().unwrap().push(odd);
+        store.put("op/config", &config);
+        let ledger = UsersLedger::default();
+        let (worker, worker_address) = UsersWorker::start("i-1", ledger.clone()).await.unwrap();
+        worker.register(&store, worker_address, false);
+        let mut vm = Process::start("vm-odd-jobs", address, 2_000);
+        vm.submit("000000000000000a", 300, json!([step(1, &[])])).await;
+        for (number, body) in odd_jobs().into_iter().enumerate() {
+            for prefix in ["/q/", "/odd/"] {
+                let id = format!("{prefix}00000000000{number:04x}{}", prefix.len() % 10);
+                vm.post(&id, &body).await;
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        vm.restart();
+        vm.submit("000000000000000b", 300, json!([step(16, &[]), step(1, &[0])])).await;
+        wait_until("the job", TIMEOUT, || ledger.entry("000000000000000b.0.1.0").done == 1).await;
+        assert!(vm.is_running());
+        // Occurrences that are due at the end of time don't start.
+        let starts = ledger.tasks();
+        let early = |task: &str| starts.iter().any(|(name, _)| name.starts_with(task));
+        assert!(!early("0000000000000083.") && !early("0000000000000093."));
+        assert!(early("00000000000000a3.0.") && !early("00000000000000a3.1."));
+    });
+}
+
+/// Writes values that can't be read, or are not what their keys say, among the records of the program itself.
+fn put_odd_records(store: &UsersStore) {
+    let deep = nested().into_bytes();
+    let head = json!({
+        "cell": 7, "generation": u32::MAX, "owner": "x", "sequence": u64::MAX,
+        "total_milli": u64::MAX, "free_milli": u64::MAX, "largest_milli": u64::MAX,
+    });
+    let head = head.to_string().into_bytes();
+    let records: [(&str, &[u8]); 12] = [
+        ("m/map", &deep),
+        ("m/odd", b"{}"),
+        ("m/vm/aaa", &deep),
+        ("m/vm/aab", br#"{"processors_milli":-1}"#),
+        ("h/0", &deep),
+        ("h/1", &head),
+        ("h/odd", &head),
+        ("c/0/odd", b"{}"),
+        ("c/0/00000000000000aa", &deep),
+        ("p/0/00000000000000aa", br#"{"done":[[0,0,[1e400]]]}"#),
+        ("k/0", &deep),
+        ("j/00000000000000bb", &deep),
+    ];
+    for (key, value) in records {
+        store.put_bytes(key, value.to_vec());
+    }
+}
+
+/// LOST: VMs whose own records had been overwritten assigned no cells, or sent jobs to cells that don't exist.
+#[test]
+fn odd_records_keep_no_vm_from_working() {
+    run(async {
+        let (store, address) = UsersStore::start().await.unwrap();
+        store.put("op/config", &config());
+        store.put_bytes("op/evacuate/odd/\"zone", vec![0xff]);
+        put_odd_records(&store);
+        let ledger = UsersLedger::default();
+        let (worker, worker_address) = UsersWorker::start("i-1", ledger.clone()).await.unwrap();
+        worker.register(&store, worker_address, false);
+        let mut vm = Process::start("vm-odd-records", address, 2_000);
+        vm.submit("000000000000000a", 300, json!([step(4, &[])])).await;
+        wait_until("the first job", TIMEOUT, || ledger.tasks().len() == 4).await;
+        put_odd_records(&store);
+        vm.submit("000000000000000b", 300, json!([step(4, &[]), step(1, &[0])])).await;
+        wait_until("the second job", TIMEOUT, || ledger.entry("000000000000000b.0.1.0").done == 1)
+            .await;
+        vm.restart();
+        vm.submit("000000000000000c", 300, json!([step(4, &[])])).await;
+        wait_until("the third job", TIMEOUT, || ledger.tasks().len() == 4 + 5 + 4).await;
+        assert!(vm.is_running());
+        assert_eq!(ledger.violations(), Vec::<String>::new());
+    });
+}
+
 /// Writes the odd values among the entries of workers.
 fn put_odd_entries(store: &UsersStore, round: usize) {
     for (number, value) in odd_values().into_iter().enumerate() {
--- a/crates/node/tests/process/mod.rs
+++ b/crates/node/tests/process/mod.rs
@@ -79,6 +79,12 @@
         kill_process(pid, if paused { Signal::STOP } else { Signal::CONT }).unwrap();
     }
 
+    /// Posts a body once, and returns whether there was an answer.
+    pub async fn post(&self, path: &str, body: &str) -> bool {
+        let body = body.as_bytes().to_vec();
+        Http::default().call(self.front, Method::POST, path, body, ANSWER_TIMEOUT).await.is_ok()
+    }
+
     /// Submits a job until it is accepted. The duration of its tasks is in milliseconds.
     pub async fn submit(&self, job: &str, task_ms: u64, steps: Value) {
         let http = Http::default();
