Damaged records of the program keep no VM from working

Cause: an assignment of cells that can't be read was logged and ignored, with its revision. The VM that writes it then tried for ever on the condition of the revision before: at the start no cell was ever assigned. A head under the key of another cell was taken for a cell.

Change: a damaged or removed assignment is replaced by the last one that was read. Heads count under their own keys only.

--- a/crates/node/src/assigner.rs
+++ b/crates/node/src/assigner.rs
@@ -37,15 +37,7 @@
 /// Applies one changed item: the assignment, or a VM's entry.
 fn update(node: &Rc<Node>, item: Item) {
     if item.key == keys::ASSIGNMENT {
-        let assignment = item.value.as_deref().map(serde_json::from_slice::<Assignment>);
-        match assignment {
-            Some(Ok(assignment)) if item.revision > node.assignment.borrow().1 => {
-                *node.assignment.borrow_mut() = (assignment, item.revision);
-            }
-            Some(Err(error)) => log::error!(error:% = error; "map_unreadable"),
-            _ => {}
-        }
-        return;
+        return update_assignment(node, &item);
     }
     let Some(name) = item.key.strip_prefix(keys::VMS) else { return };
     let vm = item.value.as_deref().map(serde_json::from_slice::<assignment::Vm>);
@@ -63,6 +55,27 @@
     }
 }
 
+/// Applies a changed assignment. One that can't be read, or is gone, is replaced by the last one that was read.
+fn update_assignment(node: &Rc<Node>, item: &Item) {
+    let mut known = node.assignment.borrow_mut();
+    if item.revision <= known.1 {
+        return;
+    }
+    let assignment = item.value.as_deref().map(serde_json::from_slice::<Assignment>);
+    node.assignment_damaged.set(!matches!(assignment, Some(Ok(_))));
+    match assignment {
+        Some(Ok(assignment)) => *known = (assignment, item.revision),
+        Some(Err(error)) => {
+            log::error!(error:% = error; "map_unreadable");
+            known.1 = item.revision;
+        }
+        None => {
+            log::error!(error = "it is gone"; "map_unreadable");
+            known.1 = 0;
+        }
+    }
+}
+
 /// Rewrites the assignment when the VMs or the workers have changed, while this VM is its writer.
 pub(crate) async fn maintain(node: Rc<Node>) {
     let started = time::now();
@@ -79,7 +92,7 @@
         if node.leaving.get() {
             return;
         }
-        let is_first = node.assignment.borrow().1 == 0;
+        let is_first = node.assignment.borrow().0.owners.is_empty();
         let too_early = is_first && now < started + FIRST_ASSIGNMENT_DELAY_MS;
         if !is_writer || too_early || !node.is_store_reachable() {
             missing_since.clear();
@@ -103,13 +116,15 @@
         }
         let (next, revision) = next_assignment(&node, now, &mut missing_since);
         let (assignment, _) = &*node.assignment.borrow();
-        if next == *assignment {
+        let damaged = node.assignment_damaged.get();
+        if next == *assignment && !damaged {
             continue;
         }
         let owner_gone =
             assignment.owners.iter().any(|owner| !node.vms.borrow().contains_key(owner));
         let workers_changed = next.workers != assignment.workers;
-        if now < written_at + REWRITE_INTERVAL_MS && !owner_gone && !workers_changed {
+        let urgent = owner_gone || workers_changed || damaged;
+        if now < written_at + REWRITE_INTERVAL_MS && !urgent {
             continue;
         }
         written_at = now;
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -195,11 +195,14 @@
     for item in items {
         let head = item.value.as_deref().map(serde_json::from_slice::<Head>);
         match head {
+            Some(Ok(head)) if item.key != keys::head(head.cell) => {
+                log::error!(key = item.key, error = "it is another cell's"; "head_unreadable");
+            }
             Some(Ok(head)) => {
                 heads.push((head.clone(), item.revision));
                 balancer.observe(time::now(), head, item.revision);
             }
-            Some(Err(error)) => log::error!(error:% = error; "head_unreadable"),
+            Some(Err(error)) => log::error!(key = item.key, error:% = error; "head_unreadable"),
             None => {}
         }
     }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -18,6 +18,8 @@
     pub(crate) evacuation: RefCell<Evacuation>,
     /// The assignment of cells and its revision; revision 0 before one was read.
     pub(crate) assignment: RefCell<(Assignment, u64)>,
+    /// Whether the store holds something else than that assignment, which can't be read or is gone.
+    pub(crate) assignment_damaged: Slot<bool>,
     /// The VMs' entries by name.
     pub(crate) vms: RefCell<BTreeMap<String, assignment::Vm>>,
     /// The cells' load from their heads, for the choice of a new job's cell.
@@ -86,6 +88,7 @@
             registry: RefCell::default(),
             evacuation: RefCell::default(),
             assignment: RefCell::default(),
+            assignment_damaged: Slot::new(false),
             vms: RefCell::default(),
             balancer: RefCell::default(),
             gate: RefCell::default(),
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -170,7 +170,7 @@
     };
     let head = Head {
         cell,
-        generation: old.generation + 1,
+        generation: old.generation.saturating_add(1),
         owner: node.incarnation.clone(),
         sequence: 0,
         settled: false,
