--- a/crates/fleet/src/action.rs
+++ b/crates/fleet/src/action.rs
@@ -236,6 +236,13 @@
         state: WorkerState,
         /// The number of runs that it holds or may hold.
         runs: usize,
+        /// For how long the leases that this owner granted it may last, in milliseconds; `None` if it has not
+        /// answered this owner.
+        lease_left_ms: Option<u64>,
+        /// Whether it has announced that it would leave.
+        draining: bool,
+        /// Since when it has had no entry, in milliseconds before now.
+        missing_ms: Option<u64>,
     },
 }
 
--- a/crates/fleet/src/cell_orders.rs
+++ b/crates/fleet/src/cell_orders.rs
@@ -286,7 +286,7 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in left {
-            self.release_all(&id, WorkerState::Left, Proof::Left);
+            self.release_all(clock, &id, WorkerState::Left, Proof::Left);
         }
         let lapsed: Vec<Arc<str>> = self
             .workers
@@ -300,21 +300,39 @@
             .collect();
         for id in lapsed {
             self.suspect_lapsed(&id);
-            self.release_all(&id, WorkerState::Lapsed, Proof::Lapsed);
+            self.release_all(clock, &id, WorkerState::Lapsed, Proof::Lapsed);
         }
     }
 
     /// Releases all runs of a worker.
-    pub(crate) fn release_all(&mut self, id: &Arc<str>, state: WorkerState, proof: Proof) {
+    pub(crate) fn release_all(
+        &mut self,
+        clock: Clock,
+        id: &Arc<str>,
+        state: WorkerState,
+        proof: Proof,
+    ) {
         let Some(worker) = self.workers.get(id) else { return };
         let names: Vec<task::Name> = worker.runs.keys().copied().collect();
-        let runs = names.len();
-        self.report(Report::Worker { worker: id.clone(), state, runs });
+        self.report_worker(clock, id, state);
         for name in names {
             self.release(id, name, proof);
         }
     }
 
+    /// Reports the state of a worker, with what tells whether its runs may go on.
+    pub(crate) fn report_worker(&mut self, clock: Clock, id: &Arc<str>, state: WorkerState) {
+        let Some(worker) = self.workers.get(id) else { return };
+        self.report(Report::Worker {
+            worker: id.clone(),
+            state,
+            runs: worker.runs.len(),
+            lease_left_ms: worker.lapsed_at().map(|at| at.saturating_sub(clock.now)),
+            draining: worker.registration.as_ref().is_some_and(|entry| entry.draining),
+            missing_ms: worker.missing_since.map(|since| clock.now.saturating_sub(since)),
+        });
+    }
+
     /// Removes a run that is known to be over from its worker and makes its task wait again.
     pub(crate) fn release(&mut self, id: &Arc<str>, name: task::Name, proof: Proof) {
         let Some(worker) = self.workers.get_mut(id) else { return };
--- a/crates/fleet/src/cell_polls.rs
+++ b/crates/fleet/src/cell_polls.rs
@@ -47,11 +47,10 @@
             Err(_) => {
                 worker.missed_polls += 1;
                 worker.unanswered_since.get_or_insert(clock.now);
-                let (missed, runs) = (worker.missed_polls, worker.runs.len());
+                let missed = worker.missed_polls;
                 self.note_silence(clock, id);
                 if missed == 1 {
-                    let state = WorkerState::Silent;
-                    self.report(Report::Worker { worker: id.clone(), state, runs });
+                    self.report_worker(clock, id, WorkerState::Silent);
                 }
             }
         }
@@ -69,7 +68,7 @@
         self.unfenced.remove(id);
         self.suspect_runs(id, true);
         if runs > 0 {
-            self.release_all(id, WorkerState::Reborn, Proof::Replaced);
+            self.release_all(clock, id, WorkerState::Reborn, Proof::Replaced);
         }
     }
 
@@ -77,7 +76,6 @@
     /// releases runs that are not listed.
     fn apply_listing(&mut self, clock: Clock, id: &Arc<str>, sent: u64, listing: Listing) {
         let Some(worker) = self.workers.get_mut(id) else { return };
-        let runs = worker.runs.len();
         let restarted = worker.fenced && worker.born != listing.born;
         let answers_again = !worker.fenced || worker.missed_polls > 0;
         if restarted {
@@ -97,7 +95,7 @@
             self.placement_due = true;
             self.inventory_due = true;
             let state = if restarted { WorkerState::Reborn } else { WorkerState::Fenced };
-            self.report(Report::Worker { worker: id.clone(), state, runs });
+            self.report_worker(clock, id, state);
         }
         if listing.complete {
             self.unfenced.remove(id);
@@ -189,9 +187,7 @@
         }
         if end.reason == EndReason::Failed && worker.failures >= FAILURES_TO_PAUSE {
             worker.paused_until = clock.now + FAILING_PAUSE_MS;
-            let runs = worker.runs.len();
-            let state = WorkerState::Failing;
-            self.report(Report::Worker { worker: id.clone(), state, runs });
+            self.report_worker(clock, id, WorkerState::Failing);
         }
     }
 
