--- a/crates/fleet/src/action.rs
+++ b/crates/fleet/src/action.rs
@@ -254,8 +254,6 @@
 pub enum Proof {
     /// The worker's lease has run out.
     Lapsed,
-    /// The worker announced that it would leave, and is gone.
-    Left,
     /// A poll sent after the start was confirmed does not list it.
     NotListed,
     /// Its start was planned, but not ordered.
@@ -300,8 +298,6 @@
     Failing,
     /// Its lease has expired, even if its clock is slow.
     Lapsed,
-    /// It announced that it would leave, and is gone.
-    Left,
     /// It has restarted, or another worker answers at its address.
     Reborn,
     /// It does not answer.
--- a/crates/fleet/src/cell_orders.rs
+++ b/crates/fleet/src/cell_orders.rs
@@ -277,17 +277,9 @@
         self.report(Report::Settled { after_ms, unanswered });
     }
 
-    /// Releases the runs of workers that have left or whose lease has certainly expired.
+    /// Releases the runs of workers whose lease has certainly expired. Nothing else shows that a worker that
+    /// does not answer runs nothing: one that is cut off loses its entry, too.
     pub(crate) fn release_expired(&mut self, clock: Clock) {
-        let left: Vec<Arc<str>> = self
-            .workers
-            .iter()
-            .filter(|(_, worker)| worker.has_left() && !worker.runs.is_empty())
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in left {
-            self.release_all(clock, &id, WorkerState::Left, Proof::Left);
-        }
         let lapsed: Vec<Arc<str>> = self
             .workers
             .iter()
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -72,8 +72,6 @@
 /// How long a worker that misses its polls counts as one that gets new runs again, in milliseconds: answers are
 /// lost or late for less.
 const MAX_UNANSWERED_MS: u64 = 3_000;
-/// Consecutive missed polls after which a draining worker without an entry counts as gone.
-const MISSED_POLLS_TO_LEAVE: u32 = 2;
 
 impl Worker {
     /// Returns a worker that has not answered this owner yet.
@@ -245,13 +243,6 @@
         Some(run)
     }
 
-    /// Returns whether the worker announced that it would leave, its entry is gone and it no longer
-    /// answers polls.
-    pub fn has_left(&self) -> bool {
-        let announced = self.registration.as_ref().is_some_and(|entry| entry.draining);
-        announced && self.missing_since.is_some() && self.missed_polls >= MISSED_POLLS_TO_LEAVE
-    }
-
     /// Returns whether the worker has both filling and serving tasks.
     pub fn is_shared(&self) -> bool {
         self.filling_milli > 0 && self.serving_milli > 0
