A start that may have been carried out is never taken for refused

Change: once an order had no answer, only a confirmed stop and a listing, or the end of the lease, release the run.

--- a/crates/fleet/src/cell_orders.rs
+++ b/crates/fleet/src/cell_orders.rs
@@ -120,14 +120,7 @@
                 let retry_at = Some(clock.now + limits::ORDER_RETRY_DELAY_MS);
                 run.phase = Phase::Starting { retry_at, uncertain: true };
             }
-            // No earlier order can take effect: it went to the worker before its restart, or
-            // carried an earlier deadline.
-            Refusal::Reborn if uncertain => {
-                self.note_silence(clock, id);
-                self.suspect_runs(id, true);
-                self.release(id, name, Proof::Refused);
-            }
-            Refusal::Reborn | Refusal::Late => self.release(id, name, Proof::Refused),
+            // An earlier order may have been carried out, or may still be.
             _ if uncertain => {
                 let retry_at = Some(clock.now + limits::ORDER_RETRY_DELAY_MS);
                 run.phase = Phase::Stopping { retry_at, confirmed: None };
