Another worker at an address proves a worker gone only where that worker has answered

Cause: a 421 to a poll released all runs of a worker and ended a new owner's wait for it, also if the worker's entry had just got that address, or if the poll was sent before its new life was there.

Change: the 421 counts only if this life of the worker has answered this owner at the address to which the poll was sent; else it is a missed poll, and the lease decides.

--- a/crates/fleet/src/cell.rs
+++ b/crates/fleet/src/cell.rs
@@ -435,7 +435,7 @@
                     }
                     // While a worker has no entry, its last address and start time stay in use.
                     match entry {
-                        Some(entry) => worker.registration = Some(entry.clone()),
+                        Some(entry) => worker.register(clock.now, entry),
                         None => worker.paused_until = clock.now + limits::UNHEALTHY_PAUSE_MS,
                     }
                 }
--- a/crates/fleet/src/cell_polls.rs
+++ b/crates/fleet/src/cell_polls.rs
@@ -43,7 +43,9 @@
         worker.poll_at = clock.now + limits::POLL_PAUSE_MS;
         match answer {
             Ok(listing) => self.apply_listing(clock, id, sent, listing),
-            Err(Refusal::Reborn) => self.handle_replacement(clock, id),
+            Err(Refusal::Reborn) if worker.has_answered_at(sent) => {
+                self.handle_replacement(clock, id);
+            }
             Err(_) => {
                 worker.missed_polls += 1;
                 worker.unanswered_since.get_or_insert(clock.now);
@@ -56,7 +58,7 @@
         }
     }
 
-    /// Releases all runs of a worker because another one answers at its address.
+    /// Releases all runs of a worker because another one answers at the address at which it has answered.
     fn handle_replacement(&mut self, clock: Clock, id: &Arc<str>) {
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.missed_polls += 1;
@@ -90,6 +92,7 @@
         worker.fenced = true;
         worker.missed_polls = 0;
         worker.unanswered_since = None;
+        worker.answered_poll_at = Some(sent);
         worker.has_more_ends = !listing.complete;
         if restarted || answers_again {
             self.placement_due = true;
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -25,6 +25,10 @@
     pub polling: bool,
     /// Earliest time of the next poll after a missed one or with unrecorded ends, in milliseconds.
     pub poll_at: u64,
+    /// Since when its entry has had this address and this start, in milliseconds.
+    pub addressed_at: u64,
+    /// When the last poll that it has answered was sent, in milliseconds.
+    pub answered_poll_at: Option<u64>,
     /// Consecutive polls without an answer.
     pub missed_polls: u32,
     /// Whether it has more ends to list than its last listing held.
@@ -86,6 +90,8 @@
             granted_until: 0,
             polling: false,
             poll_at: 0,
+            addressed_at: 0,
+            answered_poll_at: None,
             missed_polls: 0,
             has_more_ends: false,
             unanswered_since: None,
@@ -127,6 +133,22 @@
         Some(at.saturating_add(longest).saturating_add(limits::LEASE_SLACK_MS))
     }
 
+    /// Replaces its entry by the one that the store had at `now`, in milliseconds.
+    pub fn register(&mut self, now: u64, entry: &Registration) {
+        let same_life = |old: &Registration| old.address == entry.address && old.born == entry.born;
+        if !self.registration.as_ref().is_some_and(same_life) {
+            self.addressed_at = now;
+        }
+        self.registration = Some(entry.clone());
+    }
+
+    /// Returns whether it has answered at the address to which a poll was sent at `sent`, in milliseconds.
+    /// Another worker there then shows that it is gone; else its entry may be wrong, or outdated.
+    pub fn has_answered_at(&self, sent: u64) -> bool {
+        sent > self.addressed_at
+            && self.answered_poll_at.is_some_and(|answered| answered > self.addressed_at)
+    }
+
     /// Returns whether it is silent and its lease has expired, even if its clock is slow.
     fn has_lapsed(&self, now: u64) -> bool {
         self.missed_polls > 0 && self.lapsed_at().is_some_and(|at| at <= now)
