An owner that reads its cell again looks at the owner's entry first

Cause: in a full read, jobs were passed on before the owner's entry was looked at. An owner that had lost its cell could start a job that was accepted in the next owner's time, which does not wait for it. Change: nothing of a read without this owner's entry is passed on. Not shown by a test.

--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -373,8 +373,14 @@
             Update::All { items, .. } => (items, true),
             Update::Changes { items, .. } => (items, false),
         };
-        let mut owned = !complete;
+        let is_own =
+            |item: &Item| item.key == keys::owner(executor.cell) && item.revision == executor.fence;
+        // Jobs in a full read may have been accepted in the time of another owner.
+        let mut owned = !complete || items.iter().any(is_own);
         for item in items {
+            if !owned {
+                break;
+            }
             match keys::kind(executor.cell, &item.key) {
                 Some(keys::Kind::Owner) => owned = item.revision == executor.fence,
                 Some(keys::Kind::Job(id)) => {
@@ -390,9 +396,6 @@
                 }
                 _ => {}
             }
-            if !owned && !complete {
-                break;
-            }
         }
         if !owned {
             executor.send(Event::Lost);
