A worker without an entry stays in its cell until the head tells that it holds no runs

Cause: a worker that is cut off from the store only loses its entry and works on. After 7 s the assignment dropped it; the cell's next owner did not know of it, and another cell could get it. A new owner also stopped waiting for a worker once it was dropped.

Change: the assignment drops a worker without an entry only if the head of its cell lists it as vacated. Heads list workers that are not assigned any more and may hold runs (former), and a new owner waits for them; being dropped ends no wait.

--- a/crates/fleet/src/assignment.rs
+++ b/crates/fleet/src/assignment.rs
@@ -128,6 +128,15 @@
         }
     }
 
+    /// Removes workers that have had no entry for long. Each stays until the head of its cell tells that it holds no
+    /// runs: one that is only cut off from the store works on, and no other owner would know.
+    pub fn remove_workers(&mut self, missing: &BTreeSet<&str>, heads: &[(Head, u64)]) {
+        let is_vacated = |id: &str, cell: u32| {
+            heads.iter().any(|(head, _)| head.cell == cell && head.vacated.contains(id))
+        };
+        self.workers.retain(|id, cell| !missing.contains(id.as_str()) || is_vacated(id, *cell));
+    }
+
     /// Returns the number of cells that a VM owns.
     fn owned_cells(&self, vm: &str) -> usize {
         self.owners.iter().filter(|owner| *owner == vm).count()
--- a/crates/fleet/src/cell.rs
+++ b/crates/fleet/src/cell.rs
@@ -137,6 +137,8 @@
         members: BTreeMap<Arc<str>, Option<Registration>>,
     ) -> Self {
         let vacated = start.predecessor.vacated.clone();
+        let former = start.predecessor.former.iter().map(|id| Arc::from(id.as_str()));
+        let former: Vec<Arc<str>> = former.filter(|id| !members.contains_key(id)).collect();
         let mut cell = Self {
             acquired_at: start.acquired_at,
             actions: Vec::new(),
@@ -200,6 +202,10 @@
             (id, Worker { vacated, ..Worker::new(entry) })
         };
         cell.workers = members.into_iter().map(worker).collect();
+        for id in former {
+            cell.unfenced.insert(id.clone());
+            cell.workers.insert(id, Worker { is_member: false, ..Worker::new(None) });
+        }
         cell
     }
 
@@ -450,14 +456,15 @@
         let removed: Vec<Arc<str>> = self
             .workers
             .iter()
-            .filter(|(_, worker)| !worker.is_member && worker.runs.is_empty())
+            .filter(|(id, worker)| {
+                !worker.is_member && worker.runs.is_empty() && !self.unfenced.contains(*id)
+            })
             // Whether it has crashed is still to be learned.
             .filter(|(_, worker)| worker.lapsed_runs.is_empty() || worker.missing_since.is_none())
             .map(|(id, _)| id.clone())
             .collect();
         for id in removed {
             self.workers.remove(&id);
-            self.unfenced.remove(&id);
         }
         self.mark_evacuated_workers();
     }
--- a/crates/fleet/src/cell_record.rs
+++ b/crates/fleet/src/cell_record.rs
@@ -86,6 +86,7 @@
             && left.pending == right.pending
             && left.settled == right.settled
             && (left.settling_ms == 0) == (right.settling_ms == 0)
+            && left.former == right.former
             && left.vacated == right.vacated
     }
 
@@ -125,6 +126,15 @@
         (commit, true)
     }
 
+    /// Returns the workers that are not members any more and may hold runs.
+    fn former_workers(&self) -> BTreeSet<String> {
+        let may_hold_runs = |(id, worker): &(&Arc<str>, &Worker)| {
+            !worker.is_member && (!worker.runs.is_empty() || self.unfenced.contains(*id))
+        };
+        let former = self.workers.iter().filter(may_hold_runs);
+        former.map(|(id, _)| (**id).to_owned()).collect()
+    }
+
     /// Returns whether the store holds all ends that a worker has listed.
     fn has_recorded_ends(&self, id: &str) -> bool {
         let recorded =
@@ -161,6 +171,7 @@
             steps: BTreeMap::new(),
             throughput: self.throughput(clock),
             total_milli: 0,
+            former: self.former_workers(),
             vacated: BTreeSet::new(),
         };
         let vacated =
--- a/crates/fleet/src/head.rs
+++ b/crates/fleet/src/head.rs
@@ -54,6 +54,9 @@
     /// For how long leases that earlier owners granted may last, in milliseconds; 0 if settled, or unknown.
     #[serde(default)]
     pub settling_ms: u64,
+    /// Workers that are not assigned to the cell any more, and may hold runs.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub former: BTreeSet<String>,
     /// Workers without runs that get none before a later head: they drain, or have been silent for longer
     /// than their lease.
     #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
--- a/crates/fleet/src/predecessor.rs
+++ b/crates/fleet/src/predecessor.rs
@@ -7,6 +7,8 @@
 /// The last owner of a cell, as its successor knows it.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Predecessor {
+    /// Workers that are not assigned to the cell any more, and may hold runs.
+    pub former: BTreeSet<String>,
     /// Its number.
     pub generation: u32,
     /// How its ownership ended.
@@ -39,6 +41,7 @@
     /// Returns the last owner as its head shows it.
     pub fn new(head: &Head, end: End) -> Self {
         Self {
+            former: head.former.clone(),
             generation: head.generation,
             end,
             settled: head.settled,
--- /dev/null
+++ b/crates/fleet/tests/proofs.rs
@@ -0,0 +1,370 @@
+//! Signs by which a run seems to be over while its worker may still work on it.
+
+mod world;
+
+use {
+    oleanderstage_core::resources::Resources,
+    oleanderstage_fleet::{Event, State, event::Refusal, predecessor::End, task},
+    std::sync::Arc,
+    world::{QUEUE, World, name, step},
+};
+
+/// The longest lease that a worker takes, in milliseconds.
+const HOLD_MAX_MS: u64 = 10_000;
+
+fn task() -> task::Name {
+    name("1", 0, 0)
+}
+
+/// Returns a cell of two workers.
+fn cell() -> World {
+    let mut world = World::new(&["w1", "w2"]);
+    world.run_ms = 8_000;
+    for id in ["w1", "w2"] {
+        world.worker(id).hold_max_ms = HOLD_MAX_MS;
+    }
+    world
+}
+
+/// Submits the job of one task and returns the worker that runs it.
+fn submit(world: &mut World) -> Arc<str> {
+    world.submit("1", QUEUE, vec![step(1, 1)]);
+    world.advance(500);
+    world.starts(task())[0].0.as_str().into()
+}
+
+/// Submits the job while its start order stays on its way, without an answer, and returns its worker.
+fn submit_delayed(world: &mut World) -> Arc<str> {
+    world.delays_starts = true;
+    world.submit("1", QUEUE, vec![step(1, 1)]);
+    let placed =
+        |id: &&str| world.cell.worker(id).is_some_and(|worker| worker.runs.contains_key(&task()));
+    let holder = ["w1", "w2"].into_iter().find(placed).expect("a start order").into();
+    world.time_out_delayed();
+    world.delays_starts = false;
+    holder
+}
+
+/// Advances until the lease of a worker has just been renewed.
+fn advance_to_renewal(world: &mut World, id: &str) {
+    let lease_until = world.worker(id).lease_until;
+    while world.worker(id).lease_until == lease_until {
+        world.advance(10);
+    }
+}
+
+fn restart(world: &mut World, id: &str) {
+    let now = world.now;
+    world.worker(id).restart_with_new_clock(now);
+}
+
+/// Shrinks a worker so that it gets no more runs.
+fn shrink(world: &mut World, id: &str) {
+    world.worker(id).capacity = Some(Resources::default());
+    world.tell_members();
+}
+
+/// The worker is cut off: its connections fail at once, and it works on.
+fn cut_off(world: &mut World, id: &str) {
+    world.worker(id).down_until = u64::MAX;
+}
+
+fn assert_never_twice(world: &mut World, ms: u64) {
+    for _ in 0..ms / 10 {
+        let overlaps = world.workers.values().any(|worker| !worker.overlaps.is_empty());
+        assert!(world.running(task()).len() <= 1 && !overlaps, "two runs at {} ms", world.now);
+        let n = world.reports.len();
+        world.advance(10);
+        for r in &world.reports[n..] {
+            if !format!("{r:?}").starts_with("Usage") {
+                println!("{} {r:?}", world.now);
+            }
+        }
+    }
+}
+
+/// Asserts that the task is done in the end.
+fn assert_done(world: &mut World) {
+    assert_never_twice(world, 40_000);
+    assert_eq!(world.state("1"), State::Completed);
+}
+
+/// TWICE: the entry of a draining worker was gone and its polls failed, while its lease lasted.
+#[test]
+fn a_draining_worker_that_is_cut_off_works_until_its_lease_is_over() {
+    let mut world = cell();
+    let holder = submit(&mut world);
+    world.worker(&holder).draining = true;
+    world.tell_members();
+    advance_to_renewal(&mut world, &holder);
+    cut_off(&mut world, &holder);
+    assert_never_twice(&mut world, 3_000);
+    world.worker(&holder).gone = true;
+    world.tell_members();
+    assert_done(&mut world);
+}
+
+/// The entry of a worker that works on has the address of another one, or its own again.
+fn set_astray(world: &mut World, id: &str, astray: bool) {
+    world.worker(id).replaced = astray;
+    world.worker(id).port = u16::from(astray);
+    world.tell_members();
+}
+
+/// TWICE: an entry had the address of another worker for a heartbeat, and the run went on.
+#[test]
+fn another_worker_at_an_address_that_is_new_does_not_prove_that_the_runs_are_over() {
+    let mut world = cell();
+    let holder = submit(&mut world);
+    set_astray(&mut world, &holder, true);
+    assert_never_twice(&mut world, 1_500);
+    set_astray(&mut world, &holder, false);
+    assert_done(&mut world);
+    assert_eq!(world.starts(task()).len(), 1);
+}
+
+/// TWICE: the same for good, while the lease lasted.
+#[test]
+fn a_worker_whose_entry_went_astray_works_until_its_lease_is_over() {
+    let mut world = cell();
+    let holder = submit(&mut world);
+    advance_to_renewal(&mut world, &holder);
+    set_astray(&mut world, &holder, true);
+    assert_done(&mut world);
+    assert_eq!(world.starts(task()).len(), 2);
+}
+
+/// TWICE: the same before the worker had answered a new owner, which ended its wait.
+#[test]
+fn another_worker_at_the_address_does_not_end_the_wait_of_a_new_owner() {
+    let mut world = cell();
+    let holder = submit(&mut world);
+    set_astray(&mut world, &holder, true);
+    world.take_over();
+    assert_never_twice(&mut world, 1_000);
+    set_astray(&mut world, &holder, false);
+    assert_done(&mut world);
+}
+
+/// TWICE: the answer of another worker to a poll of the last life ended a run of the new life.
+#[test]
+fn a_late_refusal_of_a_poll_says_nothing_of_runs_ordered_later() {
+    let mut world = cell();
+    let sent = world.now;
+    world.drop_polls("w1");
+    world.drop_polls("w2");
+    let now = world.now;
+    for id in ["w1", "w2"] {
+        world.worker(id).restart_with_new_clock(now);
+        world.worker(id).port = 1;
+    }
+    world.tell_members();
+    let holder = submit(&mut world);
+    let answer = Err(Refusal::Reborn);
+    world.handle(Event::Poll { worker: holder, sent, answer });
+    let other = if world.starts(task())[0].0 == "w1" { "w2" } else { "w1" };
+    let answer = Ok(world.worker(other).listing(now));
+    world.handle(Event::Poll { worker: other.into(), sent: now, answer });
+    assert_done(&mut world);
+}
+
+/// TWICE: a start without an answer was carried out, and was refused as late when it was sent again.
+#[test]
+fn a_late_order_does_not_prove_that_an_earlier_one_was_not_carried_out() {
+    let mut world = cell();
+    let holder = submit_delayed(&mut world);
+    world.worker(&holder).checks_deadlines = true;
+    world.delays_starts = true;
+    world.advance(110);
+    // The second order waits for its connection while a poll renews the lease, and the first arrives.
+    let ordered_at = world.now;
+    advance_to_renewal(&mut world, &holder);
+    world.carry_out_delayed(false);
+    world.delays_starts = false;
+    world.pause(ordered_at + 4_010 - world.now);
+    assert_eq!(world.running(task()), [&*holder]);
+    world.carry_out_delayed(true);
+    assert_done(&mut world);
+}
+
+/// TWICE: a start was carried out without an answer, and another worker refused it when it was sent again.
+#[test]
+fn a_refusal_by_another_worker_does_not_prove_that_an_earlier_order_was_not_carried_out() {
+    let mut world = cell();
+    for id in ["w1", "w2"] {
+        world.worker(id).loses_answers = true;
+    }
+    world.submit("1", QUEUE, vec![step(1, 1)]);
+    let holder: Arc<str> = world.starts(task())[0].0.as_str().into();
+    for id in ["w1", "w2"] {
+        world.worker(id).loses_answers = false;
+    }
+    let sent = world.now;
+    world.drop_polls(&holder);
+    world.worker(&holder).replaced = true;
+    assert_never_twice(&mut world, 200);
+    world.worker(&holder).replaced = false;
+    world.handle(Event::Poll { worker: holder, sent, answer: Err(Refusal::Unknown) });
+    assert_done(&mut world);
+}
+
+/// Returns a cell in which a new life runs the task and is cut off. A poll that was meant for the last
+/// life gave the new one the longest lease that it takes.
+fn cell_with_a_long_lease() -> World {
+    let mut world = cell();
+    world.run_ms = 20_000;
+    world.advance(20_000);
+    let now = world.now;
+    for id in ["w1", "w2"] {
+        let lease_until = world.worker(id).lease_until;
+        restart(&mut world, id);
+        world.worker(id).renew(now, lease_until);
+    }
+    world.advance(1_500);
+    let holder = submit(&mut world);
+    cut_off(&mut world, &holder);
+    world
+}
+
+/// TWICE: an order that was meant for the last life gave the new life the longest lease that it takes.
+#[test]
+fn the_lease_of_a_new_life_may_come_from_an_order_for_the_last_one() {
+    let mut world = cell_with_a_long_lease();
+    assert_done(&mut world);
+}
+
+/// TWICE: a start without an answer was sent again and ran; the new life did not list it, and then got the
+/// first order.
+#[test]
+fn a_run_that_a_new_life_does_not_list_may_still_start_there() {
+    let mut world = cell();
+    world.advance(20_000);
+    let holder = submit_delayed(&mut world);
+    world.advance(500);
+    assert_eq!(world.running(task()), [&*holder]);
+    restart(&mut world, &holder);
+    shrink(&mut world, &holder);
+    world.advance(3_000);
+    assert_eq!(world.starts(task()).len(), 2);
+    world.carry_out_delayed(false);
+    assert_done(&mut world);
+}
+
+/// TWICE: a worker without an entry, which worked for its owner, was taken out of the cell; the next owner did
+/// not know of it.
+#[test]
+fn a_new_owner_waits_for_a_worker_that_was_taken_out_of_the_cell() {
+    let mut world = cell();
+    let holder = submit(&mut world);
+    world.worker(&holder).gone = true;
+    world.tell_members();
+    assert_never_twice(&mut world, 5_000);
+    world.worker(&holder).unassigned = true;
+    world.tell_members();
+    assert_never_twice(&mut world, 1_000);
+    world.take_over();
+    assert_done(&mut world);
+}
+
+/// TWICE: a worker that had not answered a new owner was taken out of the cell, which ended the wait for it.
+#[test]
+fn the_wait_for_a_worker_goes_on_after_it_is_taken_out_of_the_cell() {
+    let mut world = cell();
+    let holder = submit(&mut world);
+    world.worker(&holder).gone = true;
+    world.tell_members();
+    assert_never_twice(&mut world, 3_000);
+    cut_off(&mut world, &holder);
+    world.take_over();
+    assert_never_twice(&mut world, 500);
+    world.worker(&holder).unassigned = true;
+    world.tell_members();
+    assert_done(&mut world);
+}
+
+/// Orders that are carried out by a later life of their worker than the one that they were sent to.
+mod orders_for_an_earlier_life {
+    use super::*;
+
+    /// TWICE: the same for the wait of a new owner.
+    #[test]
+    fn a_new_owner_waits_for_the_longest_lease_that_a_new_life_may_have() {
+        let mut world = cell_with_a_long_lease();
+        world.owner_end = End::Ended;
+        world.take_over();
+        assert_done(&mut world);
+    }
+
+    /// TWICE: the stop of a start without an answer was confirmed by the last life, and the new one got the start.
+    #[test]
+    fn a_stop_confirmed_by_the_last_life_does_not_keep_a_run_from_the_new_one() {
+        let mut world = cell();
+        world.advance(20_000);
+        let holder = submit_delayed(&mut world);
+        shrink(&mut world, &holder);
+        world.delays_starts = true;
+        world.advance(110);
+        let (worker, answer) = (holder.clone(), Err(Refusal::Room));
+        world.handle(Event::Start { worker, task: task(), run: 1, answer });
+        world.delays_starts = false;
+        world.advance(2_500);
+        assert_eq!(world.starts(task()).len(), 1);
+        restart(&mut world, &holder);
+        world.advance(1_500);
+        world.carry_out_delayed(false);
+        assert_done(&mut world);
+    }
+
+    /// TWICE: the lease of the last life was over, and the new one got a start that had had no answer.
+    #[test]
+    fn a_start_without_an_answer_may_reach_a_new_life_after_the_lease_of_the_last_one() {
+        let mut world = cell();
+        world.advance(20_000);
+        let holder = submit_delayed(&mut world);
+        cut_off(&mut world, &holder);
+        world.advance(5_000);
+        restart(&mut world, &holder);
+        world.carry_out_delayed(false);
+        assert_done(&mut world);
+    }
+
+    /// TWICE: a start that an earlier owner had no answer to reached a new life, which had seen no fence.
+    #[test]
+    fn a_start_of_an_earlier_owner_may_reach_a_new_life() {
+        let mut world = cell();
+        world.advance(20_000);
+        let holder = submit_delayed(&mut world);
+        shrink(&mut world, &holder);
+        world.take_over();
+        world.advance(500);
+        assert_eq!(world.starts(task()).len(), 1);
+        restart(&mut world, &holder);
+        world.carry_out_delayed(false);
+        assert_done(&mut world);
+    }
+
+    /// TWICE: a poll that was meant for the last life made the new one forget an end that it had not listed.
+    #[test]
+    fn a_poll_for_the_last_life_may_acknowledge_ends_of_the_new_one() {
+        let mut world = cell();
+        world.run_ms = 500;
+        world.submit("2", QUEUE, vec![step(8, 1)]);
+        world.advance(2_000);
+        world.worker("w2").draining = true;
+        world.tell_members();
+        let acknowledged = world.worker("w1").acknowledged;
+        assert!(acknowledged > 0);
+        // That poll stays on its way.
+        restart(&mut world, "w1");
+        world.advance(1_500);
+        world.run_ms = 800;
+        submit(&mut world);
+        world.worker("w1").unreachable = true;
+        world.advance(400);
+        assert_eq!(world.worker("w1").done.last().map(|(_, name)| *name), Some(task()));
+        world.worker("w1").ended.retain(|end| end.number > acknowledged);
+        world.worker("w1").unreachable = false;
+        world.advance(5_000);
+        assert_eq!(world.starts(task()).len(), 1);
+    }
+}
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -81,6 +81,10 @@
     pub replaces_crashed: bool,
     /// All crashes by a task: time in milliseconds, task.
     pub crashes: Vec<(u64, task::Name)>,
+    /// Start orders stay on their way until `carry_out_delayed`.
+    pub delays_starts: bool,
+    /// Start orders on their way.
+    delayed: Vec<Action>,
 }
 
 /// How long a crashed worker is down, in milliseconds.
@@ -151,7 +155,7 @@
 }
 
 pub fn limits() -> Limits {
-    Limits { lease_ms: 4_000, owner_silence_ms: 5_500 }
+    Limits { lease_ms: 4_000, max_lease_ms: 10_000, owner_silence_ms: 5_500 }
 }
 
 impl World {
@@ -217,6 +221,8 @@
             marks: BTreeSet::new(),
             replaces_crashed: false,
             crashes: Vec::new(),
+            delays_starts: false,
+            delayed: Vec::new(),
         };
         world.take_over();
         world
@@ -274,9 +280,10 @@
     pub fn members(&self) -> BTreeMap<Arc<str>, Option<Registration>> {
         self.workers
             .iter()
+            .filter(|(_, worker)| !worker.unassigned)
             .map(|(id, worker)| {
                 let entry = Registration {
-                    address: "10.0.0.1:1".into(),
+                    address: format!("10.0.0.1:{}", worker.port + 1),
                     born: Some(worker.born),
                     capacity: worker.capacity.unwrap_or(Resources {
                         accelerators: 0,
@@ -398,6 +405,48 @@
         }
     }
 
+    /// Advances the virtual time in steps of 10 ms while the owner is paused.
+    pub fn pause(&mut self, ms: u64) {
+        for _ in 0..ms / 10 {
+            self.now += 10;
+            self.run_tasks();
+        }
+    }
+
+    /// Passes the workers' entries on to the owner.
+    pub fn tell_members(&mut self) {
+        let members = self.members();
+        self.handle(Event::Workers(members));
+    }
+
+    /// Removes the polls in flight to a worker; the test gives their answers.
+    pub fn drop_polls(&mut self, id: &str) {
+        self.polls.retain(|(_, worker, _)| **worker != *id);
+    }
+
+    /// Tells the owner that the delayed start orders have no answer; they stay on their way.
+    pub fn time_out_delayed(&mut self) {
+        for action in self.delayed.clone() {
+            let Action::Start { worker, task, run, .. } = action else { continue };
+            self.handle(Event::Start { worker, task, run, answer: Err(Refusal::Unknown) });
+        }
+    }
+
+    /// Carries the first of the delayed start orders out at its worker, and tells the owner the answer if
+    /// it still waits for it.
+    pub fn carry_out_delayed(&mut self, answered: bool) {
+        let Action::Start { worker, task, run, lease_until, checkpoint, .. } =
+            self.delayed.remove(0)
+        else {
+            return;
+        };
+        let fake = self.workers.get_mut(&*worker).expect("a worker");
+        let answer = fake.start(self.now, task, run, lease_until, self.run_ms, checkpoint);
+        if answered {
+            self.handle(Event::Start { worker, task, run, answer });
+        }
+    }
+
     /// Crashes the workers that have run a crashing task for long enough.
     fn crash_workers(&mut self) {
         let now = self.now;
@@ -439,7 +488,8 @@
     fn run_tasks(&mut self) {
         let now = self.now;
         for worker in self.workers.values_mut() {
-            if worker.lease_until > 0 && worker.lease_until < now && !worker.held.is_empty() {
+            let lapsed = worker.lease_until > 0 && worker.lease_until < worker.clock(now);
+            if lapsed && !worker.held.is_empty() {
                 for (name, held) in std::mem::take(&mut worker.held) {
                     worker.end(name, held.run, EndReason::Lapsed, String::new());
                 }
@@ -503,11 +553,12 @@
                     fake.fence = fake.fence.max(fence);
                     fake.acknowledged = fake.acknowledged.max(acknowledged);
                     fake.ended.retain(|end| end.number > acknowledged);
-                    fake.lease_until = fake.lease_until.max(lease_until.unwrap_or(0));
+                    fake.renew(self.now, lease_until.unwrap_or(0));
                 }
                 self.polls_sent += 1;
                 self.polls.push((self.now, worker, self.now + wait_ms));
             }
+            Action::Start { .. } if self.delays_starts => self.delayed.push(action),
             Action::Start { worker, task, run, lease_until, checkpoint, .. } => {
                 let (now, run_ms) = (self.now, self.run_ms);
                 let fake = self.workers.get_mut(&*worker).expect("a worker");
--- a/crates/fleet/tests/world/worker.rs
+++ b/crates/fleet/tests/world/worker.rs
@@ -39,6 +39,8 @@
     pub last_ended: BTreeMap<task::Name, u32>,
     /// Another worker answers at its address.
     pub replaced: bool,
+    /// The port of its address in its entry.
+    pub port: u16,
     /// It has no entry in the store.
     pub gone: bool,
     /// Its runs go on for a while after a stop is confirmed.
@@ -57,6 +59,16 @@
     pub done: Vec<(u64, task::Name)>,
     /// How many ends a listing holds; 0 for `ENDS_PER_LISTING`.
     pub ends_per_listing: usize,
+    /// The time at which its clock was 0, in milliseconds.
+    pub clock_zero: u64,
+    /// The longest lease that it takes, in milliseconds; 0 for any.
+    pub hold_max_ms: u64,
+    /// Starts whose deadline is over are refused, whether or not their run is there.
+    pub checks_deadlines: bool,
+    /// It is not assigned to the cell.
+    pub unassigned: bool,
+    /// Starts of tasks that it still ran: time in milliseconds, task.
+    pub overlaps: Vec<(u64, task::Name)>,
 }
 
 /// How many ends a worker of the users' platform lists at a time.
@@ -85,13 +97,18 @@
         if self.replaced {
             return Err(Refusal::Reborn);
         }
+        if self.checks_deadlines && lease_until <= self.clock(now) {
+            return Err(Refusal::Late);
+        }
         if self.last_ended.get(&task).is_some_and(|last| *last >= run) {
             return Err(Refusal::Old);
         }
-        self.lease_until = self.lease_until.max(lease_until);
+        self.renew(now, lease_until);
         if self.held.get(&task).is_none_or(|held| held.run < run) {
             let held = Held { run, remaining_ms: run_ms, pace: 100, checkpoint };
-            self.held.insert(task, held);
+            if self.held.insert(task, held).is_some() {
+                self.overlaps.push((now, task));
+            }
             self.starts.push((now, task, run));
         }
         if self.loses_answers { Err(Refusal::Unknown) } else { Ok(()) }
@@ -130,13 +147,35 @@
         };
         let ended: Vec<listing::End> = self.ended.iter().take(limit).cloned().collect();
         let complete = ended.len() < limit;
-        Listing { born: Some(self.born), clock_ms: now, complete, ended, running }
+        Listing { born: Some(self.born), clock_ms: self.clock(now), complete, ended, running }
     }
 
     pub fn is_down(&self, now: u64) -> bool {
         now < self.down_until
     }
 
+    /// Returns its clock, in milliseconds.
+    pub fn clock(&self, now: u64) -> u64 {
+        now.saturating_sub(self.clock_zero)
+    }
+
+    /// Extends its lease to a time on its clock.
+    pub fn renew(&mut self, now: u64, lease_until: u64) {
+        let longest = match self.hold_max_ms {
+            0 => u64::MAX,
+            hold_max_ms => self.clock(now) + hold_max_ms,
+        };
+        self.lease_until = self.lease_until.max(lease_until.min(longest));
+    }
+
+    /// Restarts the worker under the same ID, with a clock that counts from 0.
+    pub fn restart_with_new_clock(&mut self, now: u64) {
+        let hold_max_ms = self.hold_max_ms;
+        self.restart();
+        self.clock_zero = now;
+        self.hold_max_ms = hold_max_ms;
+    }
+
     /// Crashes the worker, which is up again at `until`, under the same ID or under another.
     pub fn crash(&mut self, until: u64, replaced: bool) {
         self.restart();
--- a/crates/node/src/assigner.rs
+++ b/crates/node/src/assigner.rs
@@ -14,8 +14,7 @@
 const REWRITE_INTERVAL_MS: u64 = 700;
 /// Interval between checks of the assignment when nothing changes.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
-/// A worker without an entry is removed from the assignment when its longest lease and this time
-/// have passed, in milliseconds.
+/// A worker without an entry stays assigned for its longest lease and this time at least, in milliseconds.
 const REMOVAL_SLACK_MS: u64 = 3_000;
 
 /// Follows the assignment and the VMs' entries.
@@ -149,8 +148,8 @@
 /// Returns the assignment for the current VMs and workers, and the revision that it replaces. A worker of a
 /// service that the configuration doesn't name, or before there is one, is not assigned; one that is assigned
 /// stays so, as it may hold runs.
-/// Workers without an entry are recorded in `missing_since` and stay assigned until their leases
-/// have certainly expired.
+/// Workers without an entry are recorded in `missing_since`, and stay assigned for some time and while they
+/// may hold runs.
 fn next_assignment(
     node: &Rc<Node>,
     now: u64,
@@ -171,13 +170,12 @@
         .collect();
     let mut next = assignment.next(&node.vms.borrow(), &workers);
     let removal_after_ms = node.boot.worker_lease_ms + REMOVAL_SLACK_MS;
-    missing_since.retain(|id, _| registry.get(id).is_none());
-    next.workers.retain(|id, _| {
-        if registry.get(id).is_some() {
-            return true;
-        }
-        let since = *missing_since.entry(id.clone()).or_insert(now);
-        now < since + removal_after_ms
-    });
+    missing_since.retain(|id, _| registry.get(id).is_none() && next.workers.contains_key(id));
+    for id in next.workers.keys().filter(|id| registry.get(id).is_none()) {
+        missing_since.entry(id.clone()).or_insert(now);
+    }
+    let missing_for_long = |(_, since): &(&String, &u64)| now >= **since + removal_after_ms;
+    let missing = missing_since.iter().filter(missing_for_long).map(|(id, _)| id.as_str());
+    next.remove_workers(&missing.collect(), &node.heads.borrow());
     (next, revision)
 }
