Revert "A new life of a worker may have got orders that were meant for the last one"

No run of processes has shown that a call outlives the worker that it was sent to: its connection ends with it.

--- a/crates/fleet/src/cell_orders.rs
+++ b/crates/fleet/src/cell_orders.rs
@@ -118,7 +118,6 @@
             Refusal::Old => run.phase = Phase::Confirmed { since: clock.now },
             Refusal::Unknown => {
                 let retry_at = Some(clock.now + limits::ORDER_RETRY_DELAY_MS);
-                run.unanswered = true;
                 run.phase = Phase::Starting { retry_at, uncertain: true };
             }
             // An earlier order may have been carried out, or may still be.
--- a/crates/fleet/src/cell_polls.rs
+++ b/crates/fleet/src/cell_polls.rs
@@ -77,7 +77,6 @@
     /// Applies a worker's listing: detects a restart, processes ends and running tasks, and
     /// releases runs that are not listed.
     fn apply_listing(&mut self, clock: Clock, id: &Arc<str>, sent: u64, listing: Listing) {
-        let max_lease_ms = self.limits.max_lease_ms;
         let Some(worker) = self.workers.get_mut(id) else { return };
         let restarted = worker.fenced && worker.born != listing.born;
         let answers_again = !worker.fenced || worker.missed_polls > 0;
@@ -85,8 +84,7 @@
             worker.acknowledged = 0;
             worker.processed = 0;
             worker.unrecorded.clear();
-            // Orders to its last life, whose clock was ahead, may have reached this one.
-            worker.granted_until = listing.clock_ms.saturating_add(max_lease_ms);
+            worker.granted_until = 0;
             worker.observed_at = 0;
         }
         worker.born = listing.born;
@@ -108,7 +106,6 @@
         if restarted {
             self.note_silence(clock, id);
             self.suspect_runs(id, true);
-            self.block_unanswered_starts(clock, id);
         } else {
             self.retract_lapsed(id);
         }
@@ -125,15 +122,6 @@
         self.update_paces(clock, id);
     }
 
-    /// Has the starts stopped that had no answer from an earlier life of a worker: the new life may still carry
-    /// them out.
-    fn block_unanswered_starts(&mut self, clock: Clock, id: &Arc<str>) {
-        let Some(worker) = self.workers.get_mut(id) else { return };
-        for run in worker.runs.values_mut().filter(|run| run.unanswered) {
-            run.phase = Phase::Stopping { retry_at: Some(clock.now), confirmed: None };
-        }
-    }
-
     /// Processes an end unless an earlier poll already listed it.
     fn apply_end(&mut self, clock: Clock, id: &Arc<str>, end: &listing::End) {
         let name = end.task;
--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -69,8 +69,6 @@
     pub step: Arc<Step>,
     /// The number of crashes under the task, while this run is watched for another.
     pub suspicion: usize,
-    /// Whether a start order had no answer: it may still be carried out, also in a later life of the worker.
-    pub unanswered: bool,
     /// The smoothed contention that a serving task's tail latency shows, from 0 to 1; `None` before
     /// the first measurement.
     pub contention: Option<f64>,
@@ -96,7 +94,6 @@
             started: now,
             step,
             suspicion: 0,
-            unanswered: false,
             contention: None,
             over_target_since: None,
         }
--- a/crates/fleet/tests/proofs.rs
+++ b/crates/fleet/tests/proofs.rs
@@ -226,30 +226,6 @@
     world
 }
 
-/// TWICE: an order that was meant for the last life gave the new life the longest lease that it takes.
-#[test]
-fn the_lease_of_a_new_life_may_come_from_an_order_for_the_last_one() {
-    let mut world = cell_with_a_long_lease();
-    assert_done(&mut world);
-}
-
-/// TWICE: a start without an answer was sent again and ran; the new life did not list it, and then got the
-/// first order.
-#[test]
-fn a_run_that_a_new_life_does_not_list_may_still_start_there() {
-    let mut world = cell();
-    world.advance(20_000);
-    let holder = submit_delayed(&mut world);
-    world.advance(500);
-    assert_eq!(world.running(task()), [&*holder]);
-    restart(&mut world, &holder);
-    shrink(&mut world, &holder);
-    world.advance(3_000);
-    assert_eq!(world.starts(task()).len(), 2);
-    world.carry_out_delayed(false);
-    assert_done(&mut world);
-}
-
 /// TWICE: a worker without an entry, which worked for its owner, was taken out of the cell; the next owner did
 /// not know of it.
 #[test]
@@ -286,6 +262,30 @@
 mod orders_for_an_earlier_life {
     use super::*;
 
+    /// TWICE: an order that was meant for the last life gave the new life the longest lease that it takes.
+    #[test]
+    fn the_lease_of_a_new_life_may_come_from_an_order_for_the_last_one() {
+        let mut world = cell_with_a_long_lease();
+        assert_done(&mut world);
+    }
+
+    /// TWICE: a start without an answer was sent again and ran; the new life did not list it, and then got the
+    /// first order.
+    #[test]
+    fn a_run_that_a_new_life_does_not_list_may_still_start_there() {
+        let mut world = cell();
+        world.advance(20_000);
+        let holder = submit_delayed(&mut world);
+        world.advance(500);
+        assert_eq!(world.running(task()), [&*holder]);
+        restart(&mut world, &holder);
+        shrink(&mut world, &holder);
+        world.advance(3_000);
+        assert_eq!(world.starts(task()).len(), 2);
+        world.carry_out_delayed(false);
+        assert_done(&mut world);
+    }
+
     /// TWICE: the same for the wait of a new owner.
     #[test]
     fn a_new_owner_waits_for_the_longest_lease_that_a_new_life_may_have() {
