A row that can't be read holds back the task that it names, and nothing else

Change: listings name the tasks of such rows. Runs of these tasks are not taken for over; all else that the listing shows counts, and the cell settles.

--- a/crates/fleet/src/cell_polls.rs
+++ b/crates/fleet/src/cell_polls.rs
@@ -402,6 +402,7 @@
             .runs
             .iter()
             .filter(|(name, run)| listed.get(name) != Some(&run.number))
+            .filter(|(name, _)| !listing.unreadable.contains(name))
             .filter_map(|(name, run)| match run.phase {
                 Phase::Confirmed { since } if sent > since => Some((*name, Proof::NotListed)),
                 Phase::Stopping { confirmed: Some(at), .. } if sent > at => {
--- a/crates/fleet/src/listing.rs
+++ b/crates/fleet/src/listing.rs
@@ -16,6 +16,8 @@
     pub ended: Vec<End>,
     /// Runs in progress.
     pub running: Vec<Running>,
+    /// Tasks in rows that can't be read: the worker may run them.
+    pub unreadable: BTreeSet<task::Name>,
 }
 
 /// A run in progress.
--- a/crates/fleet/tests/odd_figures.rs
+++ b/crates/fleet/tests/odd_figures.rs
@@ -45,6 +45,7 @@
                 complete,
                 ended: vec![end(u64::MAX, run), end(0, run)],
                 running: rows(run),
+                ..Listing::default()
             };
             let sent = world.now;
             world.handle(Event::Poll { worker: "w1".into(), sent, answer: Ok(listing) });
--- a/crates/fleet/tests/proofs.rs
+++ b/crates/fleet/tests/proofs.rs
@@ -258,6 +258,29 @@
     assert_done(&mut world);
 }
 
+/// TWICE: a run whose row could not be read counted as over.
+#[test]
+fn a_run_in_a_row_that_cannot_be_read_goes_on() {
+    let mut world = cell();
+    let holder = submit(&mut world);
+    world.worker(&holder).unreadable = Some(task());
+    assert_never_twice(&mut world, 3_000);
+    assert_done(&mut world);
+    assert_eq!(world.starts(task()).len(), 1);
+}
+
+/// LOST: a row that could not be read kept a new owner waiting for ever.
+#[test]
+fn a_row_that_cannot_be_read_does_not_keep_a_new_owner_waiting() {
+    let mut world = cell();
+    let holder = submit(&mut world);
+    world.worker(&holder).unreadable = Some(task());
+    world.take_over();
+    world.submit("2", QUEUE, vec![step(1, 1)]);
+    world.advance(1_500);
+    assert!(world.cell.head().0.settled);
+}
+
 /// Orders that are carried out by a later life of their worker than the one that they were sent to.
 mod orders_for_an_earlier_life {
     use super::*;
