A worker whose lease is over is vacated, whatever its last listing held

Found by the review: a worker whose last listing had a run of a job that its cell doesn't know, and that then went for good, was never listed as vacated. Since it then stayed assigned and polled until the owner changed. Change: runs of unknown jobs count only until the lease is over. The test failed before.

--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -44,8 +44,8 @@
     /// Processed ends that are not recorded yet: number of the end, and the value that
     /// `Cell::durable` reaches once it is recorded.
     pub unrecorded: VecDeque<(u64, u64)>,
-    /// Whether it is assigned to the cell. One that is not stays only until its runs are over, and
-    /// its entry is no longer followed.
+    /// Whether it is assigned to the cell. One that is not stays only until its runs and those of earlier
+    /// owners are over, and its entry is no longer followed.
     pub is_member: bool,
     /// Its latest entry in the store; `None` if it has had none.
     pub registration: Option<Registration>,
@@ -183,8 +183,8 @@
     /// Returns whether it holds no runs and gets none until it answers, or at all. `settled` tells whether every
     /// order of earlier owners is over.
     pub fn is_vacated(&self, now: u64, settled: bool) -> bool {
-        let is_empty =
-            self.runs.is_empty() && !self.holds_unknown_runs() && !self.may_list_more_ends(now);
+        let knows_runs = !self.holds_unknown_runs() || self.has_lapsed(now);
+        let is_empty = self.runs.is_empty() && knows_runs && !self.may_list_more_ends(now);
         let draining = self.registration.as_ref().is_some_and(|entry| entry.draining);
         match self.fenced {
             true => is_empty && (draining || self.has_lapsed(now)),
--- a/crates/fleet/tests/takeover.rs
+++ b/crates/fleet/tests/takeover.rs
@@ -3,7 +3,9 @@
 mod world;
 
 use {
-    oleanderstage_fleet::{Event, Head, Release, State, Step, action::Report, predecessor::End},
+    oleanderstage_fleet::{
+        Event, Head, Release, State, Step, Ticket, action::Report, predecessor::End,
+    },
     world::{QUEUE, Store, World, id, name, serving, step},
 };
 
@@ -427,3 +429,25 @@
     world.advance(8_000);
     assert_ne!(world.running(name("1", 0, 0)), [holder.as_str()]);
 }
+
+/// A worker whose last listing had a run of another cell's job, and that went for good, stayed assigned for ever.
+#[test]
+fn a_lapsed_worker_with_a_run_of_an_unknown_job_is_listed_as_vacated() {
+    let mut world = World::new(&["w1", "w2"]);
+    let (now, lease_until) = (world.now, world.now + 4_000);
+    let worker = world.worker("w1");
+    worker.start(now, name("9", 0, 0), 1, lease_until, 60_000, String::new()).expect("a run");
+    let ticket = Ticket {
+        also: Vec::new(),
+        additions: 0,
+        cell: 1,
+        division: None,
+        queue: QUEUE.into(),
+        state: State::Running,
+    };
+    world.tickets.insert(id("9"), (ticket, 1));
+    world.advance(1_500);
+    world.worker("w1").unreachable = true;
+    world.advance(8_000);
+    assert!(world.cell.head().0.vacated.contains("w1"));
+}
