A worker that was dropped with runs comes back into its own cell only

Change: such a worker is assigned to the cell whose head lists it, which also lets a new owner ask it instead of waiting for its lease. A worker is dropped on the condition that it still has no entry, and at most 24 at a time, as a transaction holds 32 entries.

--- a/crates/fleet/src/action.rs
+++ b/crates/fleet/src/action.rs
@@ -228,7 +228,7 @@
         runs: usize,
     },
     /// The state of a worker changed: it answered this owner for the first time or again after
-    /// missed polls, stopped answering, restarted, left or failed its runs.
+    /// missed polls, stopped answering, restarted or failed its runs.
     Worker {
         /// The worker's ID.
         worker: Arc<str>,
--- a/crates/fleet/src/assignment.rs
+++ b/crates/fleet/src/assignment.rs
@@ -128,13 +128,27 @@
         }
     }
 
-    /// Removes workers that have had no entry for long. Each stays until the head of its cell tells that it holds no
-    /// runs: one that is only cut off from the store works on, and no other owner would know.
-    pub fn remove_workers(&mut self, missing: &BTreeSet<&str>, heads: &[(Head, u64)]) {
-        let is_vacated = |id: &str, cell: u32| {
-            heads.iter().any(|(head, _)| head.cell == cell && head.vacated.contains(id))
+    /// Assigns workers again that the head of a cell lists as its former ones: its owner alone knows their runs.
+    pub fn restore_workers(&mut self, workers: &BTreeMap<&str, Member<'_>>, heads: &[(Head, u64)]) {
+        for (head, _) in heads {
+            let former = head.former.iter().filter(|id| workers.contains_key(id.as_str()));
+            for id in former {
+                self.workers.entry(id.clone()).or_insert(head.cell);
+            }
+        }
+    }
+
+    /// Removes workers that have had no entry for long, at most `most`. Each stays until the head of its cell tells
+    /// that it holds no runs: one that is only cut off from the store works on, and no other owner would know.
+    pub fn remove_workers(&mut self, missing: &BTreeSet<&str>, heads: &[(Head, u64)], most: usize) {
+        let is_vacated = |(id, cell): &(&String, &u32)| {
+            heads.iter().any(|(head, _)| head.cell == **cell && head.vacated.contains(*id))
         };
-        self.workers.retain(|id, cell| !missing.contains(id.as_str()) || is_vacated(id, *cell));
+        let missing = self.workers.iter().filter(|(id, _)| missing.contains(id.as_str()));
+        let vacated = missing.filter(is_vacated).map(|(id, _)| id.clone()).take(most);
+        for id in vacated.collect::<Vec<String>>() {
+            self.workers.remove(&id);
+        }
     }
 
     /// Returns the number of cells that a VM owns.
--- a/crates/fleet/src/cell.rs
+++ b/crates/fleet/src/cell.rs
@@ -427,7 +427,7 @@
     }
 
     /// Updates the cell's workers and their entries. A worker that is no longer a member stays
-    /// until its runs are over.
+    /// until its runs and those of earlier owners are over.
     fn update_members(&mut self, clock: Clock, members: BTreeMap<Arc<str>, Option<Registration>>) {
         self.placement_due = true;
         self.inventory_due = true;
--- a/crates/fleet/tests/cells.rs
+++ b/crates/fleet/tests/cells.rs
@@ -136,6 +136,36 @@
 
 /// A process that has just started sees heads of cells whose workers have not answered their owner
 /// yet: they publish no processors.
+/// TWICE: a worker that was cut off from the store only was dropped, and another cell got it.
+#[test]
+fn a_worker_without_an_entry_stays_in_its_cell_until_the_head_lists_it_as_vacated() {
+    let workers = ["w1", "w2"].map(|id| (id.to_owned(), 1)).into();
+    let mut assignment = Assignment { workers, ..Assignment::default() };
+    let missing = ["w1", "w2"].into();
+    let vacated = |cell, ids: &[&str]| {
+        let vacated = ids.iter().map(|id| (*id).to_owned()).collect();
+        (Head { vacated, ..head(cell, 1, 1) }, 1)
+    };
+    assignment.remove_workers(&missing, &[], 9);
+    assignment.remove_workers(&missing, &[vacated(0, &["w1", "w2"]), vacated(1, &[])], 9);
+    assert_eq!(assignment.workers.len(), 2);
+    assignment.remove_workers(&missing, &[vacated(1, &["w2"])], 9);
+    assert_eq!(assignment.members(1).collect::<Vec<_>>(), ["w1"]);
+}
+
+/// TWICE: a worker that was dropped with runs came into another cell, whose owner renewed their lease.
+#[test]
+fn a_worker_that_was_dropped_with_runs_comes_back_into_its_cell() {
+    let mut assignment =
+        Assignment { owners: vec!["a".into(), "a".into()], ..Assignment::default() };
+    let former = Head { former: ["w1".into()].into(), ..head(1, 1, 1) };
+    let workers = ["w1".to_owned(), "w2".to_owned()];
+    assignment.restore_workers(&processors(&workers), &[(head(0, 1, 1), 1), (former, 1)]);
+    let next = assignment.next(&vms(&[("a", 1_000)]), &processors(&workers));
+    assert_eq!(next.members(1).collect::<Vec<_>>(), ["w1"]);
+    assert_eq!(next.members(0).collect::<Vec<_>>(), ["w2"]);
+}
+
 #[test]
 fn a_cell_without_processors_is_not_chosen_and_divides_nothing() {
     let mut balancer = Balancer::default();
--- a/crates/node/src/assigner.rs
+++ b/crates/node/src/assigner.rs
@@ -17,6 +17,9 @@
 /// A worker without an entry stays assigned for its longest lease and this time at least, in milliseconds.
 const REMOVAL_SLACK_MS: u64 = 3_000;
 
+/// Maximum number of workers that are removed at a time: a transaction holds 32 entries.
+const MAX_REMOVALS: usize = 24;
+
 /// Follows the assignment and the VMs' entries.
 pub(crate) async fn follow(node: Rc<Node>) {
     let mut follower = Follower::new(node.clone(), keys::FLEET, Duration::ZERO);
@@ -128,11 +131,12 @@
         }
         written_at = now;
         let value = record::encode(&next);
-        let txn = Txn {
-            expected: vec![(keys::ASSIGNMENT.into(), revision)],
-            writes: vec![(keys::ASSIGNMENT.into(), value, 0)],
-            ..Txn::default()
-        };
+        let mut expected = vec![(keys::ASSIGNMENT.into(), revision)];
+        // A worker whose entry is back by now stays.
+        let removed = assignment.workers.keys().filter(|id| !next.workers.contains_key(*id));
+        expected.extend(removed.map(|id| (format!("{}{id}", registration::PREFIX), 0)));
+        let txn =
+            Txn { expected, writes: vec![(keys::ASSIGNMENT.into(), value, 0)], ..Txn::default() };
         spawn_local(write(node.clone(), txn));
     }
 }
@@ -155,7 +159,7 @@
     now: u64,
     missing_since: &mut BTreeMap<String, u64>,
 ) -> (Assignment, u64) {
-    let (assignment, revision) = node.assignment.borrow().clone();
+    let (mut assignment, revision) = node.assignment.borrow().clone();
     let registry = node.registry.borrow();
     let spread_zones = node.boot.evacuate_ms.is_some();
     let config = node.config.borrow().clone().unwrap_or_default();
@@ -168,6 +172,7 @@
             (&**id, assignment::Member { processors_milli, zone })
         })
         .collect();
+    assignment.restore_workers(&workers, &node.heads.borrow());
     let mut next = assignment.next(&node.vms.borrow(), &workers);
     let removal_after_ms = node.boot.worker_lease_ms + REMOVAL_SLACK_MS;
     missing_since.retain(|id, _| registry.get(id).is_none() && next.workers.contains_key(id));
@@ -176,6 +181,6 @@
     }
     let missing_for_long = |(_, since): &(&String, &u64)| now >= **since + removal_after_ms;
     let missing = missing_since.iter().filter(missing_for_long).map(|(id, _)| id.as_str());
-    next.remove_workers(&missing.collect(), &node.heads.borrow());
+    next.remove_workers(&missing.collect(), &node.heads.borrow(), MAX_REMOVALS);
     (next, revision)
 }
