Soak: workers that are cut off from the VMs and the store

The soak could not find it: its workers never beat, so that the entry of a cut worker stayed, and a leaving worker's runs were lost before its entry went.

What: `--cuts`. Workers beat every 1.5 s, each with its own phase, and the stand-in's store removes an entry 4.5 s after the last beat that it took. In series with seeds of their own, workers drain and leave, workers are cut off from the VMs, the store or both for 1 to 8 s, workers restart behind a cut, and VMs are killed, stopped and paused. Half of the jobs have runs of 1 to 7 s. What each worker does and suffers is in `cuts.log` beside the VMs' logs. The other kinds draw the same numbers as before; the entries' `seq` rises with each write now.

The short test takes seed 14 with 8 s of cuts; the test itself was not run, and is not shown to find the fault.

--- a/crates/node/tests/soak.rs
+++ b/crates/node/tests/soak.rs
@@ -7,6 +7,9 @@
 
 /// How long faults are injected in each run in CI.
 const FAULT_DURATION: Duration = Duration::from_secs(8);
+/// Number of workers, and the same beside cuts, which leave fewer of them in reach.
+const WORKERS: usize = 8;
+const WORKERS_BESIDE_CUTS: usize = 40;
 
 fn soak(seed: u64) {
     run(seed, Disruption::Faults);
@@ -21,7 +24,7 @@
         program: env!("CARGO_BIN_EXE_oleanderstage-node").into(),
         seed,
         vms: 4,
-        workers: 8,
+        workers: if disruption == Disruption::Cuts { WORKERS_BESIDE_CUTS } else { WORKERS },
     };
     let report = oleanderstage_soak::run(plan).expect("a run");
     println!("{}", report.line());
@@ -78,3 +81,9 @@
 fn seed_53_starts_lasting_tasks_again_after_outages() {
     run(53, Disruption::Outages);
 }
+
+/// Workers that drain, leave and restart are cut off from the VMs, the store or both: no task runs twice.
+#[test]
+fn invariants_hold_beside_workers_that_are_cut_off() {
+    run(14, Disruption::Cuts);
+}
--- a/crates/soak/src/disruption.rs
+++ b/crates/soak/src/disruption.rs
@@ -5,6 +5,9 @@
 pub enum Disruption {
     /// Tasks that crash their workers, and workers whose capacity changes.
     Crashes,
+    /// Workers that beat are cut off from the VMs, the store or both, while workers leave and restart and VMs
+    /// are killed, stopped and paused.
+    Cuts,
     /// Random faults, which overlap.
     Faults,
     /// Planned work: workers leave and VMs restart, each in a series of its own.
--- a/crates/soak/src/job.rs
+++ b/crates/soak/src/job.rs
@@ -1,6 +1,6 @@
 //! Callers' requests: submissions, cancellations and queries of jobs, with checks of the answers.
 
-use super::*;
+use {super::*, std::ops::Range};
 
 /// A submitted job, as its caller knows it from answers.
 #[derive(Clone, Debug, Default)]
@@ -27,6 +27,9 @@
 
 /// Share of jobs with a task that crashes each worker that starts it.
 const CRASHING_SHARE: f64 = 0.02;
+/// Share of jobs with longer tasks beside cuts, and their run time in milliseconds.
+const LONG_SHARE: f64 = 0.5;
+const LONG_MS: Range<u64> = 1_000..7_000;
 /// How long a caller waits for an answer.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(3);
 /// Maximum number of times that a submission or a cancellation is sent.
@@ -214,8 +217,12 @@
         let id = format!("{:08x}{number:08x}", self.plan.seed);
         let steps: Vec<u32> =
             (0..random.random_range(1..=2)).map(|_| random.random_range(1..=4)).collect();
-        let (estimate_ms, cpu_milli) =
+        let (mut estimate_ms, mut cpu_milli) =
             (random.random_range(50..900), random.random_range(500..4_000));
+        if self.plan.disruption == Disruption::Cuts && random.random_bool(LONG_SHARE) {
+            // Their work takes half of the room, so that more of them run on a worker.
+            (estimate_ms, cpu_milli) = (random.random_range(LONG_MS), cpu_milli / 2);
+        }
         let bodies: Vec<Value> = (0..)
             .zip(&steps)
             .map(|(step, count)| {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -10,7 +10,7 @@
     oleanderstage_standin::{
         UsersLedger, UsersStore, UsersWorker,
         users_store::Availability,
-        users_worker::{CAPACITY_MILLI, DRAIN_LIMIT, EVACUATION_LIMIT},
+        users_worker::{CAPACITY_MILLI, DRAIN_LIMIT, EVACUATION_LIMIT, HEARTBEAT},
     },
     rand::{Rng, SeedableRng},
     rand_pcg::Pcg64Mcg,
@@ -38,9 +38,12 @@
 };
 
 mod crashes;
+mod cut;
+mod cuts;
 mod disruption;
 mod fault;
 mod job;
+mod link;
 mod maintenance;
 mod outage;
 mod outages;
@@ -81,6 +84,9 @@
     /// let the store fall silent while VMs are killed and workers leave, instead of random faults
     #[argh(switch)]
     outages: bool,
+    /// cut workers off from the VMs and the store while workers leave and restart, instead of random faults
+    #[argh(switch)]
+    cuts: bool,
     /// directory for the VMs' settings and logs
     #[argh(option)]
     logs: PathBuf,
@@ -89,12 +95,22 @@
 /// Runs the program `oleanderstage-soak`, which prints a report for each seed.
 pub fn main() -> miette::Result<()> {
     let arguments: Arguments = argh::from_env();
-    let disruption = match (arguments.maintenance, arguments.crashes, arguments.outages) {
-        (true, false, false) => Disruption::Maintenance,
-        (false, true, false) => Disruption::Crashes,
-        (false, false, true) => Disruption::Outages,
-        (false, false, false) => Disruption::Faults,
-        _ => return Err(miette::miette!("choose one of --maintenance, --crashes and --outages")),
+    let kinds = [
+        (arguments.maintenance, Disruption::Maintenance),
+        (arguments.crashes, Disruption::Crashes),
+        (arguments.outages, Disruption::Outages),
+        (arguments.cuts, Disruption::Cuts),
+    ];
+    let chosen: Vec<Disruption> =
+        kinds.into_iter().filter_map(|(is_chosen, kind)| is_chosen.then_some(kind)).collect();
+    let disruption = match chosen[..] {
+        [] => Disruption::Faults,
+        [kind] => kind,
+        _ => {
+            return Err(miette::miette!(
+                "choose one of --maintenance, --crashes, --outages and --cuts"
+            ));
+        }
     };
     let mut broken = 0;
     for seed in arguments.seed..arguments.seed + arguments.seeds {
--- a/crates/soak/src/outages.rs
+++ b/crates/soak/src/outages.rs
@@ -42,7 +42,7 @@
         }
         for number in LASTING_JOBS.. {
             let outage = Outage::random(&mut random, self.vms.len(), self.workers.len(), number);
-            self.record_outage(&outage);
+            self.record("outages.log", &format!("{outage:?}"));
             self.clone().run_outage(outage, number as u32).await;
             if number + 1 >= LASTING_JOBS + MIN_SERIES && Instant::now() >= end {
                 break;
@@ -50,11 +50,11 @@
         }
     }
 
-    /// Appends the plan of an outage to a file beside the VMs' logs.
-    fn record_outage(&self, outage: &Outage) {
-        let path = self.plan.directory.join("outages.log");
+    /// Appends a line to a file beside the VMs' logs.
+    pub(crate) fn record(&self, file: &str, line: &str) {
+        let path = self.plan.directory.join(file);
         let file = fs::File::options().append(true).create(true).open(path);
-        let written = file.and_then(|mut file| writeln!(file, "{outage:?}"));
+        let written = file.and_then(|mut file| writeln!(file, "{line}"));
         written.expect("a writable directory of logs");
     }
 
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -1,6 +1,6 @@
 //! One run of the soak test: starts the system, injects faults and checks the guarantees.
 
-use super::*;
+use {super::*, link::Link};
 
 /// The state of a run in progress.
 pub struct Soak {
@@ -14,6 +14,8 @@
     /// Number of injected faults by the name of their kind.
     fault_counts: RefCell<BTreeMap<&'static str, usize>>,
     pub(crate) http: Http,
+    /// The workers' links, in the order of the workers.
+    pub(crate) links: Vec<Link>,
     /// The longest absence of a lasting task that came back, as far as it counts.
     pub(crate) max_absence: Cell<Duration>,
     pub(crate) plan: Plan,
@@ -68,6 +70,7 @@
             disturbed_at: Cell::new(None),
             fault_counts: RefCell::default(),
             http: Http::default(),
+            links: workers.iter().map(|_| Link::default()).collect(),
             max_absence: Cell::default(),
             random: RefCell::new(Pcg64Mcg::seed_from_u64(plan.seed)),
             plan,
@@ -84,6 +87,7 @@
         let end = Instant::now() + self.plan.fault_duration;
         let injecting = match self.plan.disruption {
             Disruption::Crashes => spawn_local(self.clone().crash(end)),
+            Disruption::Cuts => spawn_local(self.clone().cut_off(end)),
             Disruption::Faults => spawn_local(self.clone().inject(end)),
             Disruption::Maintenance => spawn_local(self.clone().maintain(end)),
             Disruption::Outages => spawn_local(self.clone().interrupt(end)),
@@ -173,6 +177,17 @@
     async fn apply_fault(self: Rc<Self>, fault: Fault, duration: Duration) {
         let vm = self.random_vm();
         let number = self.random.borrow_mut().random_range(0..self.workers.len());
+        self.apply_fault_to(fault, duration, &vm, number).await;
+    }
+
+    /// Applies a fault to the VM or the worker, as `apply_fault` does.
+    pub(crate) async fn apply_fault_to(
+        &self,
+        fault: Fault,
+        duration: Duration,
+        vm: &Vm,
+        number: usize,
+    ) {
         let (worker, relay) = &self.workers[number];
         match fault {
             Fault::Stop => {
--- a/crates/standin/src/users_store.rs
+++ b/crates/standin/src/users_store.rs
@@ -62,6 +62,8 @@
     /// Changes up to this revision are no longer kept.
     compacted: u64,
     items: BTreeMap<String, Item>,
+    /// When the entry of each worker that beats is removed, by its key.
+    beats_end: BTreeMap<String, Instant>,
     /// When each lease ends, and its length.
     leases: BTreeMap<u64, (Instant, Duration)>,
     availability: Availability,
@@ -90,6 +92,7 @@
     }
 
     fn remove(&mut self, key: &str) {
+        self.beats_end.remove(key);
         if self.items.remove(key).is_some() {
             let revision = self.revision;
             self.record(Change { item: None, key: key.into(), revision });
@@ -106,7 +109,8 @@
         }
     }
 
-    /// Ends the leases whose time is up, and returns whether there were any.
+    /// Ends the leases whose time is up, removes the entries of silent workers, and returns whether there
+    /// were any.
     fn expire(&mut self, now: Instant) -> bool {
         if self.availability == Availability::Silent {
             return false;
@@ -114,7 +118,17 @@
         let expired: Vec<u64> =
             self.leases.iter().filter(|(_, (end, _))| *end <= now).map(|(id, _)| *id).collect();
         expired.iter().for_each(|lease| self.end_lease(*lease));
-        !expired.is_empty()
+        let silent: Vec<String> = self
+            .beats_end
+            .iter()
+            .filter(|(_, end)| **end <= now)
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in &silent {
+            self.revision += 1;
+            self.remove(key);
+        }
+        !expired.is_empty() || !silent.is_empty()
     }
 
     /// Ends the lease and removes its keys in one revision.
@@ -226,6 +240,12 @@
         self.put_bytes(key, value.to_string().into_bytes());
     }
 
+    /// Writes a key in place of a worker that beats, and removes it `lifetime` after the last such write.
+    pub fn beat(&self, key: &str, value: &Value, lifetime: Duration) {
+        self.put(key, value);
+        lock(&self.state).beats_end.insert(key.into(), Instant::now() + lifetime);
+    }
+
     /// Writes a key without a call, such as a transaction of a VM that is carried out late.
     pub fn put_bytes(&self, key: &str, value: Vec<u8>) {
         let mut state = lock(&self.state);
--- a/crates/standin/src/users_worker.rs
+++ b/crates/standin/src/users_worker.rs
@@ -59,6 +59,8 @@
 #[derive(Debug)]
 struct State {
     incarnation: u64,
+    /// Number of times that it has written its entry.
+    writes: u64,
     /// Processors that its entry tells, in thousandths of a core.
     capacity_milli: u64,
     /// Since when these are fewer than before. A worker that has shrunk rejects no start for want of
@@ -105,6 +107,10 @@
     until: Instant,
 }
 
+/// Time between two beats of a worker.
+pub const HEARTBEAT: Duration = Duration::from_millis(1_500);
+/// How long after a worker's last beat its entry is removed.
+const ENTRY_LIFETIME: Duration = Duration::from_millis(4_500);
 /// Processors of a worker, in thousandths of a core.
 pub const CAPACITY_MILLI: u64 = 16_000;
 /// How long after its entry says that it drains a worker may get new runs.
@@ -133,6 +139,7 @@
     fn new(incarnation: u64) -> Self {
         Self {
             incarnation,
+            writes: 0,
             capacity_milli: CAPACITY_MILLI,
             shrunk_since: None,
             crash_at: None,
@@ -209,20 +216,30 @@
 
     /// Writes the worker's entry to the store, with `address` as its address.
     pub fn register(&self, store: &UsersStore, address: SocketAddr, draining: bool) {
-        let (incarnation, capacity_milli) = {
-            let mut state = lock(&self.state);
-            let capacity_milli = state.capacity_milli;
-            state.draining_since =
-                draining.then(|| state.draining_since.unwrap_or_else(Instant::now));
-            (state.incarnation, capacity_milli)
-        };
-        let entry = json!({
+        store.put(&self.key(), &self.tell(address, draining));
+    }
+
+    /// Writes the entry as `register` does, for the time until it counts as silent.
+    pub fn beat(&self, store: &UsersStore, address: SocketAddr, draining: bool) {
+        store.beat(&self.key(), &self.tell(address, draining), ENTRY_LIFETIME);
+    }
+
+    /// Returns the key of its entry.
+    pub fn key(&self) -> String {
+        format!("servers/{}", self.id)
+    }
+
+    /// Returns its next entry, from which on it counts as draining or not.
+    fn tell(&self, address: SocketAddr, draining: bool) -> Value {
+        let mut state = lock(&self.state);
+        state.writes += 1;
+        state.draining_since = draining.then(|| state.draining_since.unwrap_or_else(Instant::now));
+        json!({
             "service": "desk", "address": address, "zone": self.zone, "version": "v1", "slots": 8,
             "state": if draining { "draining" } else { "ready" }, "cold_remaining_ms": 0,
-            "capacity": {"cpu": capacity_milli, "mem_mb": 65_536, "gpu": 0},
-            "labels": ["a", "r1"], "seq": 1, "born": incarnation,
-        });
-        store.put(&format!("servers/{}", self.id), &entry);
+            "capacity": {"cpu": state.capacity_milli, "mem_mb": 65_536, "gpu": 0},
+            "labels": ["a", "r1"], "seq": state.writes, "born": state.incarnation,
+        })
     }
 
     /// Sets the worker's zone, before it registers.
