--- a/crates/node/src/assigner.rs
+++ b/crates/node/src/assigner.rs
@@ -16,7 +16,6 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// A worker without an entry stays assigned for its longest lease and this time at least, in milliseconds.
 const REMOVAL_SLACK_MS: u64 = 3_000;
-
 /// Maximum number of workers that are removed at a time: a transaction holds 32 entries.
 const MAX_REMOVALS: usize = 24;
 
