--- a/crates/fleet/tests/proofs.rs
+++ b/crates/fleet/tests/proofs.rs
@@ -73,13 +73,7 @@
     for _ in 0..ms / 10 {
         let overlaps = world.workers.values().any(|worker| !worker.overlaps.is_empty());
         assert!(world.running(task()).len() <= 1 && !overlaps, "two runs at {} ms", world.now);
-        let n = world.reports.len();
         world.advance(10);
-        for r in &world.reports[n..] {
-            if !format!("{r:?}").starts_with("Usage") {
-                println!("{} {r:?}", world.now);
-            }
-        }
     }
 }
 
@@ -209,7 +203,7 @@
 }
 
 /// Returns a cell in which a new life runs the task and is cut off. A poll that was meant for the last
-/// life gave the new one the longest lease that it takes.
+/// life has given the new one the longest lease that it takes.
 fn cell_with_a_long_lease() -> World {
     let mut world = cell();
     world.run_ms = 20_000;
@@ -309,7 +303,7 @@
         assert_done(&mut world);
     }
 
-    /// TWICE: the same for the wait of a new owner.
+    /// TWICE: an order that was meant for the last life gave the new life a longer lease than a new owner waits for.
     #[test]
     fn a_new_owner_waits_for_the_longest_lease_that_a_new_life_may_have() {
         let mut world = cell_with_a_long_lease();
