--- a/crates/fleet/src/action.rs
+++ b/crates/fleet/src/action.rs
@@ -77,6 +77,21 @@
         /// Whether the cause is likely none of them: much of its rack fell silent with it.
         excused: bool,
     },
+    /// A lasting job has to wait, because lasting jobs hold as much as they may. Reported once.
+    Delayed {
+        /// The job.
+        job: job::Id,
+        /// The number of its tasks that wait.
+        tasks: usize,
+        /// What these reserve, in thousandths of a core.
+        milli: u64,
+        /// What lasting tasks hold in the cell, in thousandths of a core.
+        lasting_milli: u64,
+        /// What they may hold, in thousandths of a core.
+        limit_milli: u64,
+        /// Time since the job was accepted, in milliseconds.
+        waited_ms: u64,
+    },
     /// A job was failed because one of its tasks crashes workers.
     GivenUp {
         /// The task.
@@ -129,6 +144,13 @@
         /// The number of tasks moved.
         tasks: usize,
     },
+    /// A younger lasting job starts while a delayed one waits. Reported once for each delayed job.
+    Overtaken {
+        /// The delayed job.
+        job: job::Id,
+        /// The younger one.
+        by: job::Id,
+    },
     /// The pace of a filling task was changed.
     Pace {
         /// The worker's ID.
--- a/crates/fleet/src/cell.rs
+++ b/crates/fleet/src/cell.rs
@@ -45,6 +45,8 @@
     /// When the last commit was made, or found to change nothing, in milliseconds.
     pub(crate) committed_at: u64,
     pub(crate) config: Arc<Config>,
+    /// Lasting jobs that wait for the limit of lasting jobs.
+    pub(crate) delays: BTreeMap<job::Id, Delay>,
     /// Jobs with changes that are not in a commit yet.
     pub(crate) dirty: BTreeSet<job::Id>,
     /// The value of `changes` up to which all changes are in the store.
@@ -147,6 +149,7 @@
             commit: None,
             committed_at: start.acquired_at,
             config: start.config,
+            delays: BTreeMap::new(),
             dirty: BTreeSet::new(),
             durable: 0,
             estimated_at: 0,
--- a/crates/fleet/src/cell_orders.rs
+++ b/crates/fleet/src/cell_orders.rs
@@ -19,6 +19,7 @@
     pub(crate) fn start(&mut self, clock: Clock, id: &Arc<str>, name: task::Name, run: u32) {
         let Some(job) = self.jobs.get_mut(&name.job) else { return };
         let recovered = job.recovered;
+        let overtakes = job.is_lasting() && !job.may_have_begun();
         let first_start = !std::mem::replace(&mut job.begun, true);
         let Some(stage) = job.stage_mut(name.occurrence, name.step) else { return };
         let step = stage.step.clone();
@@ -39,6 +40,9 @@
         if first_start || traced {
             self.mark_dirty(name.job);
         }
+        if overtakes {
+            self.note_overtaken(name.job);
+        }
         if !traced {
             return self.order_start(clock, id, name);
         }
--- a/crates/fleet/src/cell_schedule.rs
+++ b/crates/fleet/src/cell_schedule.rs
@@ -32,6 +32,12 @@
     spare: bool,
 }
 
+/// What lasting tasks hold and may hold of a cell, in thousandths of a core.
+pub(crate) struct LastingUse {
+    pub(crate) held_milli: u64,
+    pub(crate) limit_milli: u64,
+}
+
 /// The outcome of a search for workers of a step's waiting tasks.
 enum Search {
     /// None is left waiting for a worker.
@@ -52,6 +58,7 @@
         self.placement_due = false;
         self.reserved.retain(|_, job| self.jobs.contains_key(job));
         self.unheld.retain(|(job, _)| self.jobs.contains_key(job));
+        self.delays.retain(|job, _| self.jobs.contains_key(job));
         let mut pass = Pass {
             held_for: 0,
             reservations: reservation::Book::default(),
@@ -79,9 +86,14 @@
         let Some(job) = self.jobs.get(&id) else { return 0 };
         let moving = job.moving_to.is_some() || job.splitting.is_some();
         let unsettled = job.recovered && !self.unfenced.is_empty();
-        if moving || unsettled || self.is_held_back(id, job) {
+        if moving || unsettled {
+            return 0;
+        }
+        if self.is_held_back(id, job) {
+            self.note_delay(clock, id);
             return 0;
         }
+        self.delays.remove(&id);
         let waited = clock.unix.saturating_sub(job.accepted_at_ms);
         let slowly = pass.spare && waited >= FULL_PACE_WAIT_MS && !job.is_active();
         let mut misses = 0;
@@ -159,15 +171,20 @@
         if !job.is_lasting() || job.may_have_begun() || self.has_spare_capacity() {
             return false;
         }
+        let demand = admission::Demand::new(id, &job.record.submission, &job.queue);
+        let lasting = self.lasting_use();
+        lasting.held_milli > 0 && lasting.held_milli + demand.reserved_milli > lasting.limit_milli
+    }
+
+    /// Returns what lasting tasks hold of the cell, and what they may hold.
+    pub(crate) fn lasting_use(&self) -> LastingUse {
         let open = || self.workers.values().filter(|worker| !worker.evacuated);
         let total: u64 = open().map(|worker| worker.capacity().processors_milli).sum();
-        let lasting: u64 = open().map(|worker| worker.lasting_milli).sum();
-        let demand = admission::Demand::new(id, &job.record.submission, &job.queue);
-        let limit = match self.policy.headroom {
+        let limit_milli = match self.policy.headroom {
             true => self.headroom.lasting_limit(total),
             false => total * headroom::BASE_PERCENT / 100,
         };
-        lasting > 0 && lasting + demand.reserved_milli > limit
+        LastingUse { held_milli: open().map(|worker| worker.lasting_milli).sum(), limit_milli }
     }
 
     /// Returns the jobs in the order in which their tasks are placed: by queue priority, then by
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -576,6 +576,11 @@
         self.tasks().any(|task| matches!(task.status, task::Status::Active { .. }))
     }
 
+    /// Returns the number of its tasks that are at a worker.
+    pub fn active_tasks(&self) -> usize {
+        self.tasks().filter(|task| matches!(task.status, task::Status::Active { .. })).count()
+    }
+
     /// Returns whether its tasks are lasting ones that have run before: they restart at once.
     pub fn restarts(&self) -> bool {
         self.is_lasting() && self.may_have_begun()
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -17,7 +17,7 @@
 
 pub use {
     action::Action, assignment::Assignment, cell::Cell, clock::Clock, commit::Commit,
-    config::Config, continuity::Continuity, crash::Crash, division::Division,
+    config::Config, continuity::Continuity, crash::Crash, delay::Delay, division::Division,
     evacuation::Evacuation, event::Event, fit::Fit, forecast::Forecast, gap::Gap, gate::Gate,
     head::Head, headroom::Headroom, inventory::Inventory, job::Job, lateness::Lateness,
     lifetime::Lifetime, limits::Limits, listing::Listing, load::Load, policy::Policy,
@@ -36,6 +36,7 @@
 pub mod config;
 pub mod continuity;
 pub mod crash;
+pub mod delay;
 pub mod division;
 pub mod evacuation;
 pub mod event;
--- a/crates/fleet/src/usage.rs
+++ b/crates/fleet/src/usage.rs
@@ -6,14 +6,30 @@
 /// The use of a cell at one time. Processors are in thousandths of a core.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize)]
 pub struct Usage {
+    /// Lasting jobs that wait because lasting tasks hold all that they may.
+    pub delayed_jobs: usize,
+    /// How long the first of them has waited, in milliseconds.
+    pub longest_delay_ms: u64,
+    /// Those of them that a younger job has overtaken.
+    pub overtaken_jobs: usize,
     /// Unfinished jobs of which a task has started, without lasting ones.
     pub begun_jobs: usize,
     /// Processors that running filling tasks ask for.
     pub filling_milli: u64,
     /// The number of running filling tasks.
     pub filling_tasks: usize,
+    /// Processors that lasting tasks may hold when another one starts.
+    pub lasting_limit_milli: u64,
     /// Processors that lasting tasks hold.
     pub lasting_milli: u64,
+    /// Tasks of unfinished lasting jobs, without those of other cells.
+    pub lasting_tasks: usize,
+    /// Those of them that are at a worker.
+    pub lasting_active: usize,
+    /// Lasting tasks of the largest tenth of lasting jobs, by processors.
+    pub largest_tasks: usize,
+    /// Those of them that are at a worker.
+    pub largest_active: usize,
     /// Unfinished jobs that are late or overdue, without lasting ones.
     pub late_jobs: usize,
     /// Serving tasks whose smoothed tail is over its target.
@@ -40,6 +56,8 @@
 
 /// Interval between reports of a cell's use, in milliseconds.
 const REPORT_INTERVAL_MS: u64 = 1_000;
+/// The largest jobs are one in so many.
+const LARGEST_PART: usize = 10;
 
 impl Cell {
     /// Reports the use of the cell once in `REPORT_INTERVAL_MS`.
@@ -53,7 +71,15 @@
     }
 
     fn usage(&self, clock: Clock) -> Usage {
-        let mut usage = Usage::default();
+        let mut usage = Usage {
+            lasting_limit_milli: self.lasting_use().limit_milli,
+            delayed_jobs: self.delays.len(),
+            overtaken_jobs: self.delays.values().filter(|delay| delay.overtaken).count(),
+            ..Usage::default()
+        };
+        let accepted = self.delays.keys().filter_map(|id| Some(self.jobs.get(id)?.accepted_at_ms));
+        usage.longest_delay_ms = accepted.min().map_or(0, |at| clock.unix.saturating_sub(at));
+        self.count_lasting(&mut usage);
         for worker in self.workers.values().filter(|worker| worker.is_usable(clock.now)) {
             usage.total_milli += worker.capacity().processors_milli;
             usage.reserved_milli += worker.reserved.processors_milli;
@@ -96,4 +122,25 @@
         }
         usage
     }
+
+    /// Counts the tasks of lasting jobs, and apart from all those of the largest tenth.
+    fn count_lasting(&self, usage: &mut Usage) {
+        let jobs = self.unfinished_jobs.iter().filter_map(|(_, _, id)| self.jobs.get(id));
+        let sized = jobs.filter(|job| job.is_lasting()).map(|job| {
+            let steps = job.record.submission.steps.iter();
+            let size = steps.map(|step| step.reserved().processors_milli * u64::from(step.count));
+            (size.fold(0, u64::saturating_add), job.own_tasks().len(), job.active_tasks())
+        });
+        let mut sized: Vec<(u64, usize, usize)> = sized.collect();
+        sized.sort_unstable_by_key(|&(size, ..)| std::cmp::Reverse(size));
+        let largest = sized.len().div_ceil(LARGEST_PART);
+        for (position, &(_, tasks, active)) in sized.iter().enumerate() {
+            usage.lasting_tasks += tasks;
+            usage.lasting_active += active;
+            if position < largest {
+                usage.largest_tasks += tasks;
+                usage.largest_active += active;
+            }
+        }
+    }
 }
--- a/crates/node/src/meter.rs
+++ b/crates/node/src/meter.rs
@@ -94,6 +94,7 @@
                 "run_ended"
             }
             Report::Crash { .. } => "worker_crashed",
+            Report::Delayed { .. } => "job_delayed",
             Report::GivenUp { .. } => "job_given_up",
             Report::JobOver { after_ms, .. } => {
                 self.latency.with_label_values(&["job"]).observe(*after_ms as f64);
@@ -101,6 +102,7 @@
             }
             Report::Moved { .. } => "job_moved",
             Report::Split { .. } => "job_split",
+            Report::Overtaken { .. } => "job_overtaken",
             Report::Pace { .. } => "pace",
             Report::Refused { .. } => "order_refused",
             Report::Released { .. } => "run_released",
