--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -70,7 +70,7 @@
     /// Tasks that crash the worker that runs them, with the age at which they do so in milliseconds.
     pub crashing: BTreeMap<task::Name, u64>,
     /// The steps of all submitted jobs.
-    steps: BTreeMap<(job::Id, u16), Step>,
+    pub steps: BTreeMap<(job::Id, u16), Step>,
     /// Starts that brought a worker over its capacity.
     pub overloads: Vec<String>,
     /// When the owner or the store last failed, in milliseconds.
