--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -153,11 +153,13 @@
         margin_ms: u64,
     ) -> Option<u32> {
         let here = self.cells.get(&own)?;
-        let (gap, wait_ms) = (here.gap(demand), here.wait_ms(demand));
+        // The head counts the job among those that wait.
+        let own_milli = if demand.lasting { demand.reserved_milli } else { 0 };
+        let (gap, wait_ms) = (here.gap(demand), here.wait_ms(demand, own_milli));
         let (cell, load) = self.best(demand, Some(own))?;
         let is_better = match load.gap(demand).cmp(&gap) {
             Ordering::Less => true,
-            Ordering::Equal => load.wait_ms(demand).saturating_add(margin_ms) <= wait_ms,
+            Ordering::Equal => load.wait_ms(demand, 0).saturating_add(margin_ms) <= wait_ms,
             Ordering::Greater => false,
         };
         if !is_better {
@@ -169,15 +171,21 @@
 
     /// Returns the cell that has the most processors free on one worker, among those with workers that can
     /// hold a task of the step, if such a task fits there, and how many of `tasks` such tasks fit on that
-    /// worker. Skips `excluded`; adds the tasks to the load of the returned cell.
+    /// worker. If they have never run, they also have to be allowed to start there. Skips `excluded`; adds the
+    /// tasks to the load of the returned cell.
     pub fn find_room(
         &mut self,
         excluded: &[u32],
         service: &str,
         step: &Step,
         tasks: usize,
+        unstarted: bool,
     ) -> Option<(u32, usize)> {
         let task_milli = step.reserved().processors_milli;
+        let allowed = |load: &Load| match unstarted {
+            true => usize::try_from(load.quota(0).tasks(task_milli)).unwrap_or(usize::MAX),
+            false => usize::MAX,
+        };
         let (&cell, load) = self
             .cells
             .iter_mut()
@@ -186,11 +194,12 @@
                 !excluded.contains(cell)
                     && load.head.largest_milli >= task_milli.saturating_add(sent)
                     && load.holds(service, step)
+                    && allowed(load) > 0
             })
             .max_by_key(|(_, load)| load.head.largest_milli)?;
         let left = load.head.largest_milli - load.sent_milli;
         let fitting = (left / task_milli.max(1)).max(1) as usize;
-        let count = tasks.min(fitting);
+        let count = tasks.min(fitting).min(allowed(load));
         load.sent_milli = load.sent_milli.saturating_add(task_milli.saturating_mul(count as u64));
         Some((cell, count))
     }
@@ -307,16 +316,16 @@
         let reserved = self.reserved_milli().saturating_add(demand.reserved_milli);
         Rank {
             gap: self.gap(demand),
-            wait: self.wait_ms(demand) / WAIT_RESOLUTION_MS,
+            wait: self.wait_ms(demand, 0) / WAIT_RESOLUTION_MS,
             reserved: reserved.saturating_mul(1_000) / total,
         }
     }
 
     /// Returns the expected time until the job is done, or until it runs if it lasts, in
-    /// milliseconds.
-    fn wait_ms(&self, demand: &Demand<'_>) -> u64 {
+    /// milliseconds. `own_milli` of the head's waiting tasks are those of the job.
+    fn wait_ms(&self, demand: &Demand<'_>, own_milli: u64) -> u64 {
         let total = self.head.total_milli.max(1);
-        let missing = demand.reserved_milli.saturating_sub(self.room(demand));
+        let missing = demand.reserved_milli.saturating_sub(self.room(demand, own_milli));
         if demand.lasting {
             return missing.saturating_mul(LASTING_WAIT_MS) / demand.reserved_milli.max(1);
         }
@@ -342,17 +351,30 @@
         reserved.saturating_add(self.sent_milli)
     }
 
-    /// Returns the processors that the job could reserve now, in thousandths of a core.
-    fn room(&self, demand: &Demand<'_>) -> u64 {
+    /// Returns what lasting tasks hold of the cell and what they may hold, as though those that wait had started
+    /// but `own_milli` of them.
+    fn quota(&self, own_milli: u64) -> Quota {
+        let waiting_milli = self.head.lasting_waiting_milli.saturating_sub(own_milli);
+        let ahead_milli = waiting_milli.saturating_add(self.sent_milli);
+        let reserved_milli = self.reserved_milli().saturating_add(waiting_milli);
+        let base = self.head.total_milli.saturating_mul(headroom::BASE_PERCENT) / 100;
+        Quota {
+            held_milli: self.head.lasting_milli.saturating_add(ahead_milli),
+            limit_milli: self.head.lasting_limit_milli.max(base),
+            reserved_milli,
+            total_milli: self.head.total_milli,
+        }
+    }
+
+    /// Returns the processors that the job could reserve now, in thousandths of a core. `own_milli` of the
+    /// head's waiting tasks are those of the job.
+    fn room(&self, demand: &Demand<'_>, own_milli: u64) -> u64 {
         if self.head.largest_milli < demand.task_milli {
             return 0;
         }
         let free = self.head.total_milli.saturating_sub(self.reserved_milli());
         if demand.lasting {
-            let lasting = self.head.lasting_milli.saturating_add(self.sent_milli);
-            let base = self.head.total_milli.saturating_mul(headroom::BASE_PERCENT) / 100;
-            let limit = self.head.lasting_limit_milli.max(base);
-            return free.min(limit.saturating_sub(lasting));
+            return free.min(self.quota(own_milli).room_milli());
         }
         free
     }
@@ -362,7 +384,7 @@
     fn draw(&self, demand: &Demand<'_>, cell: u32) -> f64 {
         let room = match demand.filling {
             Some(image) => self.head.usable_milli.get(image).copied().unwrap_or(0),
-            None => self.room(demand),
+            None => self.room(demand, 0),
         };
         let hash = xxhash_rust::xxh3::xxh3_64_with_seed(demand.id.as_str().as_bytes(), cell.into());
         // From the upper half of the hash, as a fraction in (0, 1].
--- a/crates/fleet/src/cell.rs
+++ b/crates/fleet/src/cell.rs
@@ -348,6 +348,8 @@
         let queue = self.config.queue_of(&record);
         let mut job = Job::new(record, progress, queue, revision);
         job.recovered = recovered;
+        // Starts of earlier owners are not recorded.
+        job.mark_ran_before(|_| recovered);
         self.unfinished_jobs.insert((job.queue.priority, job.accepted_at_ms, id));
         let done = job.is_done();
         self.jobs.insert(id, job);
--- a/crates/fleet/src/cell_balance.rs
+++ b/crates/fleet/src/cell_balance.rs
@@ -253,12 +253,17 @@
     waiting: &BTreeSet<(u16, u16)>,
     excluded: &[u32],
 ) -> Option<job::Split> {
-    let numbers: BTreeSet<u16> = waiting.iter().map(|&(step, _)| step).collect();
-    numbers.into_iter().find_map(|number| {
+    let unstarted = job.unstarted_tasks();
+    // Those that have run first.
+    let groups: BTreeSet<(bool, u16)> =
+        waiting.iter().map(|task| (unstarted.contains(task), task.0)).collect();
+    groups.into_iter().find_map(|(never_ran, number)| {
         let step = &job.stage(0, number)?.step;
-        let tasks = || waiting.iter().copied().filter(|&(step, _)| step == number);
-        let service = &job.queue.service;
-        let (to, count) = balancer.find_room(excluded, service, step, tasks().count())?;
+        let of_group =
+            |task: &(u16, u16)| task.0 == number && unstarted.contains(task) == never_ran;
+        let tasks = || waiting.iter().copied().filter(of_group);
+        let (service, wanted) = (&job.queue.service, tasks().count());
+        let (to, count) = balancer.find_room(excluded, service, step, wanted, never_ran)?;
         Some(job::Split { to, tasks: tasks().take(count).collect() })
     })
 }
--- a/crates/fleet/src/cell_orders.rs
+++ b/crates/fleet/src/cell_orders.rs
@@ -19,7 +19,6 @@
     pub(crate) fn start(&mut self, clock: Clock, id: &Arc<str>, name: task::Name, run: u32) {
         let Some(job) = self.jobs.get_mut(&name.job) else { return };
         let recovered = job.recovered;
-        let overtakes = job.is_lasting() && !job.may_have_begun();
         let first_start = !std::mem::replace(&mut job.begun, true);
         let Some(stage) = job.stage_mut(name.occurrence, name.step) else { return };
         let step = stage.step.clone();
@@ -29,6 +28,7 @@
         let gang_level = suspects.max().filter(|_| step.gang).unwrap_or(0);
         let Some(task) = stage.tasks.get_mut(usize::from(name.index)) else { return };
         let Some(worker) = self.workers.get_mut(id) else { return };
+        let overtakes = step.lasting && !task.has_run();
         task.last_run = run;
         task.status = Status::Active { worker: id.clone(), run };
         let suspicion = task.suspicion.level();
--- a/crates/fleet/src/cell_record.rs
+++ b/crates/fleet/src/cell_record.rs
@@ -80,6 +80,7 @@
         left.free_milli == right.free_milli
             && left.largest_milli == right.largest_milli
             && left.lasting_milli == right.lasting_milli
+            && left.lasting_waiting_milli == right.lasting_waiting_milli
             && left.total_milli == right.total_milli
             && left.backlog == right.backlog
             && left.inventory == right.inventory
@@ -162,6 +163,7 @@
             largest_milli: 0,
             lasting_limit_milli: 0,
             lasting_milli: 0,
+            lasting_waiting_milli: 0,
             owner: self.head.owner.clone(),
             pending: BTreeMap::new(),
             usable_milli: self.usable_milli.clone(),
@@ -194,6 +196,8 @@
             let work = job.work_left(|step| self.holds(job, step));
             let backlog = head.backlog.entry(job.queue.priority).or_default();
             *backlog = backlog.saturating_add(work);
+            let waiting = self.unstarted_milli(job);
+            head.lasting_waiting_milli = head.lasting_waiting_milli.saturating_add(waiting);
             if !job.begun {
                 *head.pending.entry(job.queue.name.clone()).or_default() += 1;
             }
@@ -201,6 +205,17 @@
         head
     }
 
+    /// Returns what lasting tasks of a job reserve that wait here and have never run, in thousandths of a core.
+    fn unstarted_milli(&self, job: &Job) -> u64 {
+        if !job.is_lasting() || job.moving_to.is_some() {
+            return 0;
+        }
+        let unstarted = job.unstarted_tasks();
+        let steps = unstarted.iter().filter_map(|&(step, _)| Some(&job.stage(0, step)?.step));
+        let held = steps.filter(|step| self.holds(job, step));
+        held.map(|step| step.reserved().processors_milli).fold(0, u64::saturating_add)
+    }
+
     /// Handles the outcome of the pending commit. After a conflict, planned moves and
     /// splits are dropped and the changes of its jobs are committed again.
     pub(crate) fn handle_commit(&mut self, clock: Clock, outcome: Outcome) {
@@ -376,9 +391,11 @@
         };
         Division::new(ticket.additions, &all, cell_of)
     });
+    let unstarted = job.unstarted_tasks();
     let record = |tasks: BTreeSet<(u16, u16)>| {
         Arc::new(job::Record {
             crashes: job.crashes(|task| tasks.contains(&task)),
+            unstarted: unstarted.intersection(&tasks).copied().collect(),
             tasks: Some(tasks),
             ticket: Some(ticket.clone()),
             ..(*job.record).clone()
--- a/crates/fleet/src/cell_schedule.rs
+++ b/crates/fleet/src/cell_schedule.rs
@@ -16,9 +16,6 @@
 const MIN_PACE_AFTER_WAIT: u32 = 5;
 /// How long a job waits for a worker at `MIN_PACE` in a cell with spare capacity, in milliseconds.
 const FULL_PACE_WAIT_MS: u64 = 2_000;
-/// A cell has spare capacity while less than this share of its processors is reserved, in percent.
-/// The platform counts a job as lost if it waits for seconds while half the fleet is free.
-const MAX_RESERVED_PERCENT: u64 = 60;
 
 /// What a placement pass goes by.
 struct Pass {
@@ -26,18 +23,14 @@
     held_for: usize,
     /// Room that is held for tasks that fit nowhere.
     reservations: reservation::Book,
+    /// Whether a lasting task waits for room below the limit, which no younger one may take then.
+    lasting_closed: bool,
     /// What has found no worker.
     shortage: Shortage,
     /// Whether the cell has spare capacity.
     spare: bool,
 }
 
-/// What lasting tasks hold and may hold of a cell, in thousandths of a core.
-pub(crate) struct LastingUse {
-    pub(crate) held_milli: u64,
-    pub(crate) limit_milli: u64,
-}
-
 /// The outcome of a search for workers of a step's waiting tasks.
 enum Search {
     /// None is left waiting for a worker.
@@ -46,6 +39,8 @@
     Missed {
         /// Whether nothing but its constraint and its size kept the task from one.
         general: bool,
+        /// Whether the task may take reserved room.
+        takes_reserved: bool,
     },
 }
 
@@ -62,8 +57,9 @@
         let mut pass = Pass {
             held_for: 0,
             reservations: reservation::Book::default(),
+            lasting_closed: false,
             shortage: Shortage::default(),
-            spare: self.policy.waits && self.has_spare_capacity(),
+            spare: self.policy.waits && self.quota().is_spare(),
         };
         let ranked = self.jobs_by_rank(clock);
         let resume_at = self.resume_at.take();
@@ -76,6 +72,9 @@
                 self.resume_at = ranked.get(position + 1).copied();
                 return;
             };
+            let skipped = ranked.get(position + 1..next).unwrap_or_default();
+            pass.lasting_closed |= self.policy.turns
+                && skipped.iter().filter_map(|id| self.jobs.get(id)).any(Job::has_unstarted);
             position = next;
         }
     }
@@ -86,14 +85,17 @@
         let Some(job) = self.jobs.get(&id) else { return 0 };
         let moving = job.moving_to.is_some() || job.splitting.is_some();
         let unsettled = job.recovered && !self.unfenced.is_empty();
+        if job.splitting.is_some() && job.has_unstarted() {
+            let unstarted = job.unstarted_tasks().first().and_then(|&(step, _)| job.stage(0, step));
+            let milli = unstarted.map_or(0, |stage| stage.step.reserved().processors_milli);
+            self.may_start_lasting(milli, pass);
+        }
         if moving || unsettled {
             return 0;
         }
-        if self.is_held_back(id, job) {
-            self.note_delay(clock, id);
-            return 0;
+        if !job.has_unstarted() {
+            self.delays.remove(&id);
         }
-        self.delays.remove(&id);
         let waited = clock.unix.saturating_sub(job.accepted_at_ms);
         let slowly = pass.spare && waited >= FULL_PACE_WAIT_MS && !job.is_active();
         let mut misses = 0;
@@ -101,11 +103,14 @@
             if !self.is_held(id, number, &step) {
                 continue;
             }
-            let Some((mut constraint, request)) = self.request(id, &step, slowly) else { break };
+            let Some((mut constraint, request)) = self.request(id, number, &step, slowly) else {
+                break;
+            };
             let stage = (id, occurrence, number);
             if !pass.shortage.covers(&constraint, &request) {
-                let search = self.place_stage(clock, stage, slowly, &mut pass.reservations);
-                let Search::Missed { general } = search else { continue };
+                let search = self.place_stage(clock, stage, slowly, pass);
+                let Search::Missed { general, takes_reserved } = search else { continue };
+                constraint.takes_reserved = takes_reserved;
                 // Only the first task of a job starts slowly.
                 constraint.slowly &= !self.jobs.get(&id).is_some_and(Job::is_active);
                 if general {
@@ -113,7 +118,9 @@
                 }
                 misses += usize::from(!step.fills);
             }
-            if !step.fills && pass.held_for < window::MAX_MISSES {
+            if step.lasting && !step.gang {
+                self.reserve_for_lasting(clock, id, number, pass);
+            } else if !step.fills && pass.held_for < window::MAX_MISSES {
                 pass.held_for += 1;
                 self.reserve(clock, id, occurrence, number, &mut pass.reservations);
             }
@@ -149,6 +156,7 @@
     fn request(
         &self,
         id: job::Id,
+        step_number: u16,
         step: &Step,
         slowly: bool,
     ) -> Option<(shortage::Constraint, shortage::Request)> {
@@ -158,33 +166,36 @@
             label: step.label.clone(),
             filling: step.fills.then(|| step.image.clone()),
             slowly,
-            takes_reserved: job.restarts(),
+            takes_reserved: step.lasting && job.has_started_waiting(step_number),
         };
         // Reservations hold no filling task back.
         let duration_ms = self.duration_ms(job, step).filter(|_| !step.fills);
         Some((constraint, shortage::Request { duration_ms, resources: step.resources }))
     }
 
-    /// Returns whether a lasting job has to wait until others have ended, so that room is left for
-    /// urgent short tasks. A job that has begun is not held back: its tasks restart at once.
-    fn is_held_back(&self, id: job::Id, job: &Job) -> bool {
-        if !job.is_lasting() || job.may_have_begun() || self.has_spare_capacity() {
-            return false;
+    /// Returns whether lasting tasks that reserve `milli` processors together may start for the first time, so that
+    /// room is left for urgent short tasks. Otherwise none of a younger job may, whatever it needs.
+    fn may_start_lasting(&self, milli: u64, pass: &mut Pass) -> bool {
+        if !pass.lasting_closed && self.quota().allows(milli) {
+            return true;
         }
-        let demand = admission::Demand::new(id, &job.record.submission, &job.queue);
-        let lasting = self.lasting_use();
-        lasting.held_milli > 0 && lasting.held_milli + demand.reserved_milli > lasting.limit_milli
+        pass.lasting_closed |= self.policy.turns;
+        false
     }
 
     /// Returns what lasting tasks hold of the cell, and what they may hold.
-    pub(crate) fn lasting_use(&self) -> LastingUse {
-        let open = || self.workers.values().filter(|worker| !worker.evacuated);
-        let total: u64 = open().map(|worker| worker.capacity().processors_milli).sum();
-        let limit_milli = match self.policy.headroom {
-            true => self.headroom.lasting_limit(total),
-            false => total * headroom::BASE_PERCENT / 100,
+    pub(crate) fn quota(&self) -> Quota {
+        let mut quota = Quota::default();
+        for worker in self.workers.values().filter(|worker| !worker.evacuated) {
+            quota.held_milli += worker.lasting_milli;
+            quota.reserved_milli += worker.reserved.processors_milli;
+            quota.total_milli += worker.capacity().processors_milli;
+        }
+        quota.limit_milli = match self.policy.headroom {
+            true => self.headroom.lasting_limit(quota.total_milli),
+            false => quota.total_milli * headroom::BASE_PERCENT / 100,
         };
-        LastingUse { held_milli: open().map(|worker| worker.lasting_milli).sum(), limit_milli }
+        quota
     }
 
     /// Returns the jobs in the order in which their tasks are placed: by queue priority, then by
@@ -210,25 +221,32 @@
         clock: Clock,
         (id, occurrence, step_number): (job::Id, u32, u16),
         mut slowly: bool,
-        reservations: &mut reservation::Book,
+        pass: &mut Pass,
     ) -> Search {
         let Some(job) = self.jobs.get(&id) else { return Search::Placed };
         let Some(stage) = job.stage(occurrence, step_number) else { return Search::Placed };
         let step = stage.step.clone();
         let duration_ms = self.duration_ms(job, &step);
-        // Lasting tasks that have ended restart at once, also in reserved room.
-        let restarts = job.restarts();
         let none = reservation::Book::default();
         let service = job.queue.service.clone();
         let recovered = job.recovered;
         let mut placed = tasks_per_worker(stage);
-        let waiting: Vec<u16> = stage.waiting.iter().copied().collect();
+        // Those that have run go first: an unstarted one may have to wait.
+        let (mut waiting, unstarted): (Vec<u16>, Vec<u16>) =
+            stage.waiting.iter().partition(|&&index| !stage.is_unstarted(index));
         if step.gang {
-            return match self.place_gang(clock, id, occurrence, step_number, reservations) {
+            let milli = step.reserved().processors_milli.saturating_mul(step.count.into());
+            let starts = step.lasting && !unstarted.is_empty();
+            if starts && !self.may_start_lasting(milli, pass) {
+                self.note_delay(clock, id);
+                return Search::Placed;
+            }
+            return match self.place_gang(clock, id, occurrence, step_number, &pass.reservations) {
                 true => Search::Placed,
-                false => Search::Missed { general: false },
+                false => Search::Missed { general: false, takes_reserved: false },
             };
         }
+        waiting.extend(unstarted);
         for index in waiting {
             let name = task::Name { job: id, occurrence, step: step_number, index };
             self.resolve_trace(&name);
@@ -239,6 +257,14 @@
                 return Search::Placed;
             };
             let Some(task) = job.task(&name) else { continue };
+            let starts = step.lasting && !task.has_run();
+            let milli = step.reserved().processors_milli;
+            if starts && !self.may_start_lasting(milli, pass) {
+                self.note_delay(clock, id);
+                return Search::Placed;
+            }
+            // Lasting tasks that have ended restart at once, also in reserved room.
+            let takes_reserved = step.lasting && !starts;
             let criteria = placement::Criteria {
                 suspicion: &task.suspicion,
                 now: clock.now,
@@ -249,14 +275,14 @@
                 pressure: &self.pressure,
                 min_pace: if slowly { MIN_PACE_AFTER_WAIT } else { MIN_PACE },
                 placed: &placed,
-                reservations: if restarts { &none } else { reservations },
+                reservations: if takes_reserved { &none } else { &pass.reservations },
                 duration_ms,
             };
             let Some(worker) = placement::choose(&self.workers, &criteria).cloned() else {
                 let general = step.per_worker == 0 && task.suspicion.level() == 0;
-                return Search::Missed { general };
+                return Search::Missed { general, takes_reserved };
             };
-            reservations.take(&worker, clock.now, &step, duration_ms);
+            pass.reservations.take(&worker, clock.now, &step, duration_ms);
             let run = self.next_run(task.last_run, recovered);
             *placed.entry(worker.clone()).or_default() += 1;
             self.start(clock, &worker, name, run);
@@ -265,8 +291,53 @@
         Search::Placed
     }
 
+    /// Reserves a worker for an unstarted lasting task that fits nowhere now, if the limit of lasting tasks allows it
+    /// to start: otherwise smaller ones would take each gap that comes free. Short tasks are kept out only where they
+    /// hold the room that it needs.
+    fn reserve_for_lasting(
+        &mut self,
+        clock: Clock,
+        id: job::Id,
+        step_number: u16,
+        pass: &mut Pass,
+    ) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let Some(stage) = job.stage(0, step_number) else { return };
+        let step = stage.step.clone();
+        let Some(index) = stage.waiting.iter().find(|&&index| stage.is_unstarted(index)) else {
+            return;
+        };
+        let Some(task) = stage.tasks.get(usize::from(*index)) else { return };
+        if !self.may_start_lasting(step.reserved().processors_milli, pass) {
+            return self.note_delay(clock, id);
+        }
+        let placed = tasks_per_worker(stage);
+        let criteria = placement::Criteria {
+            suspicion: &task.suspicion,
+            now: clock.now,
+            service: &job.queue.service,
+            step: &step,
+            avoid: None,
+            policy: self.policy,
+            pressure: &self.pressure,
+            min_pace: 0,
+            placed: &placed,
+            reservations: &pass.reservations,
+            duration_ms: None,
+        };
+        if !self.policy.turns || pass.reservations.is_full_for_lasting() {
+            return;
+        }
+        let ends = |worker: &Worker| self.expected_ends(clock.now, worker);
+        let found = placement::reserve(&self.workers, &criteria, ends)
+            .or_else(|| placement::reserve_for_lasting(&self.workers, &criteria));
+        if let Some((worker, reservation)) = found {
+            pass.reservations.insert_for_lasting(worker, reservation);
+        }
+    }
+
     /// Reserves a worker for each waiting task of a step that fits nowhere now, as far as the pass
-    /// allows. Lasting tasks and gangs reserve nothing: they would hold room for too long.
+    /// allows. Gangs reserve nothing: they would hold room for too long.
     fn reserve(
         &mut self,
         clock: Clock,
@@ -278,7 +349,7 @@
         let Some(job) = self.jobs.get(&id) else { return };
         let Some(stage) = job.stage(occurrence, step_number) else { return };
         let step = &stage.step;
-        if step.lasting || step.gang || !self.policy.backfill {
+        if step.gang || !self.policy.backfill {
             return;
         }
         let placed = tasks_per_worker(stage);
@@ -331,15 +402,6 @@
         (!step.lasting).then(expected)
     }
 
-    /// Returns whether less than `MAX_RESERVED_PERCENT` of the cell's processors is reserved.
-    fn has_spare_capacity(&self) -> bool {
-        let milli = |resources: Resources| resources.processors_milli;
-        let open = || self.workers.values().filter(|worker| !worker.evacuated);
-        let total: u64 = open().map(|worker| milli(worker.capacity())).sum();
-        let reserved: u64 = open().map(|worker| milli(worker.reserved)).sum();
-        reserved * 100 < total * MAX_RESERVED_PERCENT
-    }
-
     /// Places all members of a gang, or none; returns whether no member is left to place.
     fn place_gang(
         &mut self,
--- a/crates/fleet/src/delay.rs
+++ b/crates/fleet/src/delay.rs
@@ -20,13 +20,13 @@
         let milli = |&(step, _): &(u16, u16)| {
             job.stage(0, step).map_or(0, |stage| stage.step.reserved().processors_milli)
         };
-        let lasting = self.lasting_use();
+        let quota = self.quota();
         let delayed = action::Report::Delayed {
             job: id,
             tasks: waiting.len(),
             milli: waiting.iter().map(milli).fold(0, u64::saturating_add),
-            lasting_milli: lasting.held_milli,
-            limit_milli: lasting.limit_milli,
+            lasting_milli: quota.held_milli,
+            limit_milli: quota.limit_milli,
             waited_ms: clock.unix.saturating_sub(job.accepted_at_ms),
         };
         self.delays.insert(id, Delay::default());
@@ -41,7 +41,8 @@
         };
         let Some(own) = rank(&by) else { return };
         let overtaken = |(id, delay): &(&job::Id, &Delay)| {
-            !delay.overtaken && rank(id).is_some_and(|rank| rank < own)
+            let waits = self.jobs.get(id).is_some_and(Job::has_unstarted);
+            !delay.overtaken && waits && rank(id).is_some_and(|rank| rank < own)
         };
         let overtaken: Vec<job::Id> =
             self.delays.iter().filter(overtaken).map(|(id, _)| *id).collect();
--- a/crates/fleet/src/head.rs
+++ b/crates/fleet/src/head.rs
@@ -20,6 +20,9 @@
     /// core; 0 if unknown.
     #[serde(default)]
     pub lasting_limit_milli: u64,
+    /// Processors that lasting tasks want which wait and have never run, in thousandths of a core.
+    #[serde(default)]
+    pub lasting_waiting_milli: u64,
     /// Processors of all workers that answer, in thousandths of a core.
     #[serde(default)]
     pub total_milli: u64,
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -49,6 +49,10 @@
     /// The ticket as of the last split, if the job was split among cells.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub ticket: Option<Ticket>,
+    /// Those of `tasks` that had never run when the record was written. Says nothing to an owner that finds the
+    /// record when it takes the cell.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub unstarted: BTreeSet<(u16, u16)>,
 }
 
 /// The tasks of one step of one occurrence.
@@ -197,6 +201,14 @@
         failures >= attempts as usize
     }
 
+    /// Returns whether a task of the step is a lasting one that waits and has never run.
+    pub fn is_unstarted(&self, index: u16) -> bool {
+        let unstarted = |task: &task::Task| !task.has_run();
+        self.step.lasting
+            && self.waiting.contains(&index)
+            && self.tasks.get(usize::from(index)).is_some_and(unstarted)
+    }
+
     fn new(step: &Arc<Step>) -> Self {
         let count = usize::from(step.count);
         Self {
@@ -261,9 +273,43 @@
             job.mark_elsewhere(|task| !tasks.contains(&task));
             job.begun = true;
         }
+        let record = job.record.clone();
+        if record.begun || record.tasks.is_some() {
+            job.mark_ran_before(|task| !record.unstarted.contains(&task));
+        }
         job
     }
 
+    /// Marks the tasks (step, index) for which `ran` holds as ones that may have run before.
+    pub fn mark_ran_before(&mut self, ran: impl Fn((u16, u16)) -> bool) {
+        for occurrence in &mut self.occurrences {
+            for (step, stage) in (0..).zip(&mut occurrence.stages) {
+                for (index, task) in (0..).zip(&mut stage.tasks) {
+                    task.ran_before |= ran((step, index));
+                }
+            }
+        }
+    }
+
+    /// Returns the lasting tasks of the first occurrence that wait and have never run, as step and index.
+    pub fn unstarted_tasks(&self) -> BTreeSet<(u16, u16)> {
+        let unstarted = |&(step, index): &(u16, u16)| {
+            self.stage(0, step).is_some_and(|stage| stage.is_unstarted(index))
+        };
+        self.waiting_tasks().into_iter().filter(unstarted).collect()
+    }
+
+    /// Returns whether lasting tasks of it wait that have never run.
+    pub fn has_unstarted(&self) -> bool {
+        self.is_lasting() && !self.unstarted_tasks().is_empty()
+    }
+
+    /// Returns whether tasks of a step wait that may have run before.
+    pub(crate) fn has_started_waiting(&self, step: u16) -> bool {
+        let waiting = self.stage(0, step);
+        waiting.is_some_and(|stage| stage.waiting.iter().any(|&index| !stage.is_unstarted(index)))
+    }
+
     fn restore(&mut self, progress: &Progress) {
         for (occurrence, step, indices) in &progress.done {
             let Some(stage) = self.stage_mut(*occurrence, *step) else { continue };
@@ -409,7 +455,13 @@
         let mut added = false;
         for (step, index) in record.tasks.iter().flatten() {
             let Some(stage) = self.stage_mut(0, *step) else { continue };
-            added |= stage.mark_here(*index);
+            if !stage.mark_here(*index) {
+                continue;
+            }
+            added = true;
+            if let Some(task) = stage.tasks.get_mut(usize::from(*index)) {
+                task.ran_before |= !record.unstarted.contains(&(*step, *index));
+            }
         }
         for (occurrence, step, index, crash) in &record.crashes {
             if let Some(task) = self.indexed_task_mut(*occurrence, *step, *index) {
@@ -581,11 +633,6 @@
         self.tasks().filter(|task| matches!(task.status, task::Status::Active { .. })).count()
     }
 
-    /// Returns whether its tasks are lasting ones that have run before: they restart at once.
-    pub fn restarts(&self) -> bool {
-        self.is_lasting() && self.may_have_begun()
-    }
-
     /// Returns the estimated work of unfinished tasks of the steps for which `counts` holds, in
     /// core-milliseconds, without lasting tasks.
     pub fn work_left(&self, counts: impl Fn(&Step) -> bool) -> u64 {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -21,10 +21,11 @@
     evacuation::Evacuation, event::Event, fit::Fit, forecast::Forecast, gap::Gap, gate::Gate,
     head::Head, headroom::Headroom, inventory::Inventory, job::Job, lateness::Lateness,
     lifetime::Lifetime, limits::Limits, listing::Listing, load::Load, policy::Policy,
-    predecessor::Predecessor, progress::Progress, queue::Queue, registration::Registration,
-    registry::Registry, release::Release, reservation::Reservation, run::Run, settling::Settling,
-    shape::Shape, state::State, step::Step, submission::Submission, suspicion::Suspicion,
-    throughput::Throughput, ticket::Ticket, trace::Trace, usage::Usage, worker::Worker,
+    predecessor::Predecessor, progress::Progress, queue::Queue, quota::Quota,
+    registration::Registration, registry::Registry, release::Release, reservation::Reservation,
+    run::Run, settling::Settling, shape::Shape, state::State, step::Step, submission::Submission,
+    suspicion::Suspicion, throughput::Throughput, ticket::Ticket, trace::Trace, usage::Usage,
+    worker::Worker,
 };
 
 pub mod action;
@@ -61,6 +62,7 @@
 pub mod pressure;
 pub mod progress;
 pub mod queue;
+pub mod quota;
 pub mod registration;
 pub mod registry;
 pub mod release;
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -76,6 +76,26 @@
         .min_by_key(|(_, found)| found.ready_at)
 }
 
+/// Returns a reservation for a lasting task of the worker on which others hold the least, leaving out workers that
+/// have one already. It keeps out lasting tasks only: nobody knows when those end.
+pub fn reserve_for_lasting(
+    workers: &BTreeMap<Arc<str>, Worker>,
+    criteria: &Criteria,
+) -> Option<(Arc<str>, Reservation)> {
+    let needed = criteria.step.reserved();
+    let (id, _) = workers
+        .iter()
+        .filter(|(id, worker)| {
+            criteria.reservations.get(id).is_none()
+                && is_suitable(id, worker, criteria)
+                && needed.fits(&worker.capacity())
+        })
+        .max_by_key(|(_, worker)| {
+            worker.capacity().processors_milli.saturating_sub(worker.lasting_milli)
+        })?;
+    Some((id.clone(), Reservation { ready_at: u64::MAX, spare: Resources::default() }))
+}
+
 /// Returns whether the task may run at the worker and fits there.
 fn is_eligible(id: &Arc<str>, worker: &Worker, criteria: &Criteria) -> bool {
     let step = criteria.step;
--- a/crates/fleet/src/policy.rs
+++ b/crates/fleet/src/policy.rs
@@ -29,6 +29,8 @@
     pub suspicion: bool,
     /// Filling tasks that have waited for long in a cell with spare capacity start at a low pace.
     pub waits: bool,
+    /// No lasting task starts for the first time before those of older jobs.
+    pub turns: bool,
     /// The loads of serving jobs are forecast as waves.
     pub waves: bool,
 }
@@ -53,6 +55,7 @@
             relocation: true,
             splits: true,
             suspicion: true,
+            turns: true,
             waits: true,
             waves: true,
         }
@@ -82,6 +85,7 @@
             "relocation" => &mut self.relocation,
             "splits" => &mut self.splits,
             "suspicion" => &mut self.suspicion,
+            "turns" => &mut self.turns,
             "waits" => &mut self.waits,
             "waves" => &mut self.waves,
             _ => return None,
--- a/crates/fleet/src/reservation.rs
+++ b/crates/fleet/src/reservation.rs
@@ -12,6 +12,8 @@
 #[derive(Debug, Default)]
 pub struct Book {
     reservations: BTreeMap<Arc<str>, Reservation>,
+    /// The number of reservations for lasting tasks.
+    for_lasting: usize,
 }
 
 /// A worker's room that is held for a task.
@@ -26,6 +28,8 @@
 /// The most reservations of one pass: enough for the first tasks that wait, without holding much of a
 /// cell.
 const MAX_RESERVATIONS: usize = 8;
+/// The most of them for lasting tasks, whose room may come free late.
+const MAX_LASTING_RESERVATIONS: usize = 2;
 /// How far ahead room is reserved, in milliseconds: forecasts of later ends are too far off.
 const HORIZON_MS: u64 = 4_000;
 /// How long a task is expected to run at most when it starts before a reservation, in percent of its
@@ -38,6 +42,11 @@
         self.reservations.len() >= MAX_RESERVATIONS
     }
 
+    /// Returns whether no more reservations for lasting tasks are made in this pass.
+    pub fn is_full_for_lasting(&self) -> bool {
+        self.is_full() || self.for_lasting >= MAX_LASTING_RESERVATIONS
+    }
+
     /// Returns the reservation of a worker.
     pub fn get(&self, worker: &str) -> Option<&Reservation> {
         self.reservations.get(worker)
@@ -48,11 +57,18 @@
         self.reservations.insert(worker, reservation);
     }
 
+    /// Holds the room of a worker for a lasting task.
+    pub fn insert_for_lasting(&mut self, worker: Arc<str>, reservation: Reservation) {
+        self.for_lasting += 1;
+        self.insert(worker, reservation);
+    }
+
     /// Returns whether a task that takes `duration_ms` may start at a worker; `None` if it lasts.
     pub fn allows(&self, worker: &str, now: u64, step: &Step, duration_ms: Option<u64>) -> bool {
         let Some(reservation) = self.reservations.get(worker) else { return true };
         let ends_before = duration_ms.is_some_and(|duration_ms| {
-            now + duration_ms * BACKFILL_PERCENT / 100 <= reservation.ready_at
+            now.saturating_add(duration_ms.saturating_mul(BACKFILL_PERCENT) / 100)
+                <= reservation.ready_at
         });
         step.fills || ends_before || step.reserved().fits(&reservation.spare)
     }
--- a/crates/fleet/src/task.rs
+++ b/crates/fleet/src/task.rs
@@ -54,12 +54,21 @@
     pub last_run: u32,
     /// Crashes of workers that the task may have caused.
     pub suspicion: Suspicion,
+    /// Whether it may have run in another cell or under an earlier owner.
+    pub ran_before: bool,
     /// Where its newest run was ordered, if that has to be recorded.
     pub trace: Option<Trace>,
     /// The status of the task.
     pub status: Status,
 }
 
+impl Task {
+    /// Returns whether it may have run, here or elsewhere.
+    pub fn has_run(&self) -> bool {
+        self.ran_before || self.last_run > 0
+    }
+}
+
 impl Name {
     /// Returns the names that tasks of a job may have.
     pub fn all_of(job: job::Id) -> RangeInclusive<Self> {
--- a/crates/fleet/src/usage.rs
+++ b/crates/fleet/src/usage.rs
@@ -72,7 +72,7 @@
 
     fn usage(&self, clock: Clock) -> Usage {
         let mut usage = Usage {
-            lasting_limit_milli: self.lasting_use().limit_milli,
+            lasting_limit_milli: self.quota().limit_milli,
             delayed_jobs: self.delays.len(),
             overtaken_jobs: self.delays.values().filter(|delay| delay.overtaken).count(),
             ..Usage::default()
--- a/crates/fleet/tests/moves.rs
+++ b/crates/fleet/tests/moves.rs
@@ -172,6 +172,7 @@
         submission,
         tasks: None,
         ticket: None,
+        unstarted: Default::default(),
     };
     site.with(0, |world| world.accept(id(JOB), record));
     site.advance(5_000);
--- a/crates/fleet/tests/queues.rs
+++ b/crates/fleet/tests/queues.rs
@@ -49,6 +49,7 @@
         submission,
         tasks: None,
         ticket: None,
+        unstarted: Default::default(),
     };
     world.accept(id(job), record);
 }
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -72,6 +72,7 @@
                 submission,
                 tasks: None,
                 ticket: None,
+                unstarted: Default::default(),
             };
             requests::submit(node, &queue, id, record).await
         }
