--- a/crates/fleet/src/cell_record.rs
+++ b/crates/fleet/src/cell_record.rs
@@ -184,14 +184,15 @@
         for worker in self.workers.values().filter(counts) {
             head.free_milli += worker.unreserved().processors_milli;
             head.total_milli += worker.capacity().processors_milli;
-            head.lasting_milli += worker.lasting_milli;
             if worker.is_usable(self.committed_at) {
                 head.largest_milli = head.largest_milli.max(worker.unreserved().processors_milli);
             }
         }
         let fits = self.forecast.steps().iter();
         head.steps = fits.map(|(queue, fit)| (queue.clone(), fit.rounded())).collect();
-        head.lasting_limit_milli = self.headroom.lasting_limit(head.total_milli);
+        let quota = self.quota();
+        head.lasting_limit_milli = quota.limit_milli;
+        head.lasting_milli = quota.held_milli;
         for job in self.jobs.values().filter(|job| job.final_state.is_none()) {
             let work = job.work_left(|step| self.holds(job, step));
             let backlog = head.backlog.entry(job.queue.priority).or_default();
--- a/crates/fleet/src/cell_schedule.rs
+++ b/crates/fleet/src/cell_schedule.rs
@@ -25,6 +25,8 @@
     reservations: reservation::Book,
     /// Whether a lasting task waits for room below the limit, which no younger one may take then.
     lasting_closed: bool,
+    /// What lasting tasks hold and may hold, once a task has asked.
+    quota: Option<Quota>,
     /// What has found no worker.
     shortage: Shortage,
     /// Whether the cell has spare capacity.
@@ -58,6 +60,7 @@
             held_for: 0,
             reservations: reservation::Book::default(),
             lasting_closed: false,
+            quota: None,
             shortage: Shortage::default(),
             spare: self.policy.waits && self.quota().is_spare(),
         };
@@ -176,21 +179,28 @@
     /// Returns whether lasting tasks that reserve `milli` processors together may start for the first time, so that
     /// room is left for urgent short tasks. Otherwise none of a younger job may, whatever it needs.
     fn may_start_lasting(&self, milli: u64, pass: &mut Pass) -> bool {
-        if !pass.lasting_closed && self.quota().allows(milli) {
-            return true;
+        if pass.lasting_closed {
+            return false;
         }
-        pass.lasting_closed |= self.policy.turns;
-        false
+        let allowed = pass.quota.get_or_insert_with(|| self.quota()).allows(milli);
+        pass.lasting_closed = !allowed && self.policy.turns;
+        allowed
     }
 
-    /// Returns what lasting tasks hold of the cell, and what they may hold.
+    /// Returns what lasting tasks hold of the cell, and what they may hold. While workers don't answer, what they
+    /// have is not there for others, and their tasks may need room elsewhere; so do those that wait to run again.
     pub(crate) fn quota(&self) -> Quota {
         let mut quota = Quota::default();
         for worker in self.workers.values().filter(|worker| !worker.evacuated) {
             quota.held_milli += worker.lasting_milli;
             quota.reserved_milli += worker.reserved.processors_milli;
-            quota.total_milli += worker.capacity().processors_milli;
+            if worker.fenced && worker.missed_polls == 0 && worker.accepts_runs() {
+                quota.total_milli += worker.capacity().processors_milli;
+            }
         }
+        let restarts = self.restarts_milli();
+        quota.held_milli = quota.held_milli.saturating_add(restarts);
+        quota.reserved_milli = quota.reserved_milli.saturating_add(restarts);
         quota.limit_milli = match self.policy.headroom {
             true => self.headroom.lasting_limit(quota.total_milli),
             false => quota.total_milli * headroom::BASE_PERCENT / 100,
@@ -198,6 +208,24 @@
         quota
     }
 
+    /// Returns what lasting tasks reserve that wait to run again, in thousandths of a core.
+    fn restarts_milli(&self) -> u64 {
+        let jobs = self.unfinished_jobs.iter().filter_map(|(_, _, id)| self.jobs.get(id));
+        let mut restarts_milli: u64 = 0;
+        for job in jobs.filter(|job| job.is_lasting() && job.may_have_begun()) {
+            let stages = job.occurrences.first().into_iter().flat_map(|first| &first.stages);
+            for stage in stages.filter(|stage| stage.step.lasting && !stage.waiting.is_empty()) {
+                let restarts = stage.waiting.iter().filter(|&&index| !stage.is_unstarted(index));
+                let milli = stage.step.reserved().processors_milli;
+                let wanted = milli.saturating_mul(restarts.count() as u64);
+                if wanted > 0 && self.holds(job, &stage.step) {
+                    restarts_milli = restarts_milli.saturating_add(wanted);
+                }
+            }
+        }
+        restarts_milli
+    }
+
     /// Returns the jobs in the order in which their tasks are placed: by queue priority, then by
     /// expected lateness, then by age.
     fn jobs_by_rank(&self, clock: Clock) -> Vec<job::Id> {
@@ -242,7 +270,10 @@
                 return Search::Placed;
             }
             return match self.place_gang(clock, id, occurrence, step_number, &pass.reservations) {
-                true => Search::Placed,
+                true => {
+                    pass.quota = None;
+                    Search::Placed
+                }
                 false => Search::Missed { general: false, takes_reserved: false },
             };
         }
@@ -283,6 +314,9 @@
                 return Search::Missed { general, takes_reserved };
             };
             pass.reservations.take(&worker, clock.now, &step, duration_ms);
+            if let Some(quota) = pass.quota.as_mut().filter(|_| !takes_reserved) {
+                quota.add(&step);
+            }
             let run = self.next_run(task.last_run, recovered);
             *placed.entry(worker.clone()).or_default() += 1;
             self.start(clock, &worker, name, run);
--- a/crates/fleet/src/quota.rs
+++ b/crates/fleet/src/quota.rs
@@ -1,6 +1,8 @@
 //! What lasting tasks may take of a cell when they start for the first time. One answer serves placement, moves
 //! between cells and the choice of a cell.
 
+use super::*;
+
 /// What lasting tasks hold of a cell and may hold, in thousandths of a core.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Quota {
@@ -37,6 +39,15 @@
         (self.room_milli() / milli).max(spare.div_ceil(milli))
     }
 
+    /// Adds a task that starts for the first time.
+    pub(crate) fn add(&mut self, step: &Step) {
+        let milli = step.reserved().processors_milli;
+        self.reserved_milli = self.reserved_milli.saturating_add(milli);
+        if step.lasting {
+            self.held_milli = self.held_milli.saturating_add(milli);
+        }
+    }
+
     /// Returns the processors below the limit that lasting tasks don't hold.
     pub fn room_milli(&self) -> u64 {
         self.limit_milli.saturating_sub(self.held_milli)
