--- a/crates/fleet/src/cell.rs
+++ b/crates/fleet/src/cell.rs
@@ -118,6 +118,8 @@
     pub(crate) placement_due: bool,
     /// The last owner.
     pub(crate) predecessor: Predecessor,
+    /// Whether the store tells of all lasting tasks of this cell that have run.
+    pub(crate) records_starts: bool,
     /// Whether it was reported that no order of an earlier owner is left.
     pub(crate) settled: bool,
     /// Steps of jobs that no worker can hold, as last reported.
@@ -190,6 +192,7 @@
             policy: start.policy,
             pressure: start.pressure,
             placement_due: true,
+            records_starts: start.predecessor.records_starts,
             predecessor: start.predecessor,
             settled: false,
             unheld: BTreeSet::new(),
@@ -348,11 +351,16 @@
         let queue = self.config.queue_of(&record);
         let mut job = Job::new(record, progress, queue, revision);
         job.recovered = recovered;
-        // Starts of earlier owners are not recorded.
-        job.mark_ran_before(|_| recovered);
+        let starts_unknown = recovered && !self.records_starts && job.is_lasting();
+        if starts_unknown {
+            job.mark_ran_before(|_| true);
+        }
         self.unfinished_jobs.insert((job.queue.priority, job.accepted_at_ms, id));
         let done = job.is_done();
         self.jobs.insert(id, job);
+        if starts_unknown {
+            self.mark_dirty(id);
+        }
         if done {
             self.set_final_state(id, State::Completed);
         }
--- a/crates/fleet/src/cell_crashes.rs
+++ b/crates/fleet/src/cell_crashes.rs
@@ -15,7 +15,7 @@
 /// How long the start of a task that an earlier owner may have started, or under which one worker has
 /// crashed, waits to be recorded, in milliseconds. Most such tasks are innocent; one under which more
 /// workers have crashed waits until the store is back.
-const RECORD_WAIT_MS: u64 = 1_000;
+pub(crate) const RECORD_WAIT_MS: u64 = 1_000;
 /// How long a suspect keeps other suspects away from its worker, in milliseconds. One under which a
 /// worker crashed later than that is seldom the cause, and would hold up the others for long.
 const MAX_TRIAL_MS: u64 = 5_000;
@@ -219,12 +219,12 @@
             let fits = worker.reserved.fits(&worker.capacity());
             let accepts_runs = worker.accepts_runs() && worker.missed_polls == 0 && fits;
             let Some(run) = worker.runs.get_mut(&name) else { continue };
-            let Phase::Planned { change, at, level } = run.phase else { continue };
+            let Phase::Planned { change, until } = run.phase else { continue };
             if self.leaving || self.view_stale || !accepts_runs {
                 self.release(&id, name, Proof::NotOrdered);
                 continue;
             }
-            let waited = level <= 1 && clock.now >= at + RECORD_WAIT_MS;
+            let waited = until.is_some_and(|until| clock.now >= until);
             if change <= self.durable || waited {
                 run.phase = Phase::Starting { retry_at: None, uncertain: false };
                 run.started = clock.now;
--- a/crates/fleet/src/cell_orders.rs
+++ b/crates/fleet/src/cell_orders.rs
@@ -28,7 +28,7 @@
         let gang_level = suspects.max().filter(|_| step.gang).unwrap_or(0);
         let Some(task) = stage.tasks.get_mut(usize::from(name.index)) else { return };
         let Some(worker) = self.workers.get_mut(id) else { return };
-        let overtakes = step.lasting && !task.has_run();
+        let unstarted = step.lasting && !task.has_run();
         task.last_run = run;
         task.status = Status::Active { worker: id.clone(), run };
         let suspicion = task.suspicion.level();
@@ -37,19 +37,22 @@
         let born = worker.born;
         task.trace = traced.then(|| Trace { born, run, worker: (**id).into() });
         worker.insert(name, Run { suspicion, ..Run::new(clock.now, run, step) });
-        if first_start || traced {
+        if first_start || traced || unstarted {
             self.mark_dirty(name.job);
         }
-        if overtakes {
+        if unstarted {
             self.note_overtaken(name.job);
         }
-        if !traced {
+        if !traced && !unstarted {
             return self.order_start(clock, id, name);
         }
         let change = self.changes;
         let run = self.workers.get_mut(id).and_then(|worker| worker.runs.get_mut(&name));
         if let Some(run) = run {
-            run.phase = Phase::Planned { change, at: clock.now, level };
+            // A new owner holds tasks back that have never run: those that have must not wait.
+            let urgent = level <= 1 && !unstarted;
+            let until = urgent.then(|| clock.now + cell_crashes::RECORD_WAIT_MS);
+            run.phase = Phase::Planned { change, until };
             self.planned.insert((id.clone(), name));
         }
     }
--- a/crates/fleet/src/cell_record.rs
+++ b/crates/fleet/src/cell_record.rs
@@ -124,6 +124,7 @@
             commit = next;
             self.dirty.remove(&id);
         }
+        commit.head.records_starts = true;
         (commit, true)
     }
 
@@ -167,6 +168,7 @@
             owner: self.head.owner.clone(),
             pending: BTreeMap::new(),
             usable_milli: self.usable_milli.clone(),
+            records_starts: self.records_starts,
             sequence: self.head.sequence + 1,
             settled: self.unfenced.is_empty(),
             settling_ms: self.settling_ms(clock.now),
@@ -255,6 +257,7 @@
         self.committed_at = clock.now;
         self.durable = self.durable.max(pending.covered_changes);
         self.head = commit.head.clone();
+        self.records_starts = commit.head.records_starts;
         self.head_revision = revision;
         for (id, worker) in &mut self.workers {
             let vacated = commit.head.vacated.contains(&**id);
--- a/crates/fleet/src/cell_schedule.rs
+++ b/crates/fleet/src/cell_schedule.rs
@@ -88,12 +88,13 @@
         let Some(job) = self.jobs.get(&id) else { return 0 };
         let moving = job.moving_to.is_some() || job.splitting.is_some();
         let unsettled = job.recovered && !self.unfenced.is_empty();
-        if job.splitting.is_some() && job.has_unstarted() {
-            let unstarted = job.unstarted_tasks().first().and_then(|&(step, _)| job.stage(0, step));
-            let milli = unstarted.map_or(0, |stage| stage.step.reserved().processors_milli);
-            self.may_start_lasting(milli, pass);
-        }
         if moving || unsettled {
+            let stays = job.moving_to.is_none() && job.has_unstarted();
+            let unstarted = job.unstarted_tasks().first().and_then(|&(step, _)| job.stage(0, step));
+            if let Some(stage) = unstarted.filter(|_| stays) {
+                // Younger jobs wait behind it.
+                self.may_start_lasting(stage.step.reserved().processors_milli, pass);
+            }
             return 0;
         }
         if !job.has_unstarted() {
--- a/crates/fleet/src/head.rs
+++ b/crates/fleet/src/head.rs
@@ -43,6 +43,10 @@
     /// The number of jobs without a started task, by queue.
     #[serde(default)]
     pub pending: BTreeMap<String, u64>,
+    /// Whether the store tells of all lasting tasks of the cell that have run; false if an earlier version of
+    /// this program has owned it.
+    #[serde(default)]
+    pub records_starts: bool,
     /// The number of commits by this owner.
     pub sequence: u64,
     /// How long the steps of each queue take.
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -49,8 +49,8 @@
     /// The ticket as of the last split, if the job was split among cells.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub ticket: Option<Ticket>,
-    /// Those of `tasks` that had never run when the record was written. Says nothing to an owner that finds the
-    /// record when it takes the cell.
+    /// Lasting tasks that have never run, if it has begun or was split. Says nothing of those that this cell has
+    /// started since.
     #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
     pub unstarted: BTreeSet<(u16, u16)>,
 }
@@ -338,7 +338,14 @@
                 task.trace = Some(trace.clone());
             }
         }
-        self.begun |= *progress != Progress::default();
+        for (occurrence, step, indices) in &progress.started {
+            for &index in indices {
+                if let Some(task) = self.indexed_task_mut(*occurrence, *step, index) {
+                    task.ran_before = true;
+                }
+            }
+        }
+        self.begun |= progress.has_ends();
     }
 
     fn tasks_mut(&mut self) -> impl Iterator<Item = &mut task::Task> {
@@ -369,6 +376,10 @@
             Progress { done: recorded.done, failed: recorded.failed, ..Progress::default() };
         Record {
             begun: self.may_have_begun(),
+            unstarted: match self.may_have_begun() {
+                true => self.unstarted_tasks(),
+                false => BTreeSet::new(),
+            },
             crashes: self.crashes(|_| true),
             declared: Some(self.queue.clone()),
             last_run: self.tasks().map(|task| task.last_run).max().unwrap_or(0),
@@ -542,8 +553,8 @@
         crashes
     }
 
-    /// Returns the progress to record: done tasks, failed runs of tasks that are not lasting, and
-    /// crashes and traces of tasks that are not done.
+    /// Returns the progress to record: done tasks, failed runs of tasks that are not lasting, crashes and
+    /// traces of tasks that are not done, and lasting tasks that have run.
     pub fn progress(&self) -> Progress {
         let mut progress = Progress::default();
         for (number, occurrence) in (0..).zip(&self.occurrences) {
@@ -556,6 +567,13 @@
                 if !done.is_empty() {
                     progress.done.push((number, step, done));
                 }
+                let started = (0..).zip(&stage.tasks).filter(|(_, task)| {
+                    stage.step.lasting && task.has_run() && task.status != task::Status::Elsewhere
+                });
+                let started: Vec<u16> = started.map(|(index, _)| index).collect();
+                if !started.is_empty() {
+                    progress.started.push((number, step, started));
+                }
                 for (index, task) in (0..).zip(&stage.tasks) {
                     let open =
                         matches!(task.status, task::Status::Active { .. } | task::Status::Waiting);
@@ -598,7 +616,10 @@
 
     /// Returns whether a task may have run, here or in a cell that the job was moved from.
     pub fn may_have_begun(&self) -> bool {
-        self.begun || self.recovered || self.record.begun || self.record.tasks.is_some()
+        self.begun
+            || self.record.begun
+            || self.record.tasks.is_some()
+            || self.tasks().any(task::Task::has_run)
     }
 
     /// Returns the task called `name`.
--- a/crates/fleet/src/predecessor.rs
+++ b/crates/fleet/src/predecessor.rs
@@ -13,6 +13,8 @@
     pub generation: u32,
     /// How its ownership ended.
     pub end: End,
+    /// Whether the store tells of all lasting tasks of the cell that have run.
+    pub records_starts: bool,
     /// Whether it knew that orders of all owners before it were over.
     pub settled: bool,
     /// For how long after its last commit leases of owners before it may last, in milliseconds; 0 if
@@ -44,6 +46,7 @@
             former: head.former.clone(),
             generation: head.generation,
             end,
+            records_starts: head.records_starts,
             settled: head.settled,
             settling_ms: head.settling_ms,
             vacated: head.vacated.clone(),
--- a/crates/fleet/src/progress.rs
+++ b/crates/fleet/src/progress.rs
@@ -17,4 +17,16 @@
     /// Runs that may crash their worker unseen, as occurrence, step, task index and trace.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub traces: Vec<(u32, u16, u16, Trace)>,
+    /// Lasting tasks that have run, or may have, as occurrence, step and task indices. The first start of one is
+    /// recorded before it is ordered.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub started: Vec<(u32, u16, Vec<u16>)>,
+}
+
+impl Progress {
+    /// Returns whether it tells of ends or crashes.
+    pub fn has_ends(&self) -> bool {
+        let Self { done, failed, crashes, traces, started: _ } = self;
+        !(done.is_empty() && failed.is_empty() && crashes.is_empty() && traces.is_empty())
+    }
 }
--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -10,10 +10,8 @@
     Planned {
         /// The value of `Cell::durable` at which it is recorded.
         change: u64,
-        /// When it was planned, in milliseconds.
-        at: u64,
-        /// The number of crashes under the task, or the most under one of its gang.
-        level: usize,
+        /// When it is ordered even if it is not recorded, in milliseconds.
+        until: Option<u64>,
     },
     /// The start was ordered but not confirmed.
     Starting {
