--- a/crates/fleet/src/action.rs
+++ b/crates/fleet/src/action.rs
@@ -181,8 +181,9 @@
         job: job::Id,
         /// The worker's ID.
         worker: Arc<str>,
-        /// The time until it is expected to have room, in milliseconds.
-        ready_ms: u64,
+        /// The time until it is expected to have room, in milliseconds; `None` where lasting tasks hold it, whose
+        /// end nobody knows.
+        ready_ms: Option<u64>,
     },
     /// A run is known to be over although the worker listed no end.
     Released {
--- a/crates/fleet/src/cell_schedule.rs
+++ b/crates/fleet/src/cell_schedule.rs
@@ -346,6 +346,10 @@
         if !self.may_start_lasting(step.reserved().processors_milli, pass) {
             return self.note_delay(clock, id);
         }
+        self.delays.remove(&id);
+        if !self.policy.turns || pass.reservations.is_full_for_lasting() {
+            return;
+        }
         let placed = tasks_per_worker(stage);
         let criteria = placement::Criteria {
             suspicion: &task.suspicion,
@@ -360,14 +364,13 @@
             reservations: &pass.reservations,
             duration_ms: None,
         };
-        if !self.policy.turns || pass.reservations.is_full_for_lasting() {
-            return;
-        }
         let ends = |worker: &Worker| self.expected_ends(clock.now, worker);
         let found = placement::reserve(&self.workers, &criteria, ends)
             .or_else(|| placement::reserve_for_lasting(&self.workers, &criteria));
         if let Some((worker, reservation)) = found {
-            pass.reservations.insert_for_lasting(worker, reservation);
+            let ready_at = Some(reservation.ready_at).filter(|&at| at < u64::MAX);
+            pass.reservations.insert_for_lasting(worker.clone(), reservation);
+            self.note_reserved(clock, id, worker, ready_at);
         }
     }
 
@@ -414,11 +417,21 @@
             reservations.insert(worker, reservation);
         }
         for (worker, ready_at) in reserved {
-            // Reported once, not in each pass.
-            if self.reserved.insert(worker.clone(), id) != Some(id) {
-                let ready_ms = ready_at.saturating_sub(clock.now);
-                self.report(action::Report::Reserved { job: id, worker, ready_ms });
-            }
+            self.note_reserved(clock, id, worker, Some(ready_at));
+        }
+    }
+
+    /// Reports that a worker's room is held for a job: once, not in each pass.
+    fn note_reserved(
+        &mut self,
+        clock: Clock,
+        id: job::Id,
+        worker: Arc<str>,
+        ready_at: Option<u64>,
+    ) {
+        if self.reserved.insert(worker.clone(), id) != Some(id) {
+            let ready_ms = ready_at.map(|at| at.saturating_sub(clock.now));
+            self.report(action::Report::Reserved { job: id, worker, ready_ms });
         }
     }
 
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -301,7 +301,7 @@
 
     /// Returns whether lasting tasks of it wait that have never run.
     pub fn has_unstarted(&self) -> bool {
-        self.is_lasting() && !self.unstarted_tasks().is_empty()
+        self.is_lasting() && self.final_state.is_none() && !self.unstarted_tasks().is_empty()
     }
 
     /// Returns whether tasks of a step wait that may have run before.
