--- a/crates/fleet/src/cell_schedule.rs
+++ b/crates/fleet/src/cell_schedule.rs
@@ -18,15 +18,15 @@
 const FULL_PACE_WAIT_MS: u64 = 2_000;
 
 /// What a placement pass goes by.
-struct Pass {
+pub(crate) struct Pass {
     /// The steps for which room to hold was searched for; at most `window::MAX_MISSES`.
     held_for: usize,
     /// Room that is held for tasks that fit nowhere.
-    reservations: reservation::Book,
+    pub(crate) reservations: reservation::Book,
     /// Whether a lasting task waits for room below the limit, which no younger one may take then.
-    lasting_closed: bool,
+    pub(crate) lasting_closed: bool,
     /// What lasting tasks hold and may hold, once a task has asked.
-    quota: Option<Quota>,
+    pub(crate) quota: Option<Quota>,
     /// What has found no worker.
     shortage: Shortage,
     /// Whether the cell has spare capacity.
@@ -177,56 +177,6 @@
         Some((constraint, shortage::Request { duration_ms, resources: step.resources }))
     }
 
-    /// Returns whether lasting tasks that reserve `milli` processors together may start for the first time, so that
-    /// room is left for urgent short tasks. Otherwise none of a younger job may, whatever it needs.
-    fn may_start_lasting(&self, milli: u64, pass: &mut Pass) -> bool {
-        if pass.lasting_closed {
-            return false;
-        }
-        let allowed = pass.quota.get_or_insert_with(|| self.quota()).allows(milli);
-        pass.lasting_closed = !allowed && self.policy.turns;
-        allowed
-    }
-
-    /// Returns what lasting tasks hold of the cell, and what they may hold. While workers don't answer, what they
-    /// have is not there for others, and their tasks may need room elsewhere; so do those that wait to run again.
-    pub(crate) fn quota(&self) -> Quota {
-        let mut quota = Quota::default();
-        for worker in self.workers.values().filter(|worker| !worker.evacuated) {
-            quota.held_milli += worker.lasting_milli;
-            quota.reserved_milli += worker.reserved.processors_milli;
-            if worker.fenced && worker.missed_polls == 0 && worker.accepts_runs() {
-                quota.total_milli += worker.capacity().processors_milli;
-            }
-        }
-        let restarts = self.restarts_milli();
-        quota.held_milli = quota.held_milli.saturating_add(restarts);
-        quota.reserved_milli = quota.reserved_milli.saturating_add(restarts);
-        quota.limit_milli = match self.policy.headroom {
-            true => self.headroom.lasting_limit(quota.total_milli),
-            false => quota.total_milli * headroom::BASE_PERCENT / 100,
-        };
-        quota
-    }
-
-    /// Returns what lasting tasks reserve that wait to run again, in thousandths of a core.
-    fn restarts_milli(&self) -> u64 {
-        let jobs = self.unfinished_jobs.iter().filter_map(|(_, _, id)| self.jobs.get(id));
-        let mut restarts_milli: u64 = 0;
-        for job in jobs.filter(|job| job.is_lasting() && job.may_have_begun()) {
-            let stages = job.occurrences.first().into_iter().flat_map(|first| &first.stages);
-            for stage in stages.filter(|stage| stage.step.lasting && !stage.waiting.is_empty()) {
-                let restarts = stage.waiting.iter().filter(|&&index| !stage.is_unstarted(index));
-                let milli = stage.step.reserved().processors_milli;
-                let wanted = milli.saturating_mul(restarts.count() as u64);
-                if wanted > 0 && self.holds(job, &stage.step) {
-                    restarts_milli = restarts_milli.saturating_add(wanted);
-                }
-            }
-        }
-        restarts_milli
-    }
-
     /// Returns the jobs in the order in which their tasks are placed: by queue priority, then by
     /// expected lateness, then by age.
     fn jobs_by_rank(&self, clock: Clock) -> Vec<job::Id> {
@@ -326,54 +276,6 @@
         Search::Placed
     }
 
-    /// Reserves a worker for an unstarted lasting task that fits nowhere now, if the limit of lasting tasks allows it
-    /// to start: otherwise smaller ones would take each gap that comes free. Short tasks are kept out only where they
-    /// hold the room that it needs.
-    fn reserve_for_lasting(
-        &mut self,
-        clock: Clock,
-        id: job::Id,
-        step_number: u16,
-        pass: &mut Pass,
-    ) {
-        let Some(job) = self.jobs.get(&id) else { return };
-        let Some(stage) = job.stage(0, step_number) else { return };
-        let step = stage.step.clone();
-        let Some(index) = stage.waiting.iter().find(|&&index| stage.is_unstarted(index)) else {
-            return;
-        };
-        let Some(task) = stage.tasks.get(usize::from(*index)) else { return };
-        if !self.may_start_lasting(step.reserved().processors_milli, pass) {
-            return self.note_delay(clock, id);
-        }
-        self.delays.remove(&id);
-        if !self.policy.turns || pass.reservations.is_full_for_lasting() {
-            return;
-        }
-        let placed = tasks_per_worker(stage);
-        let criteria = placement::Criteria {
-            suspicion: &task.suspicion,
-            now: clock.now,
-            service: &job.queue.service,
-            step: &step,
-            avoid: None,
-            policy: self.policy,
-            pressure: &self.pressure,
-            min_pace: 0,
-            placed: &placed,
-            reservations: &pass.reservations,
-            duration_ms: None,
-        };
-        let ends = |worker: &Worker| self.expected_ends(clock.now, worker);
-        let found = placement::reserve(&self.workers, &criteria, ends)
-            .or_else(|| placement::reserve_for_lasting(&self.workers, &criteria));
-        if let Some((worker, reservation)) = found {
-            let ready_at = Some(reservation.ready_at).filter(|&at| at < u64::MAX);
-            pass.reservations.insert_for_lasting(worker.clone(), reservation);
-            self.note_reserved(clock, id, worker, ready_at);
-        }
-    }
-
     /// Reserves a worker for each waiting task of a step that fits nowhere now, as far as the pass
     /// allows. Gangs reserve nothing: they would hold room for too long.
     fn reserve(
@@ -422,7 +324,7 @@
     }
 
     /// Reports that a worker's room is held for a job: once, not in each pass.
-    fn note_reserved(
+    pub(crate) fn note_reserved(
         &mut self,
         clock: Clock,
         id: job::Id,
@@ -436,7 +338,7 @@
     }
 
     /// Returns the expected ends of a worker's runs that reserve resources, with what each frees.
-    fn expected_ends(&self, now: u64, worker: &Worker) -> Vec<(u64, Resources)> {
+    pub(crate) fn expected_ends(&self, now: u64, worker: &Worker) -> Vec<(u64, Resources)> {
         let end = |(name, run): (&task::Name, &Run)| {
             let queue = &self.jobs.get(&name.job)?.queue.name;
             Some((self.forecast.end(now, queue, run)?, run.step.reserved()))
@@ -544,7 +446,7 @@
 }
 
 /// Returns the number of the stage's tasks on each worker; empty when `per_worker` sets no limit.
-fn tasks_per_worker(stage: &job::Stage) -> BTreeMap<Arc<str>, u16> {
+pub(crate) fn tasks_per_worker(stage: &job::Stage) -> BTreeMap<Arc<str>, u16> {
     let mut tasks = BTreeMap::new();
     if stage.step.per_worker == 0 {
         return tasks;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -85,6 +85,7 @@
 
 mod cell_balance;
 mod cell_crashes;
+mod cell_lasting;
 mod cell_orders;
 mod cell_polls;
 mod cell_record;
--- a/crates/fleet/tests/delays.rs
+++ b/crates/fleet/tests/delays.rs
@@ -218,7 +218,7 @@
 #[test]
 fn lasting_jobs_of_every_size_get_their_turn() {
     let (mut largest, mut all) = (Vec::new(), Vec::new());
-    for seed in 1..=20 {
+    for seed in 1..=40 {
         let (mut shares, overtaken) = play(seed);
         assert_eq!(overtaken, Vec::<String>::new(), "seed {seed}");
         shares.sort_by_key(|&(size, _)| std::cmp::Reverse(size));
@@ -227,5 +227,5 @@
     }
     let mean = |shares: &[f64]| shares.iter().sum::<f64>() / shares.len() as f64;
     let (largest, all) = (mean(&largest), mean(&all));
-    assert!(largest >= all / 2.0, "of the largest tenth {largest:.2} are at work, of all {all:.2}");
+    assert!(largest >= all, "of the largest tenth {largest:.2} are at work, of all {all:.2}");
 }
