--- a/crates/fleet/src/cell_crashes.rs
+++ b/crates/fleet/src/cell_crashes.rs
@@ -219,7 +219,7 @@
             let fits = worker.reserved.fits(&worker.capacity());
             let accepts_runs = worker.accepts_runs() && worker.missed_polls == 0 && fits;
             let Some(run) = worker.runs.get_mut(&name) else { continue };
-            let Phase::Planned { change, until } = run.phase else { continue };
+            let Phase::Planned { change, until, .. } = run.phase else { continue };
             if self.leaving || self.view_stale || !accepts_runs {
                 self.release(&id, name, Proof::NotOrdered);
                 continue;
--- a/crates/fleet/src/cell_orders.rs
+++ b/crates/fleet/src/cell_orders.rs
@@ -52,7 +52,7 @@
             // A new owner holds tasks back that have never run: those that have must not wait.
             let urgent = level <= 1 && !unstarted;
             let until = urgent.then(|| clock.now + cell_crashes::RECORD_WAIT_MS);
-            run.phase = Phase::Planned { change, until };
+            run.phase = Phase::Planned { change, first: unstarted, until };
             self.planned.insert((id.clone(), name));
         }
     }
@@ -333,6 +333,11 @@
         self.placement_due = true;
         self.report(Report::Released { task: name, run: number, worker, proof, lifetime });
         self.requeue(name, id, number);
+        if let Phase::Planned { first: true, .. } = run.phase
+            && let Some(task) = self.jobs.get_mut(&name.job).and_then(|job| job.task_mut(&name))
+        {
+            task.last_run = 0;
+        }
     }
 
     /// Makes a task wait again if `run` at the worker is its active run.
--- a/crates/fleet/src/cell_schedule.rs
+++ b/crates/fleet/src/cell_schedule.rs
@@ -89,11 +89,12 @@
         let moving = job.moving_to.is_some() || job.splitting.is_some();
         let unsettled = job.recovered && !self.unfenced.is_empty();
         if moving || unsettled {
-            let stays = job.moving_to.is_none() && job.has_unstarted();
-            let unstarted = job.unstarted_tasks().first().and_then(|&(step, _)| job.stage(0, step));
-            if let Some(stage) = unstarted.filter(|_| stays) {
+            if job.moving_to.is_none() && job.has_unstarted() {
+                let step = job.unstarted_tasks().first().map_or(0, |&(step, _)| step);
+                let milli =
+                    job.stage(0, step).map_or(0, |stage| stage.step.reserved().processors_milli);
                 // Younger jobs wait behind it.
-                self.may_start_lasting(stage.step.reserved().processors_milli, pass);
+                self.may_start_lasting(milli, pass);
             }
             return 0;
         }
--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -10,6 +10,8 @@
     Planned {
         /// The value of `Cell::durable` at which it is recorded.
         change: u64,
+        /// Whether the task is a lasting one that has never run.
+        first: bool,
         /// When it is ordered even if it is not recorded, in milliseconds.
         until: Option<u64>,
     },
--- a/crates/fleet/tests/delays.rs
+++ b/crates/fleet/tests/delays.rs
@@ -3,7 +3,7 @@
 mod world;
 
 use {
-    oleanderstage_fleet::{Step, action::Report, job, listing::EndReason, task},
+    oleanderstage_fleet::{Event, Step, action::Report, job, listing::EndReason, task},
     rand::{Rng, SeedableRng},
     rand_pcg::Pcg64Mcg,
     std::collections::BTreeMap,
@@ -112,6 +112,24 @@
     assert_eq!(world.running_count(), 2, "it restarts without the store");
 }
 
+/// What was planned and never ordered has not run, and its next start waits for its record as the first did.
+#[test]
+fn a_start_that_was_not_ordered_is_no_run() {
+    let mut world = World::new(&FOUR_WORKERS);
+    world.run_ms = 600_000;
+    world.store = Store::Down;
+    world.submit("1", QUEUE, vec![lasting(2, 4)]);
+    world.advance(500);
+    world.handle(Event::ViewStale(true));
+    world.advance(500);
+    world.handle(Event::ViewStale(false));
+    world.advance(2_000);
+    assert_eq!(world.running_count(), 0);
+    world.store = Store::Up;
+    world.advance(500);
+    assert_eq!(world.running_tasks("1", 2), 2);
+}
+
 #[test]
 fn a_lasting_job_begins_in_two_cells_with_room_for_half_of_it_each() {
     let mut site = Site::new(2, 600_000);
