--- a/crates/fleet/src/delay.rs
+++ b/crates/fleet/src/delay.rs
@@ -1,11 +1,11 @@
-//! Lasting jobs that wait although workers have room, because lasting jobs hold all that they may.
+//! Lasting jobs that wait because lasting tasks hold all that they may, for the decision log.
 
 use super::*;
 
 /// What is known of a lasting job that waits for the limit of lasting jobs.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Delay {
-    /// Whether a younger job of its priority or a later one has started in this cell meanwhile.
+    /// Whether a lasting task of a job that ranks after it has started in this cell meanwhile.
     pub overtaken: bool,
 }
 
--- a/crates/fleet/src/task.rs
+++ b/crates/fleet/src/task.rs
@@ -54,7 +54,7 @@
     pub last_run: u32,
     /// Crashes of workers that the task may have caused.
     pub suspicion: Suspicion,
-    /// Whether it may have run in another cell or under an earlier owner.
+    /// Whether it may have run in another cell or under an earlier owner, by the records in the store.
     pub ran_before: bool,
     /// Where its newest run was ordered, if that has to be recorded.
     pub trace: Option<Trace>,
