--- a/crates/fleet/tests/delays.rs
+++ b/crates/fleet/tests/delays.rs
@@ -112,6 +112,22 @@
     assert_eq!(world.running_count(), 2, "it restarts without the store");
 }
 
+/// The room of a silent worker and of the one in its place counted twice, and others started in the room that the
+/// tasks of the silent one need.
+#[test]
+fn a_worker_that_is_replaced_lets_nobody_past_the_limit() {
+    let mut world = World::nearly_full();
+    world.submit("2", QUEUE, vec![lasting(6, 4)]);
+    world.advance(500);
+    world.replaces_crashed = true;
+    world.crash("w1");
+    for _ in 0..120 {
+        world.advance(100);
+        assert!(world.running_tasks("2", 6) <= 1, "{} ms", world.now);
+    }
+    assert_eq!(world.running_count(), 11);
+}
+
 /// What was planned and never ordered has not run, and its next start waits for its record as the first did.
 #[test]
 fn a_start_that_was_not_ordered_is_no_run() {
