The size of a lasting job in cell_usage doesn't overflow for absurd figures

Processors times tasks of a submission were multiplied unchecked for a line of the log. No decision is changed.

--- a/crates/fleet/src/usage.rs
+++ b/crates/fleet/src/usage.rs
@@ -128,7 +128,9 @@
         let jobs = self.unfinished_jobs.iter().filter_map(|(_, _, id)| self.jobs.get(id));
         let sized = jobs.filter(|job| job.is_lasting()).map(|job| {
             let steps = job.record.submission.steps.iter();
-            let size = steps.map(|step| step.reserved().processors_milli * u64::from(step.count));
+            let milli =
+                |step: &Step| step.reserved().processors_milli.saturating_mul(step.count.into());
+            let size = steps.map(milli);
             (size.fold(0, u64::saturating_add), job.own_tasks().len(), job.active_tasks())
         });
         let mut sized: Vec<(u64, usize, usize)> = sized.collect();
