--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -29,6 +29,7 @@
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpListener, TcpStream, UdpSocket},
+        sync::watch,
         task::JoinHandle,
     },
     tokio_util::sync::CancellationToken,
--- a/crates/proof/src/tcp_relay.rs
+++ b/crates/proof/src/tcp_relay.rs
@@ -4,6 +4,8 @@
 
 /// Largest number of bytes forwarded at once.
 const CHUNK_BYTES: usize = 16 << 10;
+/// How long bytes can be held before their sender gives the connection up.
+const MAX_HOLD: Duration = Duration::from_secs(3);
 
 /// A TCP relay to one target. Dropping it stops it and closes its connections.
 #[derive(Debug)]
@@ -21,6 +23,8 @@
     cut: bool,
     /// Delay of each forwarded chunk.
     delay: Duration,
+    /// Whether bytes are kept back until healed.
+    held: watch::Sender<bool>,
     /// Connections with a lower number stay open but carry nothing.
     first_forwarded: u64,
     /// Number of the next connection.
@@ -37,16 +41,23 @@
         std::mem::take(&mut state.close).cancel();
     }
 
+    /// Holds the bytes of open and of new connections back, as a network that drops packets does: they
+    /// arrive once healed, unless their sender has given up by then.
+    pub fn hold(&self) {
+        lock(&self.state).held.send_replace(true);
+    }
+
     /// Forwards each chunk after `delay`.
     pub fn delay(&self, delay: Duration) {
         lock(&self.state).delay = delay;
     }
 
-    /// Ends cuts and delays; connections that were silenced stay silent.
+    /// Ends cuts, holds and delays; connections that were silenced stay silent.
     pub fn heal(&self) {
         let mut state = lock(&self.state);
         state.cut = false;
         state.delay = Duration::ZERO;
+        state.held.send_replace(false);
     }
 
     /// Starts a relay to `target` at `address`.
@@ -112,13 +123,17 @@
     let mut chunk = vec![0; CHUNK_BYTES];
     loop {
         let read = from.read(&mut chunk).await.unwrap_or(0);
-        let (forwarded, delay) = {
+        let (forwarded, delay, mut held) = {
             let state = lock(state);
-            (number >= state.first_forwarded, state.delay)
+            (number >= state.first_forwarded, state.delay, state.held.subscribe())
         };
         if !forwarded {
             return std::future::pending().await;
         }
+        let released = held.wait_for(|held| !held);
+        if tokio::time::timeout(MAX_HOLD, released).await.is_err() {
+            return;
+        }
         if read == 0 {
             return;
         }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -48,6 +48,7 @@
     run::run,
     store::Store,
     users_store::UsersStore,
+    users_view::UsersView,
     users_worker::{UsersLedger, UsersWorker},
     vms::Vms,
     worker::Worker,
@@ -74,6 +75,7 @@
 mod usage;
 mod users_http;
 pub mod users_store;
+mod users_view;
 pub mod users_worker;
 pub mod vms;
 pub mod worker;
--- a/crates/standin/src/users_store.rs
+++ b/crates/standin/src/users_store.rs
@@ -3,7 +3,10 @@
 
 use {
     super::*,
-    crate::users_http::{self, respond},
+    crate::{
+        users_http::{self, respond},
+        users_view::UsersView,
+    },
     base64::{Engine, prelude::BASE64_STANDARD},
     http_body_util::Full,
     hyper::{Method, Response, http::request::Parts},
@@ -152,8 +155,7 @@
     pub async fn start() -> io::Result<(Self, SocketAddr)> {
         let store = Self::default();
         lock(&store.state).next_lease = 1;
-        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
-        let address = listener.local_addr()?;
+        let address = store.serve(UsersView::default()).await?;
         let expiry_store = store.clone();
         tokio::spawn(async move {
             loop {
@@ -163,12 +165,19 @@
                 }
             }
         });
-        let served_store = store.clone();
+        Ok((store, address))
+    }
+
+    /// Serves the store on another free port of this machine, to callers with this view of it.
+    pub async fn serve(&self, view: UsersView) -> io::Result<SocketAddr> {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+        let address = listener.local_addr()?;
+        let store = self.clone();
         users_http::serve(listener, move |parts, body| {
-            let store = served_store.clone();
-            async move { store.answer(&parts, &body).await }
+            let (store, view) = (store.clone(), view.clone());
+            async move { store.answer(&parts, &body, &view).await }
         });
-        Ok((store, address))
+        Ok(address)
     }
 
     /// Sets how the store treats calls. The leases of a store that was silent begin anew.
@@ -279,7 +288,7 @@
         lock(&self.state).writes
     }
 
-    async fn answer(&self, parts: &Parts, body: &Value) -> Response<Full<Bytes>> {
+    async fn answer(&self, parts: &Parts, body: &Value, view: &UsersView) -> Response<Full<Bytes>> {
         let availability = lock(&self.state).availability;
         match availability {
             Availability::Busy => return respond(503, &json!({})),
@@ -288,7 +297,7 @@
         }
         let query = query(parts.uri.query().unwrap_or_default());
         let path = parts.uri.path();
-        let (status, answer) = match (&parts.method, path) {
+        let (status, mut answer) = match (&parts.method, path) {
             (&Method::GET, "/-/kv-key") => self.key(&query),
             (&Method::GET, "/-/kv-range") => {
                 self.wait_while_held(query.get("prefix").map(String::as_str).unwrap_or_default())
@@ -311,6 +320,7 @@
         if is_silent || availability == Availability::Mute && path == "/-/kv-txn" {
             std::future::pending::<()>().await;
         }
+        view.apply(&mut answer);
         respond(status, &answer)
     }
 
--- a/crates/standin/src/users_worker.rs
+++ b/crates/standin/src/users_worker.rs
@@ -41,6 +41,8 @@
     pub acknowledged: bool,
     /// Workers that it has crashed.
     pub crashes: u32,
+    /// Ends as done that are not acknowledged yet and count if they are.
+    open_ends: Vec<OpenEnd>,
     /// Runs that ended as done.
     pub done: u32,
     /// Runs that ended as failed.
@@ -55,6 +57,26 @@
     pub late_starts: u32,
 }
 
+/// The end of a run as done that its worker still lists.
+#[derive(Clone, Debug)]
+struct OpenEnd {
+    worker: String,
+    /// Its sequence number at the worker.
+    sequence: u64,
+    /// The worker at which the task was started after this end.
+    restarted_on: Option<String>,
+}
+
+/// A run that is over and not yet acknowledged.
+#[derive(Clone, Debug)]
+struct End {
+    sequence: u64,
+    task: String,
+    /// Number of the run.
+    run: u32,
+    outcome: &'static str,
+}
+
 /// State of one incarnation of a worker.
 #[derive(Debug)]
 struct State {
@@ -76,9 +98,8 @@
     draining_since: Option<Instant>,
     /// Since when its zone is evacuated.
     evacuated_since: Option<Instant>,
-    /// Runs that are over and not yet acknowledged: sequence number, task, number of the run and
-    /// outcome.
-    ended: VecDeque<(u64, String, u32, &'static str)>,
+    /// Runs that are over and not yet acknowledged.
+    ended: VecDeque<End>,
     /// Sequence number of the last run that ended.
     last_sequence: u64,
     /// Whether runs that reach their end fail.
@@ -87,6 +108,8 @@
     fence: u64,
     /// End of the lease that all runs share, in milliseconds since `started`.
     lease_until_ms: u64,
+    /// Rate of its clock, in percent of the true one.
+    clock_percent: u64,
     started: Instant,
     /// The highest number of a run of each task that ended or was stopped here. A start with this
     /// number or a lower one is refused.
@@ -103,8 +126,10 @@
     run: u32,
     /// Its processors, in thousandths of a core.
     milli: u64,
-    /// When its work is done.
+    /// When its work is done, or its stop.
     until: Instant,
+    /// Whether it was told to stop.
+    stopping: bool,
 }
 
 /// Time between two beats of a worker.
@@ -131,12 +156,16 @@
 const FUSE_TIME: Duration = Duration::from_millis(10);
 /// Maximum length of the lease, in milliseconds.
 pub const MAX_LEASE_MS: u64 = 6_000;
+/// How long a stop takes.
+const STOP_TIME: Duration = Duration::from_millis(200);
+/// Rate of the clock of every second worker, in percent of the true one.
+const SLOW_CLOCK_PERCENT: u64 = 98;
 /// Interval between two checks for runs that are over.
 const CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
 impl State {
     /// Returns the state of a new incarnation, which has nothing of earlier ones.
-    fn new(incarnation: u64) -> Self {
+    fn new(incarnation: u64, clock_percent: u64) -> Self {
         Self {
             incarnation,
             writes: 0,
@@ -152,12 +181,24 @@
             fails: false,
             fence: 0,
             lease_until_ms: 0,
+            clock_percent,
             started: Instant::now(),
             highest_ended: BTreeMap::new(),
             running: BTreeMap::new(),
             used_milli: 0,
         }
     }
+
+    /// Returns its own clock, in milliseconds since its start.
+    fn clock_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64 * self.clock_percent / 100
+    }
+
+    /// Extends the lease as an order or a poll asks.
+    fn extend_lease(&mut self, deadline_ms: u64) {
+        let longest_ms = self.clock_ms() + MAX_LEASE_MS;
+        self.lease_until_ms = self.lease_until_ms.max(deadline_ms.min(longest_ms));
+    }
 }
 
 impl UsersLedger {
@@ -184,6 +225,39 @@
     fn change(&self, task: &str, change: impl FnOnce(&mut Entry)) {
         change(lock(&self.entries).entry(task.into()).or_default());
     }
+
+    /// Voids ends that their worker has forgotten, or whose lease has lapsed since.
+    fn void_ends<'a>(&self, worker: &str, ends: impl IntoIterator<Item = &'a End>) {
+        for end in ends.into_iter().filter(|end| end.outcome == "done") {
+            self.change(&end.task, |entry| {
+                drop(entry.take_open_end(worker, end.sequence));
+            });
+        }
+    }
+
+    /// Records that the end of a run as done was acknowledged.
+    fn acknowledge_done(&self, worker: &str, end: &End) {
+        let mut open_end = None;
+        self.change(&end.task, |entry| {
+            entry.acknowledged = true;
+            open_end = entry.take_open_end(worker, end.sequence);
+        });
+        if let Some(other) = open_end.and_then(|end| end.restarted_on) {
+            self.record_violation(format!(
+                "task {} was started on {other} after its end as done on {worker}, which was \
+                 acknowledged later",
+                end.task
+            ));
+        }
+    }
+}
+
+impl Entry {
+    fn take_open_end(&mut self, worker: &str, sequence: u64) -> Option<OpenEnd> {
+        let is_this = |end: &OpenEnd| end.worker == worker && end.sequence == sequence;
+        let position = self.open_ends.iter().position(is_this)?;
+        Some(self.open_ends.swap_remove(position))
+    }
 }
 
 impl UsersWorker {
@@ -191,12 +265,14 @@
     pub async fn start(id: &str, ledger: UsersLedger) -> io::Result<(Self, SocketAddr)> {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
         let address = listener.local_addr()?;
+        let is_slow = id.bytes().last().is_some_and(|last| last % 2 == 1);
+        let clock_percent = if is_slow { SLOW_CLOCK_PERCENT } else { 100 };
         let worker = Self {
             id: id.into(),
             zone: "a",
             ledger,
             changed: Arc::default(),
-            state: Arc::new(Mutex::new(State::new(1))),
+            state: Arc::new(Mutex::new(State::new(1, clock_percent))),
         };
         let background = worker.clone();
         tokio::spawn(async move {
@@ -288,7 +364,8 @@
                 entry.running.remove(&self.id);
             });
         }
-        let next = State::new(state.incarnation + 1);
+        self.ledger.void_ends(&self.id, &state.ended);
+        let next = State::new(state.incarnation + 1, state.clock_percent);
         *state = State {
             capacity_milli: state.capacity_milli,
             evacuated_since: state.evacuated_since,
@@ -314,24 +391,29 @@
         self.changed.notify_waiters();
     }
 
-    /// Ends the runs that are over: all if the lease has expired, else those whose work is done.
+    /// Ends the runs that are over: all if the lease has expired, else those whose work is done or that
+    /// have stopped.
     fn end_runs(&self) {
         let mut state = lock(&self.state);
-        let clock_ms = state.started.elapsed().as_millis() as u64;
-        let lapsed = clock_ms > state.lease_until_ms;
+        let lapsed = state.clock_ms() > state.lease_until_ms;
+        if lapsed {
+            self.ledger.void_ends(&self.id, &state.ended);
+        }
         let now = Instant::now();
-        let over: Vec<String> = state
+        let fails = state.fails;
+        let outcome = |run: &Run| match (lapsed, run.stopping, fails) {
+            (true, ..) => "lapsed",
+            (false, true, _) => "stopped",
+            (false, false, true) => "failed",
+            (false, false, false) => "done",
+        };
+        let over: Vec<(String, &'static str)> = state
             .running
             .iter()
             .filter(|(_, run)| lapsed || run.until <= now)
-            .map(|(task, _)| task.clone())
+            .map(|(task, run)| (task.clone(), outcome(run)))
             .collect();
-        let outcome = match (lapsed, state.fails) {
-            (true, _) => "lapsed",
-            (false, true) => "failed",
-            (false, false) => "done",
-        };
-        over.iter().for_each(|task| self.end(&mut state, task, outcome));
+        over.iter().for_each(|(task, outcome)| self.end(&mut state, task, outcome));
     }
 
     fn end(&self, state: &mut State, task: &str, outcome: &'static str) {
@@ -339,13 +421,17 @@
         state.used_milli -= run.milli;
         state.last_sequence += 1;
         let sequence = state.last_sequence;
-        state.ended.push_back((sequence, task.into(), run.run, outcome));
+        state.ended.push_back(End { sequence, task: task.into(), run: run.run, outcome });
         let highest = state.highest_ended.entry(task.into()).or_default();
         *highest = (*highest).max(run.run);
         self.ledger.change(task, |entry| {
             entry.running.remove(&self.id);
             entry.done += u32::from(outcome == "done");
             entry.failures += u32::from(outcome == "failed");
+            if outcome == "done" {
+                let worker = self.id.clone();
+                entry.open_ends.push(OpenEnd { worker, sequence, restarted_on: None });
+            }
         });
         self.changed.notify_waiters();
     }
@@ -380,8 +466,7 @@
     }
 
     fn refuse(&self, state: &State, reason: &str) -> Response<Full<Bytes>> {
-        let clock_ms = state.started.elapsed().as_millis() as u64;
-        respond(409, &json!({"clock_ms": clock_ms, "reason": reason}))
+        respond(409, &json!({"clock_ms": state.clock_ms(), "reason": reason}))
     }
 
     /// Starts a run. The task's spec is "MS MILLI": its run time in milliseconds and its processors
@@ -391,11 +476,13 @@
         let mut state = lock(&self.state);
         let task = body["task"].as_str().unwrap_or_default().to_owned();
         let run = body["run"].as_u64().unwrap_or(0) as u32;
-        let clock_ms = state.started.elapsed().as_millis() as u64;
+        let clock_ms = state.clock_ms();
         let deadline_ms = body["deadline_ms"].as_u64().unwrap_or(0);
         if deadline_ms <= clock_ms {
             return self.refuse(&state, "late");
         }
+        // A start that is refused as old or for want of room extends it, too.
+        state.extend_lease(deadline_ms);
         if state.running.get(&task).is_some_and(|active| active.run == run) {
             return respond(200, &json!({"clock_ms": clock_ms}));
         }
@@ -422,7 +509,6 @@
                 Some(_) => {}
             }
         }
-        state.lease_until_ms = state.lease_until_ms.max(deadline_ms.min(clock_ms + MAX_LEASE_MS));
         let task_entry = self.ledger.entry(&task);
         if !task_entry.running.is_empty() {
             self.ledger.record_violation(format!(
@@ -455,6 +541,9 @@
         }
         self.ledger.change(&task, |entry| {
             entry.running.insert(self.id.clone());
+            for end in &mut entry.open_ends {
+                end.restarted_on.get_or_insert_with(|| self.id.clone());
+            }
             entry.starts += 1;
             entry.late_starts += u32::from(entry.crashes >= MAX_CRASHES);
             entry.crashes += u32::from(crashing);
@@ -470,19 +559,22 @@
         }
         state.used_milli += milli;
         let until = Instant::now() + Duration::from_millis(run_ms);
-        state.running.insert(task, Run { run, milli, until });
+        state.running.insert(task, Run { run, milli, until, stopping: false });
         respond(200, &json!({"clock_ms": clock_ms}))
     }
 
-    /// Stops the run of a task, if there is one, and refuses later starts up to the given run.
+    /// Stops a run of a task, which takes `STOP_TIME`, and refuses later starts up to this run.
     fn stop_run(&self, body: &Value) -> Response<Full<Bytes>> {
         let mut state = lock(&self.state);
         let task = body["task"].as_str().unwrap_or_default().to_owned();
         let run = body["run"].as_u64().unwrap_or(0) as u32;
         let highest = state.highest_ended.entry(task.clone()).or_default();
         *highest = (*highest).max(run);
-        self.end(&mut state, &task, "stopped");
-        respond(200, &json!({"clock_ms": state.started.elapsed().as_millis() as u64}))
+        if let Some(active) = state.running.get_mut(&task).filter(|active| active.run <= run) {
+            active.until = active.until.min(Instant::now() + STOP_TIME);
+            active.stopping = true;
+        }
+        respond(200, &json!({"clock_ms": state.clock_ms()}))
     }
 
     /// Renews the lease, drops the ended runs up to `last_seen`, which this acknowledges, and
@@ -493,23 +585,18 @@
         let deadline = Instant::now() + wait;
         {
             let mut state = lock(&self.state);
-            let clock_ms = state.started.elapsed().as_millis() as u64;
-            let until_ms = body["deadline_ms"].as_u64().unwrap_or(0).min(clock_ms + MAX_LEASE_MS);
-            state.lease_until_ms = state.lease_until_ms.max(until_ms);
-            while let Some((_, task, run, outcome)) = state
-                .ended
-                .front()
-                .filter(|(sequence, ..)| *sequence <= acknowledged_sequence)
-                .cloned()
+            state.extend_lease(body["deadline_ms"].as_u64().unwrap_or(0));
+            while let Some(end) =
+                state.ended.front().filter(|end| end.sequence <= acknowledged_sequence).cloned()
             {
                 state.ended.pop_front();
-                self.ledger.change(&task, |entry| match outcome {
-                    "done" => entry.acknowledged = true,
-                    "failed" => {
-                        entry.failed.insert(run);
-                    }
+                match end.outcome {
+                    "done" => self.ledger.acknowledge_done(&self.id, &end),
+                    "failed" => self.ledger.change(&end.task, |entry| {
+                        entry.failed.insert(end.run);
+                    }),
                     _ => {}
-                });
+                }
             }
         }
         loop {
@@ -533,8 +620,7 @@
         .ended
         .iter()
         .take(ENDS_PER_ANSWER)
-        .map(|(sequence, task, run, outcome)| json!([sequence, task, run, outcome, ""]))
+        .map(|end| json!([end.sequence, end.task, end.run, end.outcome, ""]))
         .collect();
-    let clock_ms = state.started.elapsed().as_millis() as u64;
-    json!({"clock_ms": clock_ms, "born": state.incarnation, "running": running, "ended": ended})
+    json!({"clock_ms": state.clock_ms(), "born": state.incarnation, "running": running, "ended": ended})
 }
