--- a/crates/fleet/src/action.rs
+++ b/crates/fleet/src/action.rs
@@ -221,6 +221,17 @@
         /// Why it is stopped.
         reason: StopReason,
     },
+    /// A worker lists the end of a run of a job that this cell does not know.
+    Unclaimed {
+        /// The task.
+        task: task::Name,
+        /// The run's number.
+        run: u32,
+        /// The worker's ID.
+        worker: Arc<str>,
+        /// Why it ended.
+        how: listing::EndReason,
+    },
     /// No worker of the cell can hold a task of a step, or all members of a gang at the same time, however
     /// busy they are now.
     Unheld {
--- a/crates/fleet/src/cell_polls.rs
+++ b/crates/fleet/src/cell_polls.rs
@@ -138,10 +138,12 @@
         }
         self.placement_due = true;
         let after_ms = run.as_ref().map_or(0, |run| clock.now.saturating_sub(run.started));
+        let (task, number, how) = (name, end.run, end.reason);
         if let Some(job) = self.jobs.get_mut(&name.job) {
             job.begun = true;
-            let (task, run, how) = (name, end.run, end.reason);
-            self.report(Report::End { task, run, worker: id.clone(), how, after_ms });
+            self.report(Report::End { task, run: number, worker: id.clone(), how, after_ms });
+        } else {
+            self.report(Report::Unclaimed { task, run: number, worker: id.clone(), how });
         }
         if let Some(run) = run.as_ref().filter(|_| end.reason == EndReason::Done) {
             self.observe_duration(name, run, after_ms);
--- a/crates/node/src/executor.rs
+++ b/crates/node/src/executor.rs
@@ -55,6 +55,7 @@
     pub(crate) fn execute_all(self: &Rc<Self>, actions: Vec<Action>) -> bool {
         let mut lost = false;
         let ages = meter::ViewAges {
+            tenure_ms: time::now().saturating_sub(self.node.lease_confirmed_at.get()),
             workers_ms: self.node.view_age_ms(),
             zones_ms: self.node.evacuation_age_ms(),
         };
--- a/crates/node/src/meter.rs
+++ b/crates/node/src/meter.rs
@@ -18,9 +18,11 @@
     zones_evacuated: IntGauge,
 }
 
-/// The ages of the views by which a run is started.
+/// The ages of the views by which a cell decides.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ViewAges {
+    /// That of the last answer of the store by which this VM owns the cell, in milliseconds.
+    pub(crate) tenure_ms: u64,
     /// That of the workers' entries, in milliseconds.
     pub(crate) workers_ms: u64,
     /// That of the requests to evacuate zones, in milliseconds, if the settings know them.
@@ -85,8 +87,8 @@
         self.latency.with_label_values(&["answer"]).observe(took_ms as f64);
     }
 
-    /// Counts and logs a decision of a cell, with its latency if it has one. A start is decided by
-    /// views of these ages.
+    /// Counts and logs a decision of a cell, with its latency if it has one, and with the ages of the
+    /// views by which it was made.
     pub(crate) fn report(&self, cell: u32, report: &Report, ages: ViewAges) {
         let name = match report {
             Report::End { after_ms, .. } => {
@@ -114,6 +116,7 @@
             }
             Report::Settled { .. } => "cell_settled",
             Report::Stop { .. } => "run_stopped",
+            Report::Unclaimed { .. } => "end_unclaimed",
             Report::Unheld { .. } => "step_unheld",
             Report::Usage(_) => "cell_usage",
             Report::Worker { .. } => "worker_believed",
@@ -123,7 +126,15 @@
         match report {
             Report::Start { .. } => {
                 let (view_age_ms, zones_age_ms) = (ages.workers_ms, ages.zones_ms);
-                log::info!(cell, view_age_ms, zones_age_ms, detail:serde = report; "{name}");
+                let tenure_age_ms = ages.tenure_ms;
+                log::info!(
+                    cell, view_age_ms, zones_age_ms, tenure_age_ms, detail:serde = report;
+                    "{name}"
+                );
+            }
+            Report::Released { .. } | Report::Settled { .. } | Report::Unclaimed { .. } => {
+                let tenure_age_ms = ages.tenure_ms;
+                log::info!(cell, tenure_age_ms, detail:serde = report; "{name}");
             }
             _ => log::info!(cell, detail:serde = report; "{name}"),
         }
