--- a/crates/fleet/src/action.rs
+++ b/crates/fleet/src/action.rs
@@ -7,6 +7,9 @@
 pub enum Action {
     /// Write a transaction to the store.
     Commit(Box<Commit>),
+    /// Make a call to the store whose answer shows whether this process owns the cell, for
+    /// [`Cell::confirm`].
+    Confirm,
     /// Poll a worker.
     Poll {
         /// The worker's ID.
--- a/crates/fleet/src/cell.rs
+++ b/crates/fleet/src/cell.rs
@@ -45,6 +45,13 @@
     /// When the last commit was made, or found to change nothing, in milliseconds.
     pub(crate) committed_at: u64,
     pub(crate) config: Arc<Config>,
+    /// When the last call was sent whose answer shows that this ownership had not ended, in milliseconds. No
+    /// later owner has polled a worker of the cell before that.
+    pub(crate) confirmed_at: u64,
+    /// A conclusion waits until the store has confirmed the ownership.
+    pub(crate) confirmation_due: bool,
+    /// When that was last asked for, in milliseconds.
+    pub(crate) confirmation_asked_at: u64,
     /// Lasting jobs that wait for the limit of lasting jobs.
     pub(crate) delays: BTreeMap<job::Id, Delay>,
     /// Jobs with changes that are not in a commit yet.
@@ -63,9 +70,8 @@
     pub(crate) resume_at: Option<job::Id>,
     /// The jobs for which workers' room was held in the last placement pass.
     pub(crate) reserved: BTreeMap<Arc<str>, job::Id>,
-    /// Recently removed jobs and the revisions of their removal. A record read at an earlier
-    /// revision must not add the job again.
-    pub(crate) removed: HashMap<job::Id, u64>,
+    /// Recently removed jobs. A record read at a revision before the removal must not add the job again.
+    pub(crate) removed: HashMap<job::Id, Removal>,
     /// The same jobs, oldest first.
     pub(crate) removed_order: VecDeque<job::Id>,
     /// How long runs take compared with their estimates.
@@ -122,6 +128,12 @@
     pub(crate) records_starts: bool,
     /// Whether it was reported that no order of an earlier owner is left.
     pub(crate) settled: bool,
+    /// Workers whose current life first answered after the ownership was last confirmed.
+    pub(crate) unconfirmed: BTreeSet<Arc<str>>,
+    /// Runs that a listing leaves out, until it is confirmed that no other owner has seen their ends.
+    pub(crate) unlisted: Vec<cell_confirmation::Unlisted>,
+    /// When the tickets of jobs with unclaimed ends were last read, in milliseconds.
+    pub(crate) unclaimed_read_at: u64,
     /// Steps of jobs that no worker can hold, as last reported.
     pub(crate) unheld: BTreeSet<(job::Id, u16)>,
     /// Workers that may run orders of an earlier owner, or hold ends that it did not record: they have not
@@ -151,6 +163,9 @@
             commit: None,
             committed_at: start.acquired_at,
             config: start.config,
+            confirmed_at: start.acquired_at,
+            confirmation_due: false,
+            confirmation_asked_at: 0,
             delays: BTreeMap::new(),
             dirty: BTreeSet::new(),
             durable: 0,
@@ -195,6 +210,9 @@
             records_starts: start.predecessor.records_starts,
             predecessor: start.predecessor,
             settled: false,
+            unconfirmed: BTreeSet::new(),
+            unlisted: Vec::new(),
+            unclaimed_read_at: 0,
             unheld: BTreeSet::new(),
             unfenced: members.keys().filter(|id| !vacated.contains(&***id)).cloned().collect(),
             view_stale: false,
@@ -224,6 +242,7 @@
             event if event.is_fenced_off() => self.mark_lost(),
             Event::Accepted { id, record, revision } => {
                 self.add_job(id, record, &Progress::default(), revision, false);
+                self.claim_ends(clock, id);
             }
             Event::Heads { heads, owners } => {
                 self.balancer.set_processes(owners);
@@ -271,6 +290,8 @@
         self.settle(clock);
         self.take_inventory(clock);
         self.release_expired(clock);
+        self.release_unlisted(clock);
+        self.look_up_unclaimed(clock);
         self.resend_orders(clock);
         self.relocate_filling_tasks(clock);
         self.vacate_draining_workers(clock);
@@ -280,6 +301,7 @@
         self.commit_changes(clock);
         self.order_planned(clock);
         self.poll_workers(clock);
+        self.ask_for_confirmation(clock);
         self.report_usage(clock);
     }
 
@@ -340,7 +362,7 @@
         revision: u64,
         recovered: bool,
     ) {
-        let stale = self.removed.get(&id).is_some_and(|&removed_at| revision <= removed_at);
+        let stale = self.removed.get(&id).is_some_and(|removal| revision <= removal.revision);
         if stale {
             return;
         }
@@ -413,9 +435,9 @@
         self.stop_job(id, action::StopReason::Cancelled);
     }
 
-    /// Notes the revision at which a job was removed from the store.
-    pub(crate) fn mark_removed(&mut self, id: job::Id, revision: u64) {
-        if self.removed.insert(id, revision).is_none() {
+    /// Notes the removal of a job from the cell's records.
+    pub(crate) fn mark_removed(&mut self, id: job::Id, removal: Removal) {
+        if self.removed.insert(id, removal).is_none() {
             self.removed_order.push_back(id);
         }
         if self.removed_order.len() > MAX_REMOVED_JOBS
@@ -478,6 +500,7 @@
             .collect();
         for id in removed {
             self.workers.remove(&id);
+            self.unconfirmed.remove(&id);
         }
         self.mark_evacuated_workers();
     }
--- a/crates/fleet/src/cell_orders.rs
+++ b/crates/fleet/src/cell_orders.rs
@@ -262,14 +262,20 @@
     /// Ends the wait for orders of earlier owners once their leases are over. Workers that answer renew
     /// their leases, so that their ends count until all are listed.
     pub(crate) fn settle(&mut self, clock: Clock) {
-        let may_list_more = |id: &Arc<str>| {
-            self.workers.get(id).is_some_and(|worker| worker.may_list_more_ends(clock.now))
-        };
-        let waits = !self.unfenced.is_empty()
-            && (clock.now < self.leases_over_at || self.unfenced.iter().any(may_list_more));
-        if self.settled || waits {
+        if self.settled {
             return;
         }
+        if !self.unfenced.is_empty() {
+            // A later owner may have renewed the leases.
+            let over = clock.now >= self.leases_over_at && self.is_covered(self.leases_over_at);
+            let covered_until = self.covered_until(clock);
+            let may_list_more = |id: &Arc<str>| {
+                self.workers.get(id).is_some_and(|worker| worker.may_list_more_ends(covered_until))
+            };
+            if !over || self.unfenced.iter().any(may_list_more) {
+                return;
+            }
+        }
         self.settled = true;
         self.placement_due = true;
         let unanswered = std::mem::take(&mut self.unfenced).into_iter().collect();
@@ -280,17 +286,18 @@
     /// Releases the runs of workers whose lease has certainly expired. Nothing else shows that a worker that
     /// does not answer runs nothing: one that is cut off loses its entry, too.
     pub(crate) fn release_expired(&mut self, clock: Clock) {
-        let lapsed: Vec<Arc<str>> = self
+        let lapsed_at = |worker: &Worker| worker.lapsed_at().filter(|at| *at <= clock.now);
+        let lapsed: Vec<(Arc<str>, u64)> = self
             .workers
             .iter()
-            .filter(|(_, worker)| {
-                worker.missed_polls > 0
-                    && !worker.runs.is_empty()
-                    && worker.lapsed_at().is_some_and(|at| at <= clock.now)
-            })
-            .map(|(id, _)| id.clone())
+            .filter(|(_, worker)| worker.missed_polls > 0 && !worker.runs.is_empty())
+            .filter_map(|(id, worker)| Some((id.clone(), lapsed_at(worker)?)))
             .collect();
-        for id in lapsed {
+        for (id, at) in lapsed {
+            // A later owner may have renewed the lease.
+            if !self.is_covered(at) {
+                continue;
+            }
             self.suspect_lapsed(&id);
             self.release_all(clock, &id, WorkerState::Lapsed, Proof::Lapsed);
         }
--- a/crates/fleet/src/cell_polls.rs
+++ b/crates/fleet/src/cell_polls.rs
@@ -84,6 +84,7 @@
             worker.acknowledged = 0;
             worker.processed = 0;
             worker.unrecorded.clear();
+            worker.unclaimed.clear();
             worker.granted_until = 0;
             worker.observed_at = 0;
         }
@@ -92,8 +93,12 @@
         worker.fenced = true;
         worker.missed_polls = 0;
         worker.unanswered_since = None;
-        worker.answered_poll_at = Some(sent);
         worker.has_more_ends = !listing.complete;
+        let is_new_life = restarted || worker.answered_poll_at.is_none();
+        worker.answered_poll_at = Some(sent);
+        if is_new_life {
+            self.note_life(clock.now, id);
+        }
         if restarted || answers_again {
             self.placement_due = true;
             self.inventory_due = true;
@@ -115,10 +120,11 @@
         for end in &listing.ended {
             self.apply_end(clock, id, end);
         }
+        self.forget_acknowledged(id, &listing);
         for row in &listing.running {
             self.apply_running(clock, id, sent, row);
         }
-        self.release_unlisted(id, sent, &listing);
+        self.find_unlisted(clock, id, sent, &listing);
         self.update_paces(clock, id);
     }
 
@@ -132,18 +138,38 @@
         worker.processed = end.number;
         let held = worker.run_mut(&name, end.run).is_some();
         let run = if held { worker.remove(&name) } else { None };
-        if let Some(run) = run.as_ref().filter(|run| run.step.fills) {
+        let is_over = self.removed.get(&name.job).is_some_and(|removal| !removal.moved);
+        if !self.jobs.contains_key(&name.job) && !is_over {
+            return self.hold_unclaimed(id, end);
+        }
+        self.process_end(clock, id, end, run);
+        let changes = self.changes;
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.unrecorded.push_back((end.number, changes));
+        }
+    }
+
+    /// Processes the end of a run, which this owner may have ordered.
+    pub(crate) fn process_end(
+        &mut self,
+        clock: Clock,
+        id: &Arc<str>,
+        end: &listing::End,
+        run: Option<Run>,
+    ) {
+        let name = end.task;
+        if let Some(run) = run.as_ref().filter(|run| run.step.fills)
+            && let Some(worker) = self.workers.get_mut(id)
+        {
             let cores = run.measurement.unwrap_or(0.0) / 1_000.0;
             worker.ended_filling.push((clock.now, run.step.image.clone(), cores));
         }
         self.placement_due = true;
         let after_ms = run.as_ref().map_or(0, |run| clock.now.saturating_sub(run.started));
-        let (task, number, how) = (name, end.run, end.reason);
         if let Some(job) = self.jobs.get_mut(&name.job) {
             job.begun = true;
-            self.report(Report::End { task, run: number, worker: id.clone(), how, after_ms });
-        } else {
-            self.report(Report::Unclaimed { task, run: number, worker: id.clone(), how });
+            let (task, run, how) = (name, end.run, end.reason);
+            self.report(Report::End { task, run, worker: id.clone(), how, after_ms });
         }
         if let Some(run) = run.as_ref().filter(|_| end.reason == EndReason::Done) {
             self.observe_duration(name, run, after_ms);
@@ -157,10 +183,6 @@
                 self.requeue(name, id, end.run);
             }
         }
-        let changes = self.changes;
-        if let Some(worker) = self.workers.get_mut(id) {
-            worker.unrecorded.push_back((end.number, changes));
-        }
     }
 
     /// Records how long a run took that was done. Runs that were paced down when last seen are left out,
@@ -356,6 +378,7 @@
         if open || self.jobs.contains_key(&id) {
             return;
         }
+        self.forget_unclaimed(id);
         self.stop_unknown_runs(clock, id);
     }
 
@@ -384,9 +407,9 @@
         }
     }
 
-    /// Releases runs that are missing from a complete listing although the poll was sent after their
-    /// start or stop was confirmed.
-    fn release_unlisted(&mut self, id: &Arc<str>, sent: u64, listing: &Listing) {
+    /// Finds runs that are missing from a complete listing although the poll was sent after their start or
+    /// stop was confirmed.
+    fn find_unlisted(&mut self, clock: Clock, id: &Arc<str>, sent: u64, listing: &Listing) {
         let listed: BTreeMap<task::Name, u32> =
             listing.running.iter().map(|row| (row.task, row.run)).collect();
         let Some(worker) = self.workers.get_mut(id) else { return };
@@ -400,21 +423,23 @@
         if !listing.complete {
             return;
         }
-        let over: Vec<(task::Name, Proof)> = worker
+        let over: Vec<(task::Name, u32, Proof)> = worker
             .runs
             .iter()
             .filter(|(name, run)| listed.get(name) != Some(&run.number))
             .filter(|(name, _)| !listing.unreadable.contains(name))
             .filter_map(|(name, run)| match run.phase {
-                Phase::Confirmed { since } if sent > since => Some((*name, Proof::NotListed)),
+                Phase::Confirmed { since } if sent > since => {
+                    Some((*name, run.number, Proof::NotListed))
+                }
                 Phase::Stopping { confirmed: Some(at), .. } if sent > at => {
-                    Some((*name, Proof::Stopped))
+                    Some((*name, run.number, Proof::Stopped))
                 }
                 _ => None,
             })
             .collect();
-        for (name, proof) in over {
-            self.release(id, name, proof);
+        for (name, run, proof) in over {
+            self.note_unlisted(clock.now, id, name, run, proof);
         }
     }
 
--- a/crates/fleet/src/cell_record.rs
+++ b/crates/fleet/src/cell_record.rs
@@ -292,8 +292,9 @@
         for id in &commit.removed {
             let Some(job) = self.jobs.remove(id) else { continue };
             self.unfinished_jobs.remove(&(job.queue.priority, job.accepted_at_ms, *id));
-            self.mark_removed(*id, revision);
-            if let (Some(to), None) = (job.moving_to, job.final_state) {
+            let moved_to = job.moving_to.filter(|_| job.final_state.is_none());
+            self.mark_removed(*id, Removal { revision, moved: moved_to.is_some() });
+            if let Some(to) = moved_to {
                 self.report(Report::Moved { job: *id, to });
                 continue;
             }
--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -126,6 +126,8 @@
     Fenced,
     /// The worker could not be reached; the order was not sent.
     Unreachable,
+    /// The owner had been without the store for too long by the time of sending; the order was not sent.
+    Expired,
     /// The order arrived after the end of the lease that it asked for.
     Late,
     /// The worker rejected the order as malformed.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -22,10 +22,10 @@
     head::Head, headroom::Headroom, inventory::Inventory, job::Job, lateness::Lateness,
     lifetime::Lifetime, limits::Limits, listing::Listing, load::Load, policy::Policy,
     predecessor::Predecessor, progress::Progress, queue::Queue, quota::Quota,
-    registration::Registration, registry::Registry, release::Release, reservation::Reservation,
-    run::Run, settling::Settling, shape::Shape, state::State, step::Step, submission::Submission,
-    suspicion::Suspicion, throughput::Throughput, ticket::Ticket, trace::Trace, usage::Usage,
-    worker::Worker,
+    registration::Registration, registry::Registry, release::Release, removal::Removal,
+    reservation::Reservation, run::Run, settling::Settling, shape::Shape, state::State, step::Step,
+    submission::Submission, suspicion::Suspicion, throughput::Throughput, ticket::Ticket,
+    trace::Trace, usage::Usage, worker::Worker,
 };
 
 pub mod action;
@@ -66,6 +66,7 @@
 pub mod registration;
 pub mod registry;
 pub mod release;
+pub mod removal;
 pub mod reservation;
 pub mod run;
 pub mod settling;
@@ -84,6 +85,7 @@
 pub mod worker;
 
 mod cell_balance;
+mod cell_confirmation;
 mod cell_crashes;
 mod cell_lasting;
 mod cell_orders;
@@ -91,3 +93,4 @@
 mod cell_record;
 mod cell_relocate;
 mod cell_schedule;
+mod cell_unclaimed;
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -9,6 +9,11 @@
     pub acknowledged: u64,
     /// Whether its zone is being evacuated: it gets no new run.
     pub evacuated: bool,
+    /// Whether the ownership was confirmed after its current life had first answered, so that this life
+    /// rejects orders of earlier owners, and any later owner asks it before it concludes anything.
+    pub confirmed: bool,
+    /// When its current life first answered this owner, in milliseconds.
+    pub lives_since: u64,
     /// When the worker last started, as listed, in milliseconds since 1970; a change
     /// shows a restart.
     pub born: Option<u64>,
@@ -44,6 +49,9 @@
     /// Processed ends that are not recorded yet: number of the end, and the value that
     /// `Cell::durable` reaches once it is recorded.
     pub unrecorded: VecDeque<(u64, u64)>,
+    /// Processed ends of runs of jobs that the cell does not know. They are not acknowledged: the cell that has
+    /// the job may still have to hear of them.
+    pub unclaimed: Vec<listing::End>,
     /// Whether it is assigned to the cell. One that is not stays only until its runs and those of earlier
     /// owners are over, and its entry is no longer followed.
     pub is_member: bool,
@@ -83,6 +91,8 @@
         Self {
             acknowledged: 0,
             evacuated: false,
+            confirmed: false,
+            lives_since: 0,
             born: None,
             clock: None,
             fenced: false,
@@ -99,6 +109,7 @@
             silent_since: None,
             processed: 0,
             unrecorded: VecDeque::new(),
+            unclaimed: Vec::new(),
             is_member: true,
             registration,
             unknown_runs: Vec::new(),
@@ -173,6 +184,7 @@
     /// Returns whether new runs may be placed on the worker.
     pub fn is_usable(&self, now: u64) -> bool {
         self.fenced
+            && self.confirmed
             && self.missed_polls == 0
             && self.paused_until <= now
             && self.accepts_runs()
--- /dev/null
+++ b/crates/fleet/tests/unclaimed.rs
@@ -0,0 +1,65 @@
+//! Ends of runs of jobs that a cell does not know.
+
+mod world;
+
+use {
+    oleanderstage_fleet::{State, Ticket, listing::End, listing::EndReason, task},
+    world::{QUEUE, World, id, name, step},
+};
+
+fn task() -> task::Name {
+    name("1", 0, 0)
+}
+
+/// Lets a worker list the end of a run of a job that another cell has.
+fn list_end_of_unknown_job(world: &mut World) {
+    let ticket = Ticket {
+        also: Vec::new(),
+        additions: 0,
+        cell: 7,
+        division: None,
+        queue: QUEUE.into(),
+        state: State::Running,
+    };
+    world.tickets.insert(id("1"), (ticket, 1));
+    world.worker("w1").end(task(), 1, EndReason::Done, String::new());
+    world.advance(3_000);
+}
+
+fn is_listed(world: &mut World) -> bool {
+    let is_this = |end: &End| end.task == task();
+    world.worker("w1").ended.iter().any(is_this)
+}
+
+/// TWICE: the end was acknowledged and forgotten, and the task started again once its job was known.
+#[test]
+fn the_end_of_a_job_that_another_cell_has_is_kept_for_it() {
+    let mut world = World::new(&["w1"]);
+    list_end_of_unknown_job(&mut world);
+    assert!(is_listed(&mut world));
+    world.submit("1", QUEUE, vec![step(1, 1)]);
+    world.advance(3_000);
+    assert_eq!(world.starts(task()), []);
+    assert_eq!(world.state("1"), State::Completed);
+    assert!(!is_listed(&mut world));
+}
+
+#[test]
+fn the_end_of_a_job_that_is_over_elsewhere_is_acknowledged() {
+    let mut world = World::new(&["w1"]);
+    list_end_of_unknown_job(&mut world);
+    world.tickets.get_mut(&id("1")).expect("a ticket").0.state = State::Completed;
+    world.advance(3_000);
+    assert!(!is_listed(&mut world));
+}
+
+#[test]
+fn an_end_that_its_own_cell_has_acknowledged_holds_up_no_others() {
+    let mut world = World::new(&["w1"]);
+    list_end_of_unknown_job(&mut world);
+    world.worker("w1").ended.clear();
+    world.submit("2", QUEUE, vec![step(1, 1)]);
+    world.advance(3_000);
+    assert_eq!(world.state("2"), State::Completed);
+    assert!(world.worker("w1").ended.is_empty());
+}
--- a/crates/node/src/executor.rs
+++ b/crates/node/src/executor.rs
@@ -1,7 +1,7 @@
 //! Executes the actions of an owned cell: orders to workers and transactions of the store. A commit
 //! whose answer was lost is recognized in the store by its head, so that it is not made twice.
 
-use super::*;
+use {super::*, owner::Acquisition};
 
 /// Delay before a failed read of a ticket is repeated.
 const TICKET_RETRY_DELAY: Duration = Duration::from_millis(40);
@@ -12,6 +12,10 @@
     pub(crate) cell: u32,
     /// The fencing token of this ownership: the revision of the owner's entry.
     pub(crate) fence: u64,
+    /// The lease under which this process owns it.
+    pub(crate) lease: u64,
+    /// When the last commit was sent that was made, in milliseconds: there was no later owner.
+    committed_at: Slot<u64>,
     events: mpsc::UnboundedSender<Event>,
     /// The workers' addresses for orders, including those of workers whose entry is gone.
     addresses: RefCell<HashMap<Arc<str>, SocketAddr>>,
@@ -21,10 +25,20 @@
     pub(crate) fn new(
         node: Rc<Node>,
         cell: u32,
-        fence: u64,
+        acquisition: &Acquisition,
         events: mpsc::UnboundedSender<Event>,
     ) -> Self {
-        Self { node, cell, fence, events, addresses: RefCell::default() }
+        let &Acquisition { fence, lease, sent_at, .. } = acquisition;
+        let committed_at = Slot::new(sent_at);
+        Self { node, cell, fence, lease, committed_at, events, addresses: RefCell::default() }
+    }
+
+    /// Returns when the last call was sent whose answer shows that this process owned the cell, in
+    /// milliseconds.
+    pub(crate) fn confirmed_at(&self) -> u64 {
+        let held = self.node.lease.get() == Some(self.lease);
+        let renewed_at = if held { self.node.lease_confirmed_at.get() } else { 0 };
+        self.committed_at.get().max(renewed_at)
     }
 
     /// Queues an event for the cell.
@@ -55,7 +69,7 @@
     pub(crate) fn execute_all(self: &Rc<Self>, actions: Vec<Action>) -> bool {
         let mut lost = false;
         let ages = meter::ViewAges {
-            tenure_ms: time::now().saturating_sub(self.node.lease_confirmed_at.get()),
+            tenure_ms: time::now().saturating_sub(self.confirmed_at()),
             workers_ms: self.node.view_age_ms(),
             zones_ms: self.node.evacuation_age_ms(),
         };
@@ -79,8 +93,9 @@
             Action::Start { worker, task, run, spec, lease_until, checkpoint } => {
                 let start =
                     orders::Start { task, run, spec: &spec, lease_until, checkpoint: &checkpoint };
+                let may_send = || self.node.may_order(self.lease, time::now());
                 let answer = match self.peer(&worker) {
-                    Ok(peer) => orders.start(peer, start).await,
+                    Ok(peer) => orders.start(peer, start, may_send).await,
                     Err(refusal) => Err(refusal),
                 };
                 self.send(Event::Start { worker, task, run, answer });
@@ -110,6 +125,7 @@
                 let outcome = self.commit(&commit).await;
                 self.send(Event::Commit(outcome));
             }
+            Action::Confirm => self.node.confirmation_due.notify_one(),
             Action::Lookup(id) => {
                 let ticket = loop {
                     match self.node.store.get(&keys::ticket(id)).await {
@@ -153,8 +169,10 @@
             txn.removed.push(keys::progress(cell, *id));
             txn.removed.push(keys::cancelled(cell, *id));
         }
+        let sent_at = time::now();
         match self.node.store.txn(&txn).await {
             Ok(revision) => {
+                self.committed_at.set(self.committed_at.get().max(sent_at));
                 self.node.store_answered();
                 Outcome::Committed(revision)
             }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -32,8 +32,7 @@
     pub(crate) heads_read_at: Slot<u64>,
     /// This VM's lease in the store, if it has one.
     pub(crate) lease: Slot<Option<u64>>,
-    /// When that lease was opened, or the last call that the store answered under it was sent, in
-    /// milliseconds.
+    /// When the last call was sent whose answer shows that this lease had not ended, in milliseconds.
     pub(crate) lease_confirmed_at: Slot<u64>,
     /// When the store last answered a call, in milliseconds.
     pub(crate) store_answered_at: Slot<u64>,
@@ -51,6 +50,8 @@
     pub(crate) cells: RefCell<BTreeMap<u32, Rc<Notify>>>,
     /// Notified when this VM acquires a cell.
     pub(crate) cell_acquired: Notify,
+    /// Notified when a cell waits for an answer of the store by which this VM still owns it.
+    pub(crate) confirmation_due: Notify,
     /// Identifies this start of the process, by the VM's name and address and the time.
     pub(crate) incarnation: String,
     /// How the last ownership of each cell by this process ended.
@@ -103,6 +104,7 @@
             leaving: Slot::new(false),
             changed: Notify::new(),
             cell_acquired: Notify::new(),
+            confirmation_due: Notify::new(),
             cells: RefCell::default(),
             incarnation: format!("{}@{}#{}.{}", boot.vm, boot.ip, start.unix, start.now),
             stops: RefCell::default(),
@@ -135,9 +137,17 @@
     pub(crate) fn confirm_lease(&self, lease: u64, sent_at: u64) {
         if self.lease.get() == Some(lease) {
             self.lease_confirmed_at.set(self.lease_confirmed_at.get().max(sent_at));
+            self.cells.borrow().values().for_each(|cell| cell.notify_one());
         }
     }
 
+    /// Returns whether an owner that took its cell under a lease may send orders at `now`, in milliseconds. Cells
+    /// are lost with the lease under which they were taken.
+    pub(crate) fn may_order(&self, lease: u64, now: u64) -> bool {
+        let holds = self.lease.get() == Some(lease);
+        holds && now <= self.lease_confirmed_at.get() + OWNER_SILENCE_MS
+    }
+
     /// Records an answer of the store, and logs the end of an outage.
     pub(crate) fn store_answered(&self) {
         self.observe_running();
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -24,9 +24,11 @@
     /// When it was answered, in milliseconds.
     answered_at: u64,
     /// The fencing token: the revision of the owner's entry.
-    fence: u64,
+    pub(crate) fence: u64,
     head: Head,
     head_revision: u64,
+    /// The VM's lease, with which the ownership ends.
+    pub(crate) lease: u64,
     /// The head of the last owner, and its revision.
     pub(crate) previous: (Head, u64),
 }
@@ -103,7 +105,7 @@
 ) -> u64 {
     let Snapshot { cancelled, revision, cell: loaded } = snapshot;
     let (events, inbox) = mpsc::unbounded_channel();
-    let executor = Rc::new(Executor::new(node.clone(), cell, acquisition.fence, events));
+    let executor = Rc::new(Executor::new(node.clone(), cell, acquisition, events));
     for (id, revision) in cancelled {
         executor.send(Event::Cancelled { id, revision });
     }
@@ -198,6 +200,7 @@
                 fence,
                 head,
                 head_revision: fence,
+                lease,
                 previous,
             })))
         }
@@ -445,15 +448,18 @@
         };
         node.observe_running();
         let clock = time::clock();
-        let silent = clock.now > node.lease_confirmed_at.get() + node::OWNER_SILENCE_MS;
-        let mut lost = silent;
-        if !silent {
+        let may_order = node.may_order(executor.lease, clock.now);
+        let mut lost = !may_order;
+        if may_order {
+            cell.confirm(executor.confirmed_at());
             for event in inputs.changes(executor, clock.now).into_iter().chain([event]) {
                 lost |= executor.execute_all(cell.handle(clock, event));
             }
         }
         if lost {
-            log::warn!(cell = executor.cell, fence = executor.fence, silent; "cell_lost");
+            let lease_ended = node.lease.get() != Some(executor.lease);
+            let (silent, fence) = (!may_order && !lease_ended, executor.fence);
+            log::warn!(cell = executor.cell, fence, silent, lease_ended; "cell_lost");
             return cell.leases_over_at(clock.now);
         }
         let quiet = cell.is_quiet();
--- a/crates/node/src/session.rs
+++ b/crates/node/src/session.rs
@@ -5,6 +5,9 @@
 
 /// Interval between renewals of the lease.
 const RENEW_INTERVAL: Duration = Duration::from_millis(500);
+/// Maximum number of renewals that wait for an answer: one that has none holds the next one up no longer than
+/// the interval.
+const MAX_RENEWALS: usize = 3;
 /// Delay before a failed attempt to open a session is repeated.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 
@@ -13,16 +16,18 @@
 pub(crate) async fn maintain(node: Rc<Node>) {
     while !node.leaving.get() {
         match open(&node).await {
-            Ok(lease) => {
+            Ok((lease, confirmed_at)) => {
                 node.lease.set(Some(lease));
-                node.lease_confirmed_at.set(time::now());
+                node.lease_confirmed_at.set(confirmed_at);
                 log::info!(lease; "session_opened");
                 node.wake();
                 renew(&node, lease).await;
-                node.lease.set(None);
-                if !node.leaving.get() {
-                    log::warn!(lease; "session_lost");
+                if node.leaving.get() {
+                    // The cells are handed over under the lease.
+                    return;
                 }
+                node.lease.set(None);
+                log::warn!(lease; "session_lost");
                 node.wake();
             }
             Err(error) => {
@@ -33,8 +38,9 @@
     }
 }
 
-/// Opens a lease and writes this VM's entry under it.
-async fn open(node: &Rc<Node>) -> Result<u64, store::Error> {
+/// Opens a lease and writes this VM's entry under it. Returns the lease, and when that write was sent, in
+/// milliseconds.
+async fn open(node: &Rc<Node>) -> Result<(u64, u64), store::Error> {
     let lease = node.store.open_lease(Duration::from_millis(node::VM_LEASE_MS)).await?;
     let key = keys::vm(&node.boot.vm);
     // A late copy of an earlier process's transaction must not replace this entry.
@@ -50,26 +56,30 @@
         writes: vec![(key, value, lease)],
         ..Txn::default()
     };
+    let sent_at = time::now();
     node.store.txn(&txn).await?;
     node.store_answered();
-    Ok(lease)
+    Ok((lease, sent_at))
 }
 
 /// Renews the lease until it is lost or the VM leaves.
 async fn renew(node: &Rc<Node>, lease: u64) {
+    let mut renewals = tokio::task::JoinSet::new();
     loop {
-        sleep(RENEW_INTERVAL).await;
+        tokio::select! {
+            Some(renewal) = renewals.join_next() => match renewal {
+                Ok(true) => continue,
+                Ok(false) => return,
+                Err(error) => log::error!(task = "renewal", error:% = error; "task_failed"),
+            },
+            () = node.confirmation_due.notified() => {}
+            () = sleep(RENEW_INTERVAL) => {}
+        }
         if node.leaving.get() {
             return;
         }
-        let sent_at = time::now();
-        match node.store.renew_lease(lease).await {
-            Ok(()) => {
-                node.confirm_lease(lease, sent_at);
-                node.store_answered();
-            }
-            Err(store::Error::NoLease) => return,
-            Err(error) => node.store_failed("renewal", &error),
+        if renewals.len() < MAX_RENEWALS {
+            renewals.spawn_local(renew_once(node.clone(), lease));
         }
         let entry_exists = node.vms.borrow().contains_key(&node.boot.vm);
         // The store can lose keys and keep the lease they were written under.
@@ -79,6 +89,20 @@
     }
 }
 
+/// Renews the lease once, and returns whether the store may still have it.
+async fn renew_once(node: Rc<Node>, lease: u64) -> bool {
+    let sent_at = time::now();
+    match node.store.renew_lease(lease).await {
+        Ok(()) => {
+            node.confirm_lease(lease, sent_at);
+            node.store_answered();
+        }
+        Err(store::Error::NoLease) => return false,
+        Err(error) => node.store_failed("renewal", &error),
+    }
+    true
+}
+
 /// Removes this VM's entry, so that its cells are assigned to other VMs.
 pub(crate) async fn leave(node: &Rc<Node>) {
     let txn = Txn { removed: vec![keys::vm(&node.boot.vm)], ..Txn::default() };
