--- a/crates/fleet/src/cell_record.rs
+++ b/crates/fleet/src/cell_record.rs
@@ -352,6 +352,7 @@
     }
     if let Some(split) = job.splitting.as_ref().filter(|_| job.final_state.is_none()) {
         add_split(commit, id, job, cell, split);
+        add_progress(commit, id, job);
         return;
     }
     let state = job.final_state.unwrap_or(if job.begun { State::Running } else { State::Queued });
@@ -369,6 +370,11 @@
         commit.removed.push(id);
         return;
     }
+    add_progress(commit, id, job);
+}
+
+/// Adds the progress of a job to a commit, if it has any, or the store may hold some.
+fn add_progress(commit: &mut Commit, id: job::Id, job: &Job) {
     let progress = job.progress();
     if progress != Progress::default() || job.progress_stored {
         commit.progress.push((id, progress));
