--- a/crates/fleet/src/cell_schedule.rs
+++ b/crates/fleet/src/cell_schedule.rs
@@ -5,7 +5,7 @@
 
 /// Run numbers reserved for each owner of a recovered task, so that a new owner's numbers are
 /// higher than those of starts that earlier owners did not record.
-const RUNS_PER_GENERATION: u32 = 64;
+const RUNS_PER_GENERATION: u32 = 65_536;
 
 /// Lowest pace at which a filling task is placed, in percent. A task runs at full pace until its
 /// first pace order takes effect, so one that needs a lower pace would slow serving tasks at once;
