--- a/crates/fleet/src/cell_orders.rs
+++ b/crates/fleet/src/cell_orders.rs
@@ -105,6 +105,7 @@
         let Some(run) = worker.runs.get_mut(&name).filter(|run| run.number == number) else {
             return;
         };
+        run.unanswered |= answer == Err(Refusal::Unknown);
         let Phase::Starting { uncertain, .. } = run.phase else { return };
         let Err(reason) = answer else {
             run.phase = Phase::Confirmed { since: clock.now };
@@ -240,9 +241,10 @@
             // expired.
             let lease_until =
                 if worker.missed_polls > 0 { None } else { worker.grant(clock.now, lease_ms) };
+            worker.poll_grants = lease_until.is_some();
             let wait_ms = match worker.fenced {
                 // Whether it has restarted shows in any answer.
-                _ if worker.missed_polls > 0 => 0,
+                _ if worker.missed_polls > 0 || worker.settles_starts() => 0,
                 true if worker.is_shared() => limits::SHARED_POLL_WAIT_MS,
                 true => limits::POLL_WAIT_MS,
                 false => 0,
--- a/crates/fleet/src/cell_polls.rs
+++ b/crates/fleet/src/cell_polls.rs
@@ -85,8 +85,12 @@
             worker.processed = 0;
             worker.unrecorded.clear();
             worker.unclaimed.clear();
-            worker.granted_until = 0;
+            // Orders by the clock of the last life give the new one the longest lease.
+            let may_hold = worker.poll_grants || !listing.running.is_empty();
+            let longest = listing.clock_ms + self.limits.max_lease_ms;
+            worker.granted_until = if may_hold { longest } else { 0 };
             worker.observed_at = 0;
+            worker.stop_unanswered(clock.now);
         }
         worker.born = listing.born;
         worker.clock = Some((listing.clock_ms, clock.now));
--- a/crates/fleet/src/limits.rs
+++ b/crates/fleet/src/limits.rs
@@ -5,6 +5,8 @@
 pub struct Limits {
     /// Length of the worker lease that an order or poll requests, in milliseconds.
     pub lease_ms: u64,
+    /// The longest worker lease, to which longer ones are cut, in milliseconds.
+    pub max_lease_ms: u64,
     /// How long an owner continues after the last confirmed renewal of its lease, in milliseconds.
     pub owner_silence_ms: u64,
 }
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -28,6 +28,8 @@
     pub granted_until: u64,
     /// Whether a poll is in flight.
     pub polling: bool,
+    /// Whether the last poll asked for a lease.
+    pub poll_grants: bool,
     /// Earliest time of the next poll after a missed one or with unrecorded ends, in milliseconds.
     pub poll_at: u64,
     /// Since when its entry has had this address and this start, in milliseconds.
@@ -99,6 +101,7 @@
             paused_until: 0,
             granted_until: 0,
             polling: false,
+            poll_grants: false,
             poll_at: 0,
             addressed_at: 0,
             answered_poll_at: None,
@@ -229,6 +232,22 @@
         answers && self.accepts_runs()
     }
 
+    /// Lets the runs be stopped of which a start may still reach a new life of the worker.
+    pub(crate) fn stop_unanswered(&mut self, now: u64) {
+        let is_over = |run: &&mut Run| {
+            matches!(run.phase, run::Phase::Confirmed { .. } | run::Phase::Stopping { .. })
+        };
+        for run in self.runs.values_mut().filter(|run| run.unanswered).filter(is_over) {
+            run.phase = run::Phase::Stopping { retry_at: Some(now), confirmed: None };
+        }
+    }
+
+    /// Returns whether it is to list what has become of a start that had no answer.
+    pub(crate) fn settles_starts(&self) -> bool {
+        let is_stopping = |run: &Run| matches!(run.phase, run::Phase::Stopping { .. });
+        self.runs.values().any(|run| run.unanswered && is_stopping(run))
+    }
+
     /// Adds a run and its reservation.
     pub fn insert(&mut self, name: task::Name, run: Run) {
         self.remove(&name);
--- a/crates/fleet/tests/proofs.rs
+++ b/crates/fleet/tests/proofs.rs
@@ -275,33 +275,61 @@
     assert!(world.cell.head().0.settled);
 }
 
-/// Orders that are carried out by a later life of their worker than the one that they were sent to.
-mod orders_for_an_earlier_life {
-    use super::*;
+/// TWICE: an order that was meant for the last life gave the new life the longest lease that it takes.
+#[test]
+fn the_lease_of_a_new_life_may_come_from_an_order_for_the_last_one() {
+    let mut world = cell_with_a_long_lease();
+    assert_done(&mut world);
+}
 
-    /// TWICE: an order that was meant for the last life gave the new life the longest lease that it takes.
-    #[test]
-    fn the_lease_of_a_new_life_may_come_from_an_order_for_the_last_one() {
-        let mut world = cell_with_a_long_lease();
-        assert_done(&mut world);
-    }
+/// TWICE: a start without an answer was sent again and ran; the new life did not list it, and then got the
+/// first order.
+#[test]
+fn a_run_that_a_new_life_does_not_list_may_still_start_there() {
+    let mut world = cell();
+    world.advance(20_000);
+    let holder = submit_delayed(&mut world);
+    world.advance(500);
+    assert_eq!(world.running(task()), [&*holder]);
+    restart(&mut world, &holder);
+    shrink(&mut world, &holder);
+    world.advance(3_000);
+    assert_eq!(world.starts(task()).len(), 2);
+    world.carry_out_delayed(false);
+    assert_done(&mut world);
+}
 
-    /// TWICE: a start without an answer was sent again and ran; the new life did not list it, and then got the
-    /// first order.
-    #[test]
-    fn a_run_that_a_new_life_does_not_list_may_still_start_there() {
-        let mut world = cell();
-        world.advance(20_000);
-        let holder = submit_delayed(&mut world);
-        world.advance(500);
-        assert_eq!(world.running(task()), [&*holder]);
-        restart(&mut world, &holder);
-        shrink(&mut world, &holder);
-        world.advance(3_000);
-        assert_eq!(world.starts(task()).len(), 2);
-        world.carry_out_delayed(false);
-        assert_done(&mut world);
+/// TWICE: no call outlives its worker here. A start is ordered between the restart of its worker and the end
+/// of the poll to the last life. Its deadline is on the clock of the last life, so the new one takes the longest
+/// lease (6 s, as in DEPLOY.md), and the owner counts from its next grant.
+#[test]
+fn a_start_between_a_restart_and_its_discovery_gives_no_longer_lease_than_is_counted() {
+    let mut world = cell();
+    world.advance(20_000);
+    for id in ["w1", "w2"] {
+        world.drop_polls(id);
+        let now = world.now;
+        world.worker(id).hold_max_ms = 6_000;
+        world.worker(id).restart_with_new_clock(now);
     }
+    let sent = world.now;
+    world.submit("1", QUEUE, vec![step(1, 1)]);
+    world.advance(200);
+    let holder: Arc<str> = world.starts(task())[0].0.as_str().into();
+    for id in ["w1", "w2"] {
+        world.handle(Event::Poll { worker: id.into(), sent, answer: Err(Refusal::Unknown) });
+    }
+    while world.cell.worker(&holder).is_some_and(|worker| worker.born != Some(1)) {
+        world.advance(10);
+    }
+    world.advance(20);
+    world.worker(&holder).down_until = u64::MAX;
+    assert_never_twice(&mut world, 20_000);
+}
+
+/// Orders that are carried out by a later life of their worker than the one that they were sent to.
+mod orders_for_an_earlier_life {
+    use super::*;
 
     /// TWICE: an order that was meant for the last life gave the new life a longer lease than a new owner waits for.
     #[test]
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -157,7 +157,7 @@
 }
 
 pub fn limits() -> Limits {
-    Limits { lease_ms: 4_000, owner_silence_ms: 5_500 }
+    Limits { lease_ms: 4_000, max_lease_ms: 10_000, owner_silence_ms: 5_500 }
 }
 
 impl World {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -118,6 +118,7 @@
     pub(crate) fn limits(&self) -> Limits {
         Limits {
             lease_ms: WORKER_LEASE_MS.min(self.boot.worker_lease_ms),
+            max_lease_ms: self.boot.worker_lease_ms,
             owner_silence_ms: OWNER_SILENCE_MS,
         }
     }
