--- a/crates/node/src/assigner.rs
+++ b/crates/node/src/assigner.rs
@@ -16,8 +16,8 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// A worker without an entry stays assigned for its longest lease and this time at least, in milliseconds.
 const REMOVAL_SLACK_MS: u64 = 3_000;
-/// Maximum number of workers that are removed at a time: a transaction holds 32 entries.
-const MAX_REMOVALS: usize = 24;
+/// Maximum number of workers that are removed at a time: a transaction holds 32 entries, two for a removal.
+const MAX_REMOVALS: usize = 12;
 
 /// Follows the assignment and the VMs' entries.
 pub(crate) async fn follow(node: Rc<Node>) {
@@ -56,6 +56,15 @@
     }
 }
 
+/// Reads the assignment again. A watch may lag behind, and a new owner has to know every worker that the last
+/// one may have used.
+pub(crate) async fn refresh(node: &Rc<Node>) -> Result<(), store::Error> {
+    if let Some(item) = node.store.get(keys::ASSIGNMENT).await? {
+        update_assignment(node, &item);
+    }
+    Ok(())
+}
+
 /// Applies a changed assignment. One that can't be read, or is gone, is replaced by the last one that was read.
 fn update_assignment(node: &Rc<Node>, item: &Item) {
     let mut known = node.assignment.borrow_mut();
@@ -132,22 +141,54 @@
         let value = record::encode(&next);
         let mut expected = vec![(keys::ASSIGNMENT.into(), revision)];
         // A worker whose entry is back by now stays.
-        let removed = assignment.workers.keys().filter(|id| !next.workers.contains_key(*id));
-        expected.extend(removed.map(|id| (format!("{}{id}", registration::PREFIX), 0)));
+        let is_removed = |(id, _): &(&String, &u32)| !next.workers.contains_key(*id);
+        let removed = assignment.workers.iter().filter(is_removed);
+        let removed: Vec<(String, u32)> = removed.map(|(id, cell)| (id.clone(), *cell)).collect();
+        let ids = removed.iter().map(|(id, _)| id);
+        expected.extend(ids.map(|id| (format!("{}{id}", registration::PREFIX), 0)));
         let txn =
             Txn { expected, writes: vec![(keys::ASSIGNMENT.into(), value, 0)], ..Txn::default() };
-        spawn_local(write(node.clone(), txn));
+        spawn_local(write(node.clone(), txn, removed));
     }
 }
 
-/// Writes the assignment, unless another VM has written it since it was read.
-async fn write(node: Rc<Node>, txn: Txn) {
-    match node.store.txn(&txn).await {
+/// Writes the assignment, unless another VM has written it since it was read, or a worker that it removes from
+/// a cell may have got runs since.
+async fn write(node: Rc<Node>, mut txn: Txn, removed: Vec<(String, u32)>) {
+    let written = async {
+        txn.expected.extend(vacated_heads(&node, &removed).await?);
+        node.store.txn(&txn).await
+    };
+    match written.await {
         Ok(revision) => log::info!(revision; "map_written"),
         Err(error) => node.store_failed("map", &error),
     }
 }
 
+/// Returns the keys and revisions of the heads by which the removed workers hold no runs and get none.
+///
+/// # Errors
+///
+/// Returns a conflict if a head no longer lists one of them so.
+async fn vacated_heads(
+    node: &Node,
+    removed: &[(String, u32)],
+) -> Result<Vec<(String, u64)>, store::Error> {
+    let cells: BTreeSet<u32> = removed.iter().map(|(_, cell)| *cell).collect();
+    let mut heads = Vec::new();
+    for cell in cells {
+        let item = node.store.get(&keys::head(cell)).await?;
+        let head = item.as_ref().and_then(decode::<Head>).unwrap_or_default();
+        let mut of_cell = removed.iter().filter(|(_, other)| *other == cell);
+        let vacated = of_cell.all(|(id, _)| head.vacated.contains(id));
+        let Some(item) = item.filter(|_| vacated) else {
+            return Err(store::Error::Conflict(Vec::new()));
+        };
+        heads.push((keys::head(cell), item.revision));
+    }
+    Ok(heads)
+}
+
 /// Returns the assignment for the current VMs and workers, and the revision that it replaces. A worker of a
 /// service that the configuration doesn't name, or before there is one, is not assigned; one that is assigned
 /// stays so, as it may hold runs.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -24,7 +24,7 @@
     },
     std::{
         cell::{Cell as Slot, RefCell},
-        collections::{BTreeMap, HashMap},
+        collections::{BTreeMap, BTreeSet, HashMap},
         convert::Infallible,
         net::SocketAddr,
         path::{Path, PathBuf},
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -306,7 +306,11 @@
 async fn load(node: &Rc<Node>, cell: u32, acquisition: &Acquisition) -> Option<Snapshot> {
     let (items, progress, pressure) = loop {
         node.assigned_members(cell)?;
-        if let Err(error) = discovery::refresh_workers(node, acquisition.sent_at).await {
+        let refreshed = async {
+            assigner::refresh(node).await?;
+            discovery::refresh_workers(node, acquisition.sent_at).await
+        };
+        if let Err(error) = refreshed.await {
             node.store_failed("load", &error);
             sleep(RETRY_DELAY).await;
             continue;
