--- a/crates/fleet/src/cell.rs
+++ b/crates/fleet/src/cell.rs
@@ -130,8 +130,11 @@
     pub(crate) settled: bool,
     /// Workers whose current life first answered after the ownership was last confirmed.
     pub(crate) unconfirmed: BTreeSet<Arc<str>>,
-    /// Runs that a listing leaves out, until it is confirmed that no other owner has seen their ends.
-    pub(crate) unlisted: Vec<cell_confirmation::Unlisted>,
+    /// Runs that a worker's answer leaves out, until it is confirmed that no other owner has seen their ends.
+    pub(crate) unlisted: BTreeMap<(Arc<str>, task::Name), cell_confirmation::Unlisted>,
+    /// Workers that leave `unfenced` once the ownership is confirmed after they had listed all that they know, at
+    /// these times in milliseconds.
+    pub(crate) fencings: BTreeMap<Arc<str>, u64>,
     /// When the tickets of jobs with unclaimed ends were last read, in milliseconds.
     pub(crate) unclaimed_read_at: u64,
     /// Steps of jobs that no worker can hold, as last reported.
@@ -211,7 +214,8 @@
             predecessor: start.predecessor,
             settled: false,
             unconfirmed: BTreeSet::new(),
-            unlisted: Vec::new(),
+            unlisted: BTreeMap::new(),
+            fencings: BTreeMap::new(),
             unclaimed_read_at: 0,
             unheld: BTreeSet::new(),
             unfenced: members.keys().filter(|id| !vacated.contains(&***id)).cloned().collect(),
@@ -289,8 +293,8 @@
         self.forget_lapsed(clock);
         self.settle(clock);
         self.take_inventory(clock);
-        self.release_expired(clock);
         self.release_unlisted(clock);
+        self.release_expired(clock);
         self.look_up_unclaimed(clock);
         self.resend_orders(clock);
         self.relocate_filling_tasks(clock);
--- a/crates/fleet/src/cell_confirmation.rs
+++ b/crates/fleet/src/cell_confirmation.rs
@@ -6,16 +6,14 @@
 use {super::*, action::Proof};
 
 /// Interval between requests for a confirmation, in milliseconds: longer than the store takes to answer.
-const CONFIRMATION_INTERVAL_MS: u64 = 50;
+const CONFIRMATION_INTERVAL_MS: u64 = 20;
 
-/// A run that is missing from a listing.
+/// A run that must be over, unless another owner has renewed its lease or seen its end.
 #[derive(Debug)]
 pub(crate) struct Unlisted {
-    worker: Arc<str>,
-    name: task::Name,
     run: u32,
     proof: Proof,
-    /// When the listing arrived, in milliseconds.
+    /// When the worker's answer arrived, in milliseconds.
     at: u64,
 }
 
@@ -23,15 +21,26 @@
     /// Records that the store has answered a call, sent at `sent_at` in milliseconds, that shows that this
     /// ownership had not ended.
     pub fn confirm(&mut self, sent_at: u64) {
-        self.confirmed_at = self.confirmed_at.max(sent_at);
+        if sent_at <= self.confirmed_at {
+            return;
+        }
+        self.confirmed_at = sent_at;
         let (workers, confirmed_at) = (&mut self.workers, self.confirmed_at);
-        let mut confirmed = false;
+        let waiting = self.unconfirmed.len() + self.fencings.len();
         self.unconfirmed.retain(|id| {
             let Some(worker) = workers.get_mut(id) else { return false };
             worker.confirmed = worker.lives_since <= confirmed_at;
-            confirmed |= worker.confirmed;
             !worker.confirmed
         });
+        let unfenced = &mut self.unfenced;
+        self.fencings.retain(|id, at| {
+            let confirmed = *at <= confirmed_at;
+            if confirmed {
+                unfenced.remove(id);
+            }
+            !confirmed
+        });
+        let confirmed = self.unconfirmed.len() + self.fencings.len() < waiting;
         self.placement_due |= confirmed;
         self.inventory_due |= confirmed;
     }
@@ -60,7 +69,16 @@
         }
     }
 
-    /// Notes that a listing leaves out a run that must be over, unless another owner has seen its end.
+    /// Notes that a worker rejects orders of earlier owners, and has listed all that it knows of them.
+    pub(crate) fn note_fenced(&mut self, now: u64, id: &Arc<str>) {
+        if now <= self.confirmed_at {
+            self.unfenced.remove(id);
+        } else if self.unfenced.contains(id) {
+            self.fencings.entry(id.clone()).or_insert(now);
+        }
+    }
+
+    /// Notes that an answer shows that a run is over, unless another owner has seen its end.
     pub(crate) fn note_unlisted(
         &mut self,
         at: u64,
@@ -69,33 +87,36 @@
         run: u32,
         proof: Proof,
     ) {
-        let is_same = |unlisted: &Unlisted| {
-            unlisted.worker == *id && unlisted.name == name && unlisted.run == run
-        };
-        if !self.unlisted.iter().any(is_same) {
-            self.unlisted.push(Unlisted { worker: id.clone(), name, run, proof, at });
+        let key = (id.clone(), name);
+        if self.unlisted.get(&key).is_none_or(|unlisted| unlisted.run != run) {
+            self.unlisted.insert(key, Unlisted { run, proof, at });
         }
     }
 
-    /// Releases the runs that listings have left out, once that proves that they are over.
+    /// Returns whether an answer has shown that all runs of a worker are over.
+    pub(crate) fn lists_none(&self, id: &Arc<str>) -> bool {
+        let is_noted = |name: &task::Name| self.unlisted.contains_key(&(id.clone(), *name));
+        self.workers.get(id).is_none_or(|worker| worker.runs.keys().all(is_noted))
+    }
+
+    /// Releases the runs that answers have shown to be over, once no other owner can have seen their ends.
     pub(crate) fn release_unlisted(&mut self, clock: Clock) {
         let until = self.covered_until(clock);
-        let (covered, rest) =
-            std::mem::take(&mut self.unlisted).into_iter().partition(|run| run.at <= until);
-        self.unlisted = rest;
-        let covered: Vec<Unlisted> = covered;
-        for Unlisted { worker, name, run, proof, .. } in covered {
-            let holder = self.workers.get_mut(&worker);
-            if holder.is_some_and(|holder| holder.run_mut(&name, run).is_some()) {
-                self.release(&worker, name, proof);
+        let covered: Vec<_> = self.unlisted.extract_if(.., |_, run| run.at <= until).collect();
+        for ((id, name), Unlisted { run, proof, .. }) in covered {
+            let worker = self.workers.get_mut(&id);
+            if worker.is_some_and(|worker| worker.run_mut(&name, run).is_some()) {
+                self.release(&id, name, proof);
             }
         }
-        self.confirmation_due |= !self.unlisted.is_empty();
     }
 
     /// Asks the process to have the ownership confirmed, if anything waits for it.
     pub(crate) fn ask_for_confirmation(&mut self, clock: Clock) {
-        let due = std::mem::take(&mut self.confirmation_due) || !self.unconfirmed.is_empty();
+        let due = std::mem::take(&mut self.confirmation_due)
+            || !self.unconfirmed.is_empty()
+            || !self.fencings.is_empty()
+            || !self.unlisted.is_empty();
         if due && clock.now >= self.confirmation_asked_at + CONFIRMATION_INTERVAL_MS {
             self.confirmation_asked_at = clock.now;
             self.actions.push(Action::Confirm);
--- a/crates/fleet/src/cell_polls.rs
+++ b/crates/fleet/src/cell_polls.rs
@@ -67,10 +67,17 @@
         worker.has_more_ends = false;
         let runs = worker.runs.len();
         self.note_silence(clock, id);
-        self.unfenced.remove(id);
+        self.note_fenced(clock.now, id);
+        if runs == 0 || self.lists_none(id) {
+            return;
+        }
         self.suspect_runs(id, true);
-        if runs > 0 {
-            self.release_all(clock, id, WorkerState::Reborn, Proof::Replaced);
+        self.report_worker(clock, id, WorkerState::Reborn);
+        let Some(worker) = self.workers.get(id) else { return };
+        let runs: Vec<(task::Name, u32)> =
+            worker.runs.iter().map(|(name, run)| (*name, run.number)).collect();
+        for (name, run) in runs {
+            self.note_unlisted(clock.now, id, name, run, Proof::Replaced);
         }
     }
 
@@ -110,7 +117,7 @@
             self.report_worker(clock, id, state);
         }
         if listing.complete {
-            self.unfenced.remove(id);
+            self.note_fenced(clock.now, id);
         }
         if restarted {
             self.note_silence(clock, id);
@@ -124,7 +131,6 @@
         for end in &listing.ended {
             self.apply_end(clock, id, end);
         }
-        self.forget_acknowledged(id, &listing);
         for row in &listing.running {
             self.apply_running(clock, id, sent, row);
         }
@@ -140,11 +146,13 @@
             return;
         }
         worker.processed = end.number;
+        let all_listed = !worker.has_more_ends;
         let held = worker.run_mut(&name, end.run).is_some();
         let run = if held { worker.remove(&name) } else { None };
         let is_over = self.removed.get(&name.job).is_some_and(|removal| !removal.moved);
-        if !self.jobs.contains_key(&name.job) && !is_over {
-            return self.hold_unclaimed(id, end);
+        let is_unknown = !self.jobs.contains_key(&name.job) && !is_over;
+        if is_unknown && all_listed && end.reason == EndReason::Done {
+            return self.hold_unclaimed(clock, id, end);
         }
         self.process_end(clock, id, end, run);
         let changes = self.changes;
@@ -322,6 +330,7 @@
             run.idle_since.get_or_insert(clock.now);
         }
         let hangs = run.idle_since.is_some_and(|since| clock.now >= since + HANG_MS);
+        self.unlisted.remove(&(id.clone(), name));
         self.set_checkpoint(name, &row.checkpoint);
         self.clear_survivor(id, name);
         if hangs {
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -51,9 +51,9 @@
     /// Processed ends that are not recorded yet: number of the end, and the value that
     /// `Cell::durable` reaches once it is recorded.
     pub unrecorded: VecDeque<(u64, u64)>,
-    /// Processed ends of runs of jobs that the cell does not know. They are not acknowledged: the cell that has
-    /// the job may still have to hear of them.
-    pub unclaimed: Vec<listing::End>,
+    /// Ends as done of jobs that the cell does not know, each with the time since when it is held, in
+    /// milliseconds. They are not acknowledged yet.
+    pub unclaimed: Vec<(u64, listing::End)>,
     /// Whether it is assigned to the cell. One that is not stays only until its runs and those of earlier
     /// owners are over, and its entry is no longer followed.
     pub is_member: bool,
--- a/crates/fleet/tests/crashes.rs
+++ b/crates/fleet/tests/crashes.rs
@@ -233,6 +233,23 @@
     assert_eq!(world.starts(name("1", 0, 0)).len(), 2);
 }
 
+/// A cut-off owner can't know whether a later one has the task done.
+#[test]
+fn a_task_beside_one_crash_starts_again_as_soon_as_the_store_is_back() {
+    let mut world = World::new(&WORKERS);
+    world.run_ms = 1_000;
+    world.submit("1", QUEUE, vec![step(1, 1)]);
+    world.advance(100);
+    let holder = world.running(name("1", 0, 0))[0].to_owned();
+    world.crash(&holder);
+    world.store = Store::Down;
+    world.advance(5_000);
+    assert_eq!(world.starts(name("1", 0, 0)).len(), 1);
+    world.store = Store::Up;
+    world.advance(300);
+    assert_eq!(world.starts(name("1", 0, 0)).len(), 2);
+}
+
 /// The successors of two crashed workers had not answered yet: the four looked like a rack that fails.
 #[test]
 fn a_worker_that_has_not_answered_yet_has_not_fallen_silent() {
--- a/crates/fleet/tests/unclaimed.rs
+++ b/crates/fleet/tests/unclaimed.rs
@@ -23,7 +23,7 @@
     };
     world.tickets.insert(id("1"), (ticket, 1));
     world.worker("w1").end(task(), 1, EndReason::Done, String::new());
-    world.advance(3_000);
+    world.advance(1_500);
 }
 
 fn is_listed(world: &mut World) -> bool {
@@ -53,13 +53,33 @@
     assert!(!is_listed(&mut world));
 }
 
-#[test]
-fn an_end_that_its_own_cell_has_acknowledged_holds_up_no_others() {
+/// LOST: one end that was held for good held up all later ones of its worker.
+fn holds_up_no_others(reason: EndReason) {
     let mut world = World::new(&["w1"]);
-    list_end_of_unknown_job(&mut world);
-    world.worker("w1").ended.clear();
-    world.submit("2", QUEUE, vec![step(1, 1)]);
-    world.advance(3_000);
-    assert_eq!(world.state("2"), State::Completed);
-    assert!(world.worker("w1").ended.is_empty());
+    world.run_ms = 100;
+    let ticket = Ticket {
+        also: Vec::new(),
+        additions: 0,
+        cell: 7,
+        division: None,
+        queue: QUEUE.into(),
+        state: State::Running,
+    };
+    world.tickets.insert(id("1"), (ticket, 1));
+    world.worker("w1").end(task(), 1, reason, String::new());
+    world.advance(1_000);
+    for job in 0..70_u32 {
+        world.submit(&format!("{:x}", job + 2), QUEUE, vec![step(10, 1)]);
+        world.advance(1_000);
+    }
+    world.advance(20_000);
+    let left = world.worker("w1").ended.len();
+    let open = world.cell.job_count();
+    assert_eq!((left, open), (0, 0), "ends left, jobs open");
+}
+
+#[test]
+fn an_end_of_a_job_that_lasts_elsewhere_holds_up_no_others() {
+    holds_up_no_others(EndReason::Lapsed);
+    holds_up_no_others(EndReason::Done);
 }
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -87,6 +87,8 @@
     delayed: Vec<Action>,
     /// The owner is cut off from the store.
     pub cut_off: bool,
+    /// Number of times that the owner has asked for a confirmation.
+    pub confirmations_asked: u64,
 }
 
 /// How long a crashed worker is down, in milliseconds.
@@ -226,6 +228,7 @@
             delays_starts: false,
             delayed: Vec::new(),
             cut_off: false,
+            confirmations_asked: 0,
         };
         world.take_over();
         world
@@ -596,7 +599,7 @@
                 let ticket = self.tickets.get(&id).map(|(ticket, _)| ticket.clone());
                 self.handle(Event::TicketRead { id, ticket });
             }
-            Action::Confirm => {}
+            Action::Confirm => self.confirmations_asked += 1,
             Action::Lost => self.lost = true,
             Action::Report(report) => {
                 if let Report::JobOver { job, state: State::Completed, .. } = &report {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -37,7 +37,7 @@
         signal::unix::{SignalKind, signal},
         sync::{Notify, mpsc},
         task::spawn_local,
-        time::sleep,
+        time::{MissedTickBehavior, sleep},
     },
 };
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -142,6 +142,11 @@
         }
     }
 
+    /// Returns whether the store has answered a call under the lease lately.
+    pub(crate) fn is_lease_fresh(&self) -> bool {
+        time::now() < self.lease_confirmed_at.get() + STORE_LOST_AFTER_MS
+    }
+
     /// Returns whether an owner that took its cell under a lease may send orders at `now`, in milliseconds. Cells
     /// are lost with the lease under which they were taken.
     pub(crate) fn may_order(&self, lease: u64, now: u64) -> bool {
--- a/crates/node/src/session.rs
+++ b/crates/node/src/session.rs
@@ -5,8 +5,7 @@
 
 /// Interval between renewals of the lease.
 const RENEW_INTERVAL: Duration = Duration::from_millis(500);
-/// Maximum number of renewals that wait for an answer: one that has none holds the next one up no longer than
-/// the interval.
+/// Maximum number of renewals that wait for an answer, so that one without an answer doesn't hold up the next.
 const MAX_RENEWALS: usize = 3;
 /// Delay before a failed attempt to open a session is repeated.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
@@ -65,20 +64,26 @@
 /// Renews the lease until it is lost or the VM leaves.
 async fn renew(node: &Rc<Node>, lease: u64) {
     let mut renewals = tokio::task::JoinSet::new();
+    let mut interval = tokio::time::interval(RENEW_INTERVAL);
+    interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        tokio::select! {
+        let most = tokio::select! {
             Some(renewal) = renewals.join_next() => match renewal {
                 Ok(true) => continue,
                 Ok(false) => return,
-                Err(error) => log::error!(task = "renewal", error:% = error; "task_failed"),
+                Err(error) => {
+                    log::error!(task = "renewal", error:% = error; "task_failed");
+                    continue;
+                }
             },
-            () = node.confirmation_due.notified() => {}
-            () = sleep(RENEW_INTERVAL) => {}
-        }
+            // While the store doesn't answer, only the interval counts.
+            () = node.confirmation_due.notified(), if node.is_lease_fresh() => 1,
+            _ = interval.tick() => MAX_RENEWALS,
+        };
         if node.leaving.get() {
             return;
         }
-        if renewals.len() < MAX_RENEWALS {
+        if renewals.len() < most {
             renewals.spawn_local(renew_once(node.clone(), lease));
         }
         let entry_exists = node.vms.borrow().contains_key(&node.boot.vm);
