--- a/crates/standin/src/users_worker.rs
+++ b/crates/standin/src/users_worker.rs
@@ -37,7 +37,7 @@
 /// The runs of one task on all workers.
 #[derive(Clone, Debug, Default)]
 pub struct Entry {
-    /// Whether a run that ended as done was acknowledged.
+    /// Whether a run that ended as done was acknowledged, and its lease hadn't lapsed since.
     pub acknowledged: bool,
     /// Workers that it has crashed.
     pub crashes: u32,
@@ -235,12 +235,12 @@
         }
     }
 
-    /// Records that the end of a run as done was acknowledged.
+    /// Records that the end of a run as done was acknowledged. It doesn't count once it is void.
     fn acknowledge_done(&self, worker: &str, end: &End) {
         let mut open_end = None;
         self.change(&end.task, |entry| {
-            entry.acknowledged = true;
             open_end = entry.take_open_end(worker, end.sequence);
+            entry.acknowledged |= open_end.is_some();
         });
         if let Some(other) = open_end.and_then(|end| end.restarted_on) {
             self.record_violation(format!(
