--- a/crates/node/tests/soak.rs
+++ b/crates/node/tests/soak.rs
@@ -7,9 +7,10 @@
 
 /// How long faults are injected in each run in CI.
 const FAULT_DURATION: Duration = Duration::from_secs(8);
-/// Number of workers, and the same beside cuts, which leave fewer of them in reach.
+/// Number of workers, and the same beside cuts and partitions, which leave fewer of them in reach.
 const WORKERS: usize = 8;
 const WORKERS_BESIDE_CUTS: usize = 40;
+const WORKERS_BESIDE_PARTITIONS: usize = 24;
 
 fn soak(seed: u64) {
     run(seed, Disruption::Faults);
@@ -24,7 +25,11 @@
         program: env!("CARGO_BIN_EXE_oleanderstage-node").into(),
         seed,
         vms: 4,
-        workers: if disruption == Disruption::Cuts { WORKERS_BESIDE_CUTS } else { WORKERS },
+        workers: match disruption {
+            Disruption::Cuts => WORKERS_BESIDE_CUTS,
+            Disruption::Partitions => WORKERS_BESIDE_PARTITIONS,
+            _ => WORKERS,
+        },
     };
     let report = oleanderstage_soak::run(plan).expect("a run");
     println!("{}", report.line());
@@ -87,3 +92,9 @@
 fn invariants_hold_beside_workers_that_are_cut_off() {
     run(14, Disruption::Cuts);
 }
+
+/// VMs and workers are cut off together from the store and from other machines: no task runs twice.
+#[test]
+fn invariants_hold_beside_partitions() {
+    run(31, Disruption::Partitions);
+}
--- a/crates/soak/src/cuts.rs
+++ b/crates/soak/src/cuts.rs
@@ -10,9 +10,11 @@
 
 /// Begins a disturbance, all of which it draws at once.
 type Begin = fn(&Rc<Soak>, &mut Pcg64Mcg) -> Vec<JoinHandle<()>>;
+/// The time between two disturbances in milliseconds, and what begins one.
+pub(crate) type Series = (Range<u64>, Begin);
 
-/// The series, each with the time between two disturbances, in milliseconds.
-const SERIES: [(Range<u64>, Begin); 4] = [
+/// The series beside cuts.
+const SERIES: [Series; 4] = [
     (400..1_200, begin_cuts),
     (500..1_500, begin_leaves),
     (1_500..4_000, begin_restart),
@@ -37,8 +39,13 @@
 const RETRY_INTERVAL: Duration = Duration::from_millis(50);
 
 impl Soak {
-    /// Runs the series until `end`, and waits until their disturbances are over. The beats go on.
+    /// Cuts workers off until `end`, and waits until all disturbances are over.
     pub(crate) async fn cut_off(self: Rc<Self>, end: Instant) {
+        self.run_all_series(end, &SERIES).await;
+    }
+
+    /// Runs the series until `end`, and waits until their disturbances are over. The beats go on.
+    pub(crate) async fn run_all_series(self: Rc<Self>, end: Instant, series: &[Series]) {
         // How often requests draw depends on timing, so each series has a source of its own.
         let source = |number: u64| Pcg64Mcg::seed_from_u64(!(self.plan.seed ^ number << 32));
         let mut random = source(0);
@@ -47,9 +54,10 @@
             spawn_local(self.clone().keep_beating(number, phase));
         }
         let series: Vec<_> = (1..)
-            .zip(SERIES)
+            .zip(series)
             .map(|(number, (interval_ms, begin))| {
-                spawn_local(self.clone().run_series(end, source(number), interval_ms, begin))
+                let interval_ms = interval_ms.clone();
+                spawn_local(self.clone().run_series(end, source(number), interval_ms, *begin))
             })
             .collect();
         for task in series {
@@ -83,10 +91,17 @@
         }
     }
 
-    /// Records what a worker does or suffers now, with the Unix time in milliseconds.
-    fn record_step(&self, number: usize, step: &str) {
+    /// Records a step with the Unix time in milliseconds.
+    pub(crate) fn record_step(&self, step: &str) {
+        let is_partitioned = self.plan.disruption == Disruption::Partitions;
+        let file = if is_partitioned { "partitions.log" } else { "cuts.log" };
         let time = UNIX_EPOCH.elapsed().unwrap_or_default().as_millis();
-        self.record("cuts.log", &format!("{time} {} {step}", self.workers[number].0.id));
+        self.record(file, &format!("{time} {step}"));
+    }
+
+    /// Records what a worker does or suffers now.
+    fn record_worker_step(&self, number: usize, step: &str) {
+        self.record_step(&format!("{} {step}", self.workers[number].0.id));
     }
 
     /// Writes the worker's entry if it reaches the store, and returns whether it does.
@@ -101,7 +116,7 @@
     async fn cut_worker(self: Rc<Self>, number: usize, cut: Cut, lead: Duration, time: Duration) {
         let end = Instant::now() + time;
         let ((_, relay), link) = (&self.workers[number], &self.links[number]);
-        self.record_step(number, &format!("{} {lead:?} {time:?}", cut.name()));
+        self.record_worker_step(number, &format!("{} {lead:?} {time:?}", cut.name()));
         if cut == Cut::Both {
             link.cut(relay, Cut::Store);
             sleep(lead).await;
@@ -124,9 +139,9 @@
         while !self.beat(number) {
             sleep(RETRY_INTERVAL).await;
         }
-        self.record_step(number, "drain");
+        self.record_worker_step(number, "drain");
         sleep(stay).await;
-        self.record_step(number, "leave");
+        self.record_worker_step(number, "leave");
         let reaches_store = link.reaches_store();
         link.cut(relay, Cut::Both);
         worker.crash();
@@ -149,7 +164,7 @@
         self.count("worker-restart");
         link.cut(relay, cut);
         sleep(times[0]).await;
-        self.record_step(number, "restart");
+        self.record_worker_step(number, "restart");
         worker.crash();
         self.beat(number);
         sleep(times[1]).await;
@@ -180,7 +195,7 @@
     (first..first + count).map(move |number| number % workers)
 }
 
-fn begin_restart(soak: &Rc<Soak>, random: &mut Pcg64Mcg) -> Vec<JoinHandle<()>> {
+pub(crate) fn begin_restart(soak: &Rc<Soak>, random: &mut Pcg64Mcg) -> Vec<JoinHandle<()>> {
     let number = random.random_range(0..soak.workers.len());
     let cut = if random.random_bool(0.5) { Cut::Both } else { Cut::Vms };
     let times = [duration(random, ABSENCE_MS), duration(random, ABSENCE_MS)];
@@ -196,6 +211,7 @@
     vec![spawn_local(async move { soak.apply_fault_to(fault, time, &vm, 0).await })]
 }
 
-fn duration(random: &mut Pcg64Mcg, range_ms: Range<u64>) -> Duration {
+/// Draws a duration from a range of milliseconds.
+pub(crate) fn duration(random: &mut Pcg64Mcg, range_ms: Range<u64>) -> Duration {
     Duration::from_millis(random.random_range(range_ms))
 }
--- a/crates/soak/src/disruption.rs
+++ b/crates/soak/src/disruption.rs
@@ -14,4 +14,7 @@
     Maintenance,
     /// Outages of the store, beside lasting jobs, kills of all VMs and workers that leave or crash.
     Outages,
+    /// VMs and workers are cut off together from the store and from other machines, while workers restart and
+    /// VMs are killed, stopped and paused.
+    Partitions,
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -8,7 +8,7 @@
     oleanderstage_adapter::{Http, http},
     oleanderstage_proof::tcp_relay::TcpRelay,
     oleanderstage_standin::{
-        UsersLedger, UsersStore, UsersWorker,
+        UsersLedger, UsersStore, UsersView, UsersWorker,
         users_store::Availability,
         users_worker::{CAPACITY_MILLI, DRAIN_LIMIT, EVACUATION_LIMIT, HEARTBEAT},
     },
@@ -33,6 +33,8 @@
     },
 };
 
+use {link::Link, wire::Wire};
+
 pub use {
     disruption::Disruption, fault::Fault, job::Job, plan::Plan, report::Report, soak::Soak, vm::Vm,
 };
@@ -48,11 +50,15 @@
 mod outage;
 mod outages;
 mod ownership;
+mod partition;
+mod partitions;
 mod plan;
 mod presence;
 mod report;
 mod soak;
 mod vm;
+mod way;
+mod wire;
 
 /// Run the soak test once for each seed, and report the guarantees that were violated.
 #[derive(FromArgs)]
@@ -87,6 +93,9 @@
     /// cut workers off from the VMs and the store while workers leave and restart, instead of random faults
     #[argh(switch)]
     cuts: bool,
+    /// cut VMs and workers off together from the store and other machines, instead of random faults
+    #[argh(switch)]
+    partitions: bool,
     /// directory for the VMs' settings and logs
     #[argh(option)]
     logs: PathBuf,
@@ -100,6 +109,7 @@
         (arguments.crashes, Disruption::Crashes),
         (arguments.outages, Disruption::Outages),
         (arguments.cuts, Disruption::Cuts),
+        (arguments.partitions, Disruption::Partitions),
     ];
     let chosen: Vec<Disruption> =
         kinds.into_iter().filter_map(|(is_chosen, kind)| is_chosen.then_some(kind)).collect();
@@ -108,7 +118,7 @@
         [kind] => kind,
         _ => {
             return Err(miette::miette!(
-                "choose one of --maintenance, --crashes, --outages and --cuts"
+                "choose one of --maintenance, --crashes, --outages, --cuts and --partitions"
             ));
         }
     };
--- a/crates/soak/src/link.rs
+++ b/crates/soak/src/link.rs
@@ -21,10 +21,20 @@
         self.store_cuts.get() == 0
     }
 
+    /// Begins a cut from the store, which may overlap with others.
+    pub(crate) fn cut_from_store(&self) {
+        self.store_cuts.update(|count| count + 1);
+    }
+
+    /// Ends a cut from the store.
+    pub(crate) fn heal_from_store(&self) {
+        self.store_cuts.update(|count| count - 1);
+    }
+
     /// Begins a cut, which may overlap with others.
     pub(crate) fn cut(&self, relay: &TcpRelay, cut: Cut) {
         if cut != Cut::Vms {
-            self.store_cuts.update(|count| count + 1);
+            self.cut_from_store();
         }
         if cut != Cut::Store {
             self.vm_cuts.update(|count| count + 1);
@@ -35,7 +45,7 @@
     /// Ends a cut.
     pub(crate) fn heal(&self, relay: &TcpRelay, cut: Cut) {
         if cut != Cut::Vms {
-            self.store_cuts.update(|count| count - 1);
+            self.heal_from_store();
         }
         if cut != Cut::Store {
             self.vm_cuts.update(|count| count - 1);
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -1,6 +1,6 @@
 //! One run of the soak test: starts the system, injects faults and checks the guarantees.
 
-use {super::*, link::Link};
+use super::*;
 
 /// The state of a run in progress.
 pub struct Soak {
@@ -22,6 +22,8 @@
     pub(crate) random: RefCell<Pcg64Mcg>,
     pub(crate) store: UsersStore,
     pub(crate) vms: Vec<Rc<Vm>>,
+    /// The wires of each VM beside partitions: to the store, then to each worker.
+    pub(crate) wires: Vec<Vec<Wire>>,
     pub(crate) workers: Vec<(UsersWorker, TcpRelay)>,
 }
 
@@ -59,8 +61,17 @@
             workers.push((worker, relay));
         }
         let block = vm::address_block();
-        let mut vms = Vec::new();
+        if plan.disruption == Disruption::Partitions {
+            store.put("m/map", &partitions::map(&plan, &workers));
+        }
+        let (mut vms, mut wires) = (Vec::new(), Vec::new());
         for number in 0..plan.vms {
+            let mut address = address;
+            if plan.disruption == Disruption::Partitions {
+                let vm_wires = Wire::start_all(&store, &workers).await?;
+                address = vm_wires[0].address();
+                wires.push(vm_wires);
+            }
             vms.push(Rc::new(Vm::start(&plan, block, number, address).await?));
         }
         let soak = Rc::new(Self {
@@ -76,6 +87,7 @@
             plan,
             store,
             vms,
+            wires,
             workers,
         });
         soak.clone().execute().await
@@ -91,6 +103,7 @@
             Disruption::Faults => spawn_local(self.clone().inject(end)),
             Disruption::Maintenance => spawn_local(self.clone().maintain(end)),
             Disruption::Outages => spawn_local(self.clone().interrupt(end)),
+            Disruption::Partitions => spawn_local(self.clone().partition(end)),
         };
         let outlasts_end = self.plan.disruption == Disruption::Outages;
         let interval = if outlasts_end { SPARSE_INTERVAL } else { SUBMIT_INTERVAL };
