--- a/crates/fleet/src/cell_confirmation.rs
+++ b/crates/fleet/src/cell_confirmation.rs
@@ -5,7 +5,7 @@
 
 use {super::*, action::Proof};
 
-/// Interval between requests for a confirmation, in milliseconds: longer than the store takes to answer.
+/// Interval between requests for a confirmation, in milliseconds.
 const CONFIRMATION_INTERVAL_MS: u64 = 20;
 
 /// A run that must be over, unless another owner has renewed its lease or seen its end.
@@ -95,8 +95,17 @@
 
     /// Returns whether an answer has shown that all runs of a worker are over.
     pub(crate) fn lists_none(&self, id: &Arc<str>) -> bool {
-        let is_noted = |name: &task::Name| self.unlisted.contains_key(&(id.clone(), *name));
-        self.workers.get(id).is_none_or(|worker| worker.runs.keys().all(is_noted))
+        let is_noted = |(name, run): (&task::Name, &Run)| {
+            let unlisted = self.unlisted.get(&(id.clone(), *name));
+            unlisted.is_some_and(|unlisted| unlisted.run == run.number)
+        };
+        self.workers.get(id).is_none_or(|worker| worker.runs.iter().all(is_noted))
+    }
+
+    /// Drops what answers have shown of a task's run at a worker: another answer shows it again, or the run
+    /// is another one.
+    pub(crate) fn forget_unlisted(&mut self, id: &Arc<str>, name: task::Name) {
+        self.unlisted.remove(&(id.clone(), name));
     }
 
     /// Releases the runs that answers have shown to be over, once no other owner can have seen their ends.
--- a/crates/fleet/src/cell_orders.rs
+++ b/crates/fleet/src/cell_orders.rs
@@ -28,6 +28,7 @@
         let gang_level = suspects.max().filter(|_| step.gang).unwrap_or(0);
         let Some(task) = stage.tasks.get_mut(usize::from(name.index)) else { return };
         let Some(worker) = self.workers.get_mut(id) else { return };
+        self.unlisted.remove(&(id.clone(), name));
         let unstarted = step.lasting && !task.has_run();
         task.last_run = run;
         task.status = Status::Active { worker: id.clone(), run };
@@ -336,6 +337,7 @@
 
     /// Removes a run that is known to be over from its worker and makes its task wait again.
     pub(crate) fn release(&mut self, id: &Arc<str>, name: task::Name, proof: Proof) {
+        self.forget_unlisted(id, name);
         let Some(worker) = self.workers.get_mut(id) else { return };
         let Some(run) = worker.remove(&name) else { return };
         let (lifetime, number, worker) = (worker.lifetime(&run), run.number, id.clone());
--- a/crates/fleet/src/cell_polls.rs
+++ b/crates/fleet/src/cell_polls.rs
@@ -74,8 +74,9 @@
         self.suspect_runs(id, true);
         self.report_worker(clock, id, WorkerState::Reborn);
         let Some(worker) = self.workers.get(id) else { return };
-        let runs: Vec<(task::Name, u32)> =
-            worker.runs.iter().map(|(name, run)| (*name, run.number)).collect();
+        let ordered = |(_, run): &(&task::Name, &Run)| !matches!(run.phase, Phase::Planned { .. });
+        let runs = worker.runs.iter().filter(ordered);
+        let runs: Vec<(task::Name, u32)> = runs.map(|(name, run)| (*name, run.number)).collect();
         for (name, run) in runs {
             self.note_unlisted(clock.now, id, name, run, Proof::Replaced);
         }
@@ -98,6 +99,7 @@
             worker.granted_until = if may_hold { longest } else { 0 };
             worker.observed_at = 0;
             worker.stop_unanswered(clock.now);
+            self.unlisted.retain(|(holder, _), _| holder != id);
         }
         worker.born = listing.born;
         worker.clock = Some((listing.clock_ms, clock.now));
@@ -146,12 +148,11 @@
             return;
         }
         worker.processed = end.number;
-        let all_listed = !worker.has_more_ends;
         let held = worker.run_mut(&name, end.run).is_some();
         let run = if held { worker.remove(&name) } else { None };
         let is_over = self.removed.get(&name.job).is_some_and(|removal| !removal.moved);
         let is_unknown = !self.jobs.contains_key(&name.job) && !is_over;
-        if is_unknown && all_listed && end.reason == EndReason::Done {
+        if is_unknown && matches!(end.reason, EndReason::Done | EndReason::Failed) {
             return self.hold_unclaimed(clock, id, end);
         }
         self.process_end(clock, id, end, run);
@@ -312,6 +313,7 @@
     /// Updates a run that the worker lists as running, and stops it if it hangs.
     fn apply_running(&mut self, clock: Clock, id: &Arc<str>, sent: u64, row: &listing::Running) {
         let name = row.task;
+        self.forget_unlisted(id, name);
         let Some(worker) = self.workers.get_mut(id) else { return };
         let Some(run) = worker.run_mut(&name, row.run) else {
             return self.adopt(clock, id, row);
@@ -330,7 +332,6 @@
             run.idle_since.get_or_insert(clock.now);
         }
         let hangs = run.idle_since.is_some_and(|since| clock.now >= since + HANG_MS);
-        self.unlisted.remove(&(id.clone(), name));
         self.set_checkpoint(name, &row.checkpoint);
         self.clear_survivor(id, name);
         if hangs {
@@ -387,8 +388,14 @@
     /// Stops all runs of an unknown job whose ticket shows that it is over or does not exist.
     pub(crate) fn handle_ticket(&mut self, clock: Clock, id: job::Id, ticket: Option<&Ticket>) {
         self.lookups.remove(&id);
-        let open = ticket.is_some_and(|ticket| !ticket.state.is_final());
-        if open || self.jobs.contains_key(&id) {
+        let open = ticket.filter(|ticket| !ticket.state.is_final());
+        let is_coming = |ticket: &Ticket| {
+            ticket.cell == self.head.cell || ticket.also.contains(&self.head.cell)
+        };
+        if open.is_some_and(is_coming) {
+            self.hold_longer(clock, id);
+        }
+        if open.is_some() || self.jobs.contains_key(&id) {
             return;
         }
         self.forget_unclaimed(id);
--- a/crates/fleet/src/cell_unclaimed.rs
+++ b/crates/fleet/src/cell_unclaimed.rs
@@ -1,4 +1,4 @@
-//! Holds ends as done of jobs that the cell does not know. Once acknowledged, an end is forgotten by its worker,
+//! Holds ends, as done or failed, of jobs that the cell does not know. Once acknowledged, an end is forgotten by its worker,
 //! and the cell starts the task again if it gets to know the job. Answers this load: owners whose view of the
 //! records lags behind, and jobs that follow their workers into another cell.
 
@@ -6,13 +6,15 @@
 
 /// Interval between reads of the tickets of jobs with unclaimed ends, in milliseconds.
 const READ_INTERVAL_MS: u64 = 1_000;
-/// How long an end is held, in milliseconds. It holds up the acknowledgement of later ones.
+/// How long an end of a job of other cells is held, in milliseconds. It holds up the acknowledgement of later
+/// ones.
 const MAX_HOLD_MS: u64 = 3_000;
 /// A value that `Cell::durable` does not reach.
 const NEVER: u64 = u64::MAX;
 
 impl Cell {
-    /// Holds an end unacknowledged until its job is known here or over, for `MAX_HOLD_MS` at most.
+    /// Holds an end unacknowledged until its job is known here or over, or other cells have had it for
+    /// `MAX_HOLD_MS`.
     pub(crate) fn hold_unclaimed(&mut self, clock: Clock, id: &Arc<str>, end: &listing::End) {
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.unrecorded.push_back((end.number, NEVER));
@@ -34,7 +36,8 @@
             return;
         }
         self.unclaimed_read_at = clock.now;
-        let is_old = |since: u64, _: &listing::End| clock.now >= since + MAX_HOLD_MS;
+        let until = self.covered_until(clock);
+        let is_old = |since: u64, _: &listing::End| until >= since + MAX_HOLD_MS;
         for (id, end) in self.take_unclaimed(is_old) {
             self.set_change(&id, end.number, 0);
         }
@@ -43,6 +46,14 @@
         jobs.into_iter().for_each(|job| self.look_up(job));
     }
 
+    /// Holds the ends of a job whose record is on its way here.
+    pub(crate) fn hold_longer(&mut self, clock: Clock, job: job::Id) {
+        let held = self.workers.values_mut().flat_map(|worker| &mut worker.unclaimed);
+        for (since, _) in held.filter(|(_, end)| end.task.job == job) {
+            *since = clock.now;
+        }
+    }
+
     /// Processes the held ends of a job that has become known.
     pub(crate) fn claim_ends(&mut self, clock: Clock, job: job::Id) {
         if !self.jobs.contains_key(&job) {
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -51,7 +51,7 @@
     /// Processed ends that are not recorded yet: number of the end, and the value that
     /// `Cell::durable` reaches once it is recorded.
     pub unrecorded: VecDeque<(u64, u64)>,
-    /// Ends as done of jobs that the cell does not know, each with the time since when it is held, in
+    /// Ends of jobs that the cell does not know, each with the time since when it is held, in
     /// milliseconds. They are not acknowledged yet.
     pub unclaimed: Vec<(u64, listing::End)>,
     /// Whether it is assigned to the cell. One that is not stays only until its runs and those of earlier
