--- a/crates/fleet/src/cell_polls.rs
+++ b/crates/fleet/src/cell_polls.rs
@@ -95,7 +95,7 @@
             worker.unclaimed.clear();
             // Orders by the clock of the last life give the new one the longest lease.
             let may_hold = worker.poll_grants || !listing.running.is_empty();
-            let longest = listing.clock_ms + self.limits.max_lease_ms;
+            let longest = listing.clock_ms.saturating_add(self.limits.max_lease_ms);
             worker.granted_until = if may_hold { longest } else { 0 };
             worker.observed_at = 0;
             worker.stop_unanswered(clock.now);
