--- a/crates/fleet/src/cell.rs
+++ b/crates/fleet/src/cell.rs
@@ -166,7 +166,7 @@
             commit: None,
             committed_at: start.acquired_at,
             config: start.config,
-            confirmed_at: start.acquired_at,
+            confirmed_at: 0,
             confirmation_due: false,
             confirmation_asked_at: 0,
             delays: BTreeMap::new(),
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -199,7 +199,9 @@
     /// order of earlier owners is over.
     pub fn is_vacated(&self, now: u64, settled: bool) -> bool {
         let knows_runs = !self.holds_unknown_runs() || self.has_lapsed(now);
-        let is_empty = self.runs.is_empty() && knows_runs && !self.may_list_more_ends(now);
+        let holds_ends = !self.unclaimed.is_empty() && !self.has_lapsed(now);
+        let is_empty =
+            self.runs.is_empty() && knows_runs && !holds_ends && !self.may_list_more_ends(now);
         let draining = self.registration.as_ref().is_some_and(|entry| entry.draining);
         match self.fenced {
             true => is_empty && (draining || self.has_lapsed(now)),
@@ -234,10 +236,10 @@
 
     /// Lets the runs be stopped of which a start may still reach a new life of the worker.
     pub(crate) fn stop_unanswered(&mut self, now: u64) {
-        let is_over = |run: &&mut Run| {
+        let has_answer = |run: &&mut Run| {
             matches!(run.phase, run::Phase::Confirmed { .. } | run::Phase::Stopping { .. })
         };
-        for run in self.runs.values_mut().filter(|run| run.unanswered).filter(is_over) {
+        for run in self.runs.values_mut().filter(|run| run.unanswered).filter(has_answer) {
             run.phase = run::Phase::Stopping { retry_at: Some(now), confirmed: None };
         }
     }
--- a/crates/fleet/tests/records.rs
+++ b/crates/fleet/tests/records.rs
@@ -49,7 +49,7 @@
     assert_eq!(world.starts(task()).len(), 1, "it has ended `done`");
 }
 
-/// TWICE: the same without an outage, for any moment of the end around the split: how often is it lost?
+/// TWICE: the same without an outage, wherever the end falls around the split.
 #[test]
 fn an_end_around_a_split_is_recorded_whenever_it_comes() {
     let mut lost = Vec::new();
--- a/crates/fleet/tests/unclaimed.rs
+++ b/crates/fleet/tests/unclaimed.rs
@@ -93,6 +93,19 @@
     assert!(is_listed(&mut world));
 }
 
+/// A new owner does not wait for a vacated worker, and would start the task before it hears of the end.
+#[test]
+fn a_draining_worker_with_a_held_end_is_not_vacated() {
+    let mut world = World::new(&["w1"]);
+    world.worker("w1").draining = true;
+    world.tell_members();
+    list_end_of_unknown_job(&mut world);
+    assert!(is_listed(&mut world));
+    assert!(!world.head.0.vacated.contains("w1"));
+    world.advance(5_000);
+    assert!(world.head.0.vacated.contains("w1"));
+}
+
 /// LOST: one end that was held for good held up all later ones of its worker.
 fn holds_up_no_others(reason: EndReason) {
     let mut world = World::new(&["w1"]);
