--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,5 +1,5 @@
-"""A job whose lasting step waits for another step never gets to run that step, if the other one takes longer than
-usual: the waiting tasks are given to another cell, which doesn't know that the other step is done."""
+"""A cancellation is acknowledged, and the job that it cancelled is accepted and run afterwards: the write that accepts
+it got no answer and was carried out seconds later."""
 
 import asyncio
 import os
@@ -8,51 +8,49 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standin-2"))
 from standin import TROUBLE, note, now, request, run
 
-JOB = "d94b36f85c0e7a21"
-WORK_S = 0.5
-# The pages: work takes up to 6.5 times as long, for 7 s.
-SLOW_X = 6.0
-slow_until = [0.0]
-
-
-def duration(task):
-    if task.split(".")[2] == "1":
-        return None
-    return WORK_S * (SLOW_X if now() < slow_until[0] else 1)
+JOB = "7a21d94b36f85c0e"
+# The pages: done 1 to 6 s later.
+LATE_S = 5.0
+# `bounds.cancel_ms`.
+CANCEL_S = 3.0
 
 
 async def case(site):
-    if TROUBLE:
-        slow_until[0] = now() + 7
-        note("workers turn slow for 7 s")
-    job = {
-        "spec": "cpu=1000",
-        "steps": [
-            {"count": 4, "cpu": 1000, "mem_mb": 256, "estimate_ms": 500},
-            {"count": 2, "cpu": 1000, "mem_mb": 256, "long_running": True, "after": [0]},
-        ],
-    }
-    status, _ = await request(site.nodes[0].front, "POST", f"/q/{JOB}", job)
-    note(f"client: POST {JOB}: {status}")
-    ready = None
-    end = now() + 40
-    violations = []
-    while now() < end and not violations:
-        await asyncio.sleep(0.1)
-        done = {e["task"] for e in site.ledger.ends if e["task"].startswith(f"{JOB}.0.0.") and e["end"]["how"] == "done"}
-        if ready is None and len(done) == 4:
-            ready = now()
-            note("all tasks of step 0 have ended done: the turn of step 1 has come")
-        started = {start["task"] for start in site.ledger.tasks_of(JOB) if start["task"].startswith(f"{JOB}.0.1.")}
-        if len(started) == 2:
-            note("both tasks of step 1 run")
-            return []
-    missing = [f"{JOB}.0.1.{index}" for index in range(2) if f"{JOB}.0.1.{index}" not in started]
-    status, body = await request(site.nodes[1].front, "GET", f"/q/{JOB}")
-    note(f"client: GET {JOB}: {status} {body}")
-    tickets = site.store.read(f"j/{JOB}")
-    note(f"the job's entry in the store: {tickets}")
-    return [f"LOST: {', '.join(missing)} could run since {ready:.3f} s and doesn't at {now():.3f} s, with all workers free"]
-
-
-run(case, nodes=7, workers=96, duration=duration)
+    held = []
+
+    def late(body):
+        accepts = any(write["key"].endswith(JOB) for write in body.get("writes", []))
+        if not TROUBLE or held or not accepts:
+            return None
+        held.append(body)
+        note("store: a write gets no answer")
+        return LATE_S
+
+    site.store.late = late
+    job = {"spec": "cpu=1000", "steps": [{"count": 2, "cpu": 1000, "mem_mb": 256, "long_running": True}]}
+    # Three clients of four stay.
+    for number in range(3):
+        other = {"spec": "cpu=1000", "steps": [{"count": 1, "cpu": 1000, "mem_mb": 256, "estimate_ms": 500}]}
+        status, _ = await request(site.nodes[number].front, "POST", f"/q/{number}000d94b36f85c0e", other)
+        note(f"another client: POST at {site.nodes[number].name}: {status}")
+    # The fourth leaves before its time limit.
+    status, _ = await request(site.nodes[0].front, "POST", f"/q/{JOB}", job, timeout=0.4)
+    note(f"client: POST {JOB} at {site.nodes[0].name}: {status or 'no answer, and the client has left'}")
+    await asyncio.sleep(0.6)
+    status, _ = await request(site.nodes[1].front, "DELETE", f"/q/{JOB}")
+    cancelled = now()
+    note(f"client: DELETE {JOB} at {site.nodes[1].name}: {status}")
+    if status not in (200, 410):
+        return []
+    await asyncio.sleep(12)
+    status, body = await request(site.nodes[2].front, "GET", f"/q/{JOB}")
+    note(f"client: GET {JOB} at {site.nodes[2].name}: {status} {body}")
+    return [
+        f"UNASKED: {start['task']} run {start['run']} starts on {start['worker']} at {start['at']:.3f} s, "
+        f"{start['at'] - cancelled:.3f} s after the job's cancelling was acknowledged"
+        for start in site.ledger.tasks_of(JOB)
+        if start["at"] > cancelled + CANCEL_S
+    ]
+
+
+run(case, nodes=3, workers=4, duration=lambda task: None if task.startswith(JOB) else 0.5)
