--- a/crates/node/tests/process/mod.rs
+++ b/crates/node/tests/process/mod.rs
@@ -5,7 +5,7 @@
 use {
     hyper::Method,
     oleanderstage_adapter::Http,
-    rustix::process::{Pid, Signal, kill_process},
+    rustix::process::{Pid, Resource, Rlimit, Signal, kill_process, prlimit},
     serde_json::{Value, json},
     std::{
         fs,
@@ -22,6 +22,10 @@
 pub const TIMEOUT: Duration = Duration::from_secs(20);
 /// The port at which a process answers callers, at an IP address of its own.
 const FRONT_PORT: u16 = 8_161;
+/// The port at which it answers readiness checks.
+const READY_PORT: u16 = 8_167;
+/// The port of its metrics page.
+const METRICS_PORT: u16 = 9_464;
 /// The time limit for an answer to a caller.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -34,6 +38,10 @@
     settings: PathBuf,
     /// The address at which it answers callers.
     pub front: SocketAddr,
+    /// The address of its metrics page.
+    pub metrics: SocketAddr,
+    /// The address at which it answers readiness checks.
+    pub ready: SocketAddr,
 }
 
 impl Process {
@@ -53,12 +61,18 @@
         let ip = Ipv4Addr::new(127, high, low, number);
         let text = format!(
             "node_name={name}\nzone=z\nip={ip}\nlisten.front={ip}:{FRONT_PORT}\n\
-             listen.ready={ip}:0\nplatform.address={store}\nlimits.cpu_share=0.5\n\
+             listen.ready={ip}:{READY_PORT}\nplatform.address={store}\nlimits.cpu_share=0.5\n\
              limits.cores=1\nbounds.hold_max_ms=6000\nbounds.stop_timeout_ms=400\n\
              bounds.gang_timeout_ms=3000\nbounds.grace_s=6\nbounds.drain_ms={drain_ms}\n{lines}"
         );
         fs::write(&settings, text).unwrap();
-        Self { child: spawn(&settings), settings, front: (ip, FRONT_PORT).into() }
+        Self {
+            child: spawn(&settings),
+            settings,
+            front: (ip, FRONT_PORT).into(),
+            metrics: (ip, METRICS_PORT).into(),
+            ready: (ip, READY_PORT).into(),
+        }
     }
 
     /// Kills the process and starts another one in its place.
@@ -75,8 +89,29 @@
 
     /// Pauses the process, or resumes it.
     pub fn pause(&self, paused: bool) {
-        let pid = Pid::from_raw(self.child.id() as i32).unwrap();
-        kill_process(pid, if paused { Signal::STOP } else { Signal::CONT }).unwrap();
+        kill_process(self.pid(), if paused { Signal::STOP } else { Signal::CONT }).unwrap();
+    }
+
+    /// Limits how many descriptors the process may have open.
+    pub fn limit_descriptors(&self, most: u64) {
+        let limit = Rlimit { current: Some(most), maximum: Some(most) };
+        prlimit(Some(self.pid()), Resource::Nofile, limit).unwrap();
+    }
+
+    /// Returns the number of its open descriptors.
+    pub fn descriptors(&self) -> usize {
+        fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
+    }
+
+    /// Returns the most memory that it has held so far, in KiB.
+    pub fn peak_memory_kib(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
+        line.trim().trim_end_matches(" kB").parse().unwrap()
+    }
+
+    fn pid(&self) -> Pid {
+        Pid::from_raw(self.child.id() as i32).unwrap()
     }
 
     /// Posts a body once, and returns whether there was an answer.
@@ -124,7 +159,7 @@
 fn spawn(settings: &Path) -> Child {
     let log = fs::File::create(settings.with_extension("log")).unwrap();
     let mut command = Command::new(env!("CARGO_BIN_EXE_oleanderstage-node"));
-    command.arg("--settings").arg(settings).args(["--metrics-port", "0"]);
+    command.arg("--settings").arg(settings);
     command.stdin(Stdio::null()).stdout(log).spawn().unwrap()
 }
 
--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -36,12 +36,13 @@
 };
 
 pub use {
-    balancer::Balancer, caller::Caller, error::Error, fleet::Fleet, load::Load, plan::Plan,
-    process::Process, run::run,
+    balancer::Balancer, caller::Caller, crowd::Crowd, error::Error, fleet::Fleet, load::Load,
+    plan::Plan, process::Process, run::run,
 };
 
 pub mod balancer;
 pub mod caller;
+pub mod crowd;
 pub mod error;
 pub mod fleet;
 pub mod load;
