--- a/crates/fleet/src/step.rs
+++ b/crates/fleet/src/step.rs
@@ -53,6 +53,13 @@
         tasks.saturating_mul(task_ms).saturating_mul(milli) / 1_000
     }
 
+    /// Returns the memory that it takes, in bytes.
+    pub fn footprint_bytes(&self) -> usize {
+        let texts = [Some(&self.image), self.label.as_ref(), self.rack.as_ref()];
+        let texts: usize = texts.into_iter().flatten().map(|text| text.capacity()).sum();
+        size_of::<Self>() + self.after.capacity() * size_of::<u16>() + texts
+    }
+
     /// Returns the cores that a task asks for.
     pub fn cores(&self) -> f64 {
         self.resources.processors_milli as f64 / 1_000.0
--- a/crates/fleet/src/submission.rs
+++ b/crates/fleet/src/submission.rs
@@ -80,6 +80,12 @@
         Ok(())
     }
 
+    /// Returns the memory that it takes, in bytes.
+    pub fn footprint_bytes(&self) -> usize {
+        let steps: usize = self.steps.iter().map(Step::footprint_bytes).sum();
+        size_of::<Self>() + self.spec.capacity() + steps
+    }
+
     /// Returns whether occurrences have due times.
     pub fn is_timed(&self) -> bool {
         self.occurrences > 0
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -22,10 +22,10 @@
         pressure::Pressure,
         registry,
     },
+    oleanderstage_intake::{Body, Connection, Intake, Limit, Phase, Reservation, Socket},
     std::{
         cell::{Cell as Slot, RefCell},
         collections::{BTreeMap, BTreeSet, HashMap},
-        convert::Infallible,
         net::SocketAddr,
         path::{Path, PathBuf},
         rc::Rc,
@@ -72,6 +72,7 @@
 mod session;
 mod stop;
 mod time;
+mod unread;
 mod wait;
 mod withdrawal;
 mod withdrawals;
--- a/crates/node/src/meter.rs
+++ b/crates/node/src/meter.rs
@@ -12,6 +12,7 @@
 /// The metrics of this process.
 pub(crate) struct Meter {
     answers: IntCounterVec,
+    clients_ended: IntCounterVec,
     events: IntCounterVec,
     latency: HistogramVec,
     registry: Registry,
@@ -41,6 +42,10 @@
             Opts::new("oleanderstage_answers_total", "answers to callers"),
             &["method", "outcome"],
         )?;
+        let clients_ended = IntCounterVec::new(
+            Opts::new("oleanderstage_clients_ended_total", "clients closed or refused, by cause"),
+            &["cause"],
+        )?;
         let events = IntCounterVec::new(
             Opts::new("oleanderstage_events_total", "decisions and changes of belief"),
             &["event"],
@@ -49,12 +54,13 @@
         let options = HistogramOpts::new("oleanderstage_latency_ms", "latencies in milliseconds");
         let latency = HistogramVec::new(options.buckets(buckets), &["what"])?;
         registry.register(Box::new(answers.clone()))?;
+        registry.register(Box::new(clients_ended.clone()))?;
         registry.register(Box::new(events.clone()))?;
         registry.register(Box::new(latency.clone()))?;
         let zones_evacuated =
             IntGauge::new("oleanderstage_zones_evacuated", "availability zones without new runs")?;
         registry.register(Box::new(zones_evacuated.clone()))?;
-        Ok(Self { answers, events, latency, registry, zones_evacuated })
+        Ok(Self { answers, clients_ended, events, latency, registry, zones_evacuated })
     }
 
     /// Counts an event.
@@ -62,6 +68,11 @@
         self.events.with_label_values(&[name]).inc();
     }
 
+    /// Counts connections of clients that were closed or refused.
+    pub(crate) fn clients_ended(&self, cause: oleanderstage_intake::Cause, count: u64) {
+        self.clients_ended.with_label_values(&[cause.name()]).inc_by(count);
+    }
+
     /// Sets the number of zones to be evacuated.
     pub(crate) fn zones_evacuated(&self, zones: usize) {
         self.zones_evacuated.set(zones as i64);
@@ -81,6 +92,7 @@
             Reply::Gone => "gone",
             Reply::NotRun(_) => "not-run",
             Reply::State(_) => "state",
+            Reply::TooLarge => "too-large",
             Reply::Unknown => "unknown",
             Reply::Withdrawn => "withdrawn",
         };
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -10,6 +10,8 @@
     pub(crate) store: Store,
     pub(crate) orders: Orders,
     pub(crate) meter: meter::Meter,
+    /// What clients make this process hold.
+    pub(crate) intake: Intake,
     /// The active configuration of this VM; `None` before one was read.
     pub(crate) config: RefCell<Option<Arc<Config>>>,
     /// The workers' entries.
@@ -86,6 +88,7 @@
             store: Store::new(boot.store, http.clone()),
             orders: Orders::new(http),
             meter: meter::Meter::new().into_diagnostic()?,
+            intake: Intake::new(serve::limit(&boot)),
             config: RefCell::default(),
             registry: RefCell::default(),
             evacuation: RefCell::default(),
--- a/crates/node/src/requests.rs
+++ b/crates/node/src/requests.rs
@@ -17,6 +17,8 @@
     /// The request was not carried out and will not be; the caller may retry after this many
     /// seconds.
     NotRun(u64),
+    /// The job's record is larger than the store takes.
+    TooLarge,
     /// Whether the request was carried out is unknown.
     Unknown,
     /// The ID was cancelled before: no job is accepted under it.
@@ -24,7 +26,7 @@
 }
 
 /// The time limit of callers, in milliseconds.
-const CALLER_TIMEOUT_MS: u64 = 3_000;
+pub(crate) const CALLER_TIMEOUT_MS: u64 = 3_000;
 /// What is left of that limit for the answer itself, in milliseconds.
 const ANSWER_SLACK_MS: u64 = 150;
 /// How long a request may start further store calls, in milliseconds: the last one starts after
@@ -34,6 +36,9 @@
 /// Delay before a failed call is repeated.
 const RETRY_DELAY_MS: u64 = 120;
 const RETRY_DELAY: Duration = Duration::from_millis(RETRY_DELAY_MS);
+/// How many times the encoding of a record is held while it is written: twice as it is, and in base64 twice as a
+/// part of the call.
+const ENCODED_COPIES: usize = 5;
 /// The shortest `Retry-After` of a refused caller, in seconds.
 const MIN_RETRY_AFTER_S: u64 = 1;
 /// The longest `Retry-After` of a refused caller, in seconds: about the length of a store outage.
@@ -54,20 +59,35 @@
     queue: &Queue,
     id: job::Id,
     record: job::Record,
+    connection: &Arc<Connection>,
 ) -> Reply {
     if !node.is_store_reachable() {
         return not_run(node);
     }
     let deadline = time::now() + STORE_CALLS_MS;
-    let demand = admission::Demand::new(id, &record.submission, queue);
-    if let Some(rejection) = reject(node, queue, &record.submission, &demand) {
-        return settle(node, id, 0, queue, deadline, rejection).await;
+    let mut held = Reservation::new(connection.clone());
+    let encoded_record = record::encode(&record);
+    if encoded_record.len() > node.boot.store_value_bytes {
+        return Reply::TooLarge;
     }
-    let Some(cell) = node.balancer.borrow_mut().choose(&demand) else {
-        return not_run(node);
+    let held_bytes = record.submission.footprint_bytes() + encoded_record.len() * ENCODED_COPIES;
+    if held.grow(held_bytes).is_err() {
+        return settle(node, id, 0, queue, deadline, not_run(node)).await;
+    }
+    let choice = {
+        let demand = admission::Demand::new(id, &record.submission, queue);
+        match reject(node, queue, &record.submission, &demand) {
+            Some(rejection) => Err(rejection),
+            None => Ok(node.balancer.borrow_mut().choose(&demand)),
+        }
+    };
+    let cell = match choice {
+        Ok(Some(cell)) => cell,
+        Ok(None) => return not_run(node),
+        Err(rejection) => return settle(node, id, 0, queue, deadline, rejection).await,
     };
+    drop(record);
     let ticket = Ticket::new(queue.name.clone(), cell, State::Queued);
-    let encoded_record = record::encode(&record);
     let mut revision = 0;
     loop {
         let txn = Txn {
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -69,6 +69,7 @@
     spawn_essential("front", serve::listen(node.clone(), front, Purpose::Front));
     spawn_essential("ready", serve::listen(node.clone(), ready, Purpose::Ready));
     spawn_essential("metrics", serve::listen(node.clone(), metrics, Purpose::Metrics));
+    spawn_essential("clients", serve::expire(node.clone()));
     spawn_essential("session", session::maintain(node.clone()));
     spawn_essential("config", discovery::follow_config(node.clone()));
     spawn_essential("workers", discovery::follow_workers(node.clone()));
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -10,6 +10,19 @@
     Ready,
 }
 
+/// Maximum length of a request's head, in bytes.
+const MAX_HEAD_BYTES: usize = 32 << 10;
+/// The shares of the listeners in the connections of clients, in percent, in the order of [`Purpose`].
+const SHARES_PERCENT: [usize; 3] = [90, 5, 5];
+/// Interval between two searches for connections that have waited too long for their clients.
+const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Returns what the clients of all listeners may make the process hold.
+pub(crate) fn limit(boot: &Boot) -> Limit {
+    let memory_bytes = (boot.memory_mib as usize) << 20;
+    Limit::new(memory_bytes, boot.descriptors, &SHARES_PERCENT, requests::CALLER_TIMEOUT_MS)
+}
+
 /// Accepts connections until the process ends.
 pub(crate) async fn listen(node: Rc<Node>, listener: TcpListener, purpose: Purpose) {
     loop {
@@ -21,30 +34,60 @@
                 continue;
             }
         };
+        // Counted and logged by `expire`.
+        let Ok(connection) = node.intake.open(purpose as usize) else { continue };
         if let Err(error) = stream.set_nodelay(true) {
             log::warn!(error:% = error; "nodelay_failed");
         }
-        spawn_local(connection(node.clone(), stream, purpose));
+        spawn_local(serve(node.clone(), stream, Arc::new(connection), purpose));
+    }
+}
+
+/// Ends connections that have waited too long for their clients, and counts and logs all that were closed or
+/// refused.
+pub(crate) async fn expire(node: Rc<Node>) {
+    loop {
+        sleep(EXPIRY_INTERVAL).await;
+        node.intake.expire();
+        for (cause, count) in node.intake.take_ended() {
+            let (connections, held_bytes) = node.intake.usage();
+            node.meter.clients_ended(cause, count);
+            log::warn!(cause = cause.name(), count, connections, held_bytes; "clients_ended");
+        }
     }
 }
 
 /// Serves the requests of one connection.
-async fn connection(node: Rc<Node>, stream: tokio::net::TcpStream, purpose: Purpose) {
+async fn serve(
+    node: Rc<Node>,
+    stream: tokio::net::TcpStream,
+    connection: Arc<Connection>,
+    purpose: Purpose,
+) {
+    let socket = Socket::new(stream, connection.clone());
+    let own = connection.clone();
     let service = service_fn(move |request| {
-        let node = node.clone();
+        let (node, connection) = (node.clone(), own.clone());
         async move {
-            match purpose {
-                Purpose::Front => front::answer(node, request).await,
+            connection.enter(Phase::Working);
+            let answer = match purpose {
+                Purpose::Front => front::answer(node, request, &connection).await,
                 Purpose::Metrics => Ok(Response::new(Full::new(Bytes::from(node.meter.text())))),
-                Purpose::Ready => front::ready(node, request).await,
-            }
+                Purpose::Ready => Ok(front::ready(&node, &request)),
+            };
+            connection.enter(Phase::Idle);
+            answer
         }
     });
-    let result = hyper::server::conn::http1::Builder::new()
-        .max_buf_size(32 << 10)
-        .serve_connection(TokioIo::new(stream), service)
-        .await;
-    if let Err(error) = result {
-        log::debug!(error:% = error; "connection_ended");
+    let serving = hyper::server::conn::http1::Builder::new()
+        .max_buf_size(MAX_HEAD_BYTES)
+        .serve_connection(TokioIo::new(socket), service);
+    tokio::select! {
+        result = serving => {
+            if let Err(error) = result {
+                log::debug!(error:% = error; "connection_ended");
+            }
+        }
+        () = connection.closed() => log::debug!("connection_closed"),
     }
 }
