--- a/crates/node/tests/clients.rs
+++ b/crates/node/tests/clients.rs
@@ -20,6 +20,7 @@
         sync::{Mutex, PoisonError},
         time::{Duration, Instant},
     },
+    tokio::io::{AsyncReadExt, AsyncWriteExt},
 };
 
 /// The largest body that the configuration allows, in bytes.
@@ -375,3 +376,69 @@
         check_descriptors(name, port, script);
     }
 }
+
+/// The memory of the smallest VM of the platform, in MB.
+const SMALLEST_MEMORY_MB: u64 = 160;
+
+/// Returns the status of the answer to a request, which is sent in pieces with a pause between them.
+async fn exchange(address: SocketAddr, pieces: &[Vec<u8>], pause: Duration) -> String {
+    let mut stream = tokio::net::TcpStream::connect(address).await.unwrap();
+    for piece in pieces {
+        stream.write_all(piece).await.unwrap();
+        tokio::time::sleep(pause).await;
+    }
+    let mut answer = vec![0; 1_024];
+    let length = stream.read(&mut answer).await.unwrap();
+    String::from_utf8_lossy(&answer[..length]).chars().skip(9).take(3).collect()
+}
+
+/// Single requests inside the limits, in every shape, on a VM of the smallest kind.
+#[test]
+fn single_legal_requests_are_served_in_calm() {
+    let _guard = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    process::run(async {
+        let (store, address) = UsersStore::start().await.unwrap();
+        store.put("op/config", &config());
+        let ledger = UsersLedger::default();
+        let (worker, worker_address) = UsersWorker::start("i-1", ledger.clone()).await.unwrap();
+        worker.register(&store, worker_address, false);
+        let lines = format!("limits.memory_mb={SMALLEST_MEMORY_MB}\nlimits.max_fds={MAX_FDS}\n");
+        let vm = Process::start_with("vm-calm", address, 2_000, &lines);
+        vm.submit("00000000000000a1", 300, json!([step(1, &[])])).await;
+
+        let plain = submission(r#"{"count":1,"requirements":"none"}"#, BODY_LIMIT);
+        let many_tasks = submission(r#"{"count":20000,"requirements":"none"}"#, 0);
+        let cpu = vec![r#"{"count":1,"cpu":99000}"#; 10_900].join(",");
+        let many_steps = submission(&cpu, BODY_LIMIT);
+        let spec = "s".repeat(4_000);
+        let long_spec =
+            format!(r#"{{"spec":"{spec}","steps":[{{"count":1,"requirements":"none"}}]}}"#);
+        let bodies = [&plain, &many_tasks, &many_steps, &long_spec];
+        for (number, body) in bodies.into_iter().enumerate() {
+            assert!(body.len() <= BODY_LIMIT);
+            let head = head(number, &format!("content-length: {}\r\n", body.len()));
+            let pieces = [head.into_bytes(), body.clone().into_bytes()];
+            let status = exchange(vm.front, &pieces, Duration::ZERO).await;
+            assert_eq!(status, "200", "body {number}");
+            // A repetition is the same job.
+            assert_eq!(exchange(vm.front, &pieces, Duration::ZERO).await, "200", "body {number}");
+            tokio::time::sleep(Duration::from_secs(2)).await;
+        }
+        let head = |number, lines: &str| head(number, lines).into_bytes();
+        let chunk =
+            |part: &[u8]| [format!("{:x}\r\n", part.len()).as_bytes(), part, b"\r\n"].concat();
+        let mut chunked = vec![head(10, "transfer-encoding: chunked\r\n")];
+        chunked.push(plain.as_bytes().chunks(7).flat_map(chunk).collect());
+        chunked.push(b"0\r\n\r\n".to_vec());
+        assert_eq!(exchange(vm.front, &chunked, Duration::ZERO).await, "200");
+        let mut slow = vec![head(11, &format!("content-length: {BODY_LIMIT}\r\n"))];
+        slow.extend(plain.as_bytes().chunks(BODY_LIMIT / 10).map(<[u8]>::to_vec));
+        assert_eq!(exchange(vm.front, &slow, Duration::from_millis(250)).await, "200");
+        let over = [head(12, &format!("content-length: {}\r\n", BODY_LIMIT + 1))];
+        assert_eq!(exchange(vm.front, &over, Duration::ZERO).await, "413");
+        let mut over = vec![head(13, "transfer-encoding: chunked\r\n")];
+        over.push(chunk(&vec![b' '; BODY_LIMIT + 1]));
+        assert_eq!(exchange(vm.front, &over, Duration::ZERO).await, "413");
+        assert_lives(&vm, SMALLEST_MEMORY_MB);
+    });
+}
--- a/crates/standin/src/users_store.rs
+++ b/crates/standin/src/users_store.rs
@@ -83,11 +83,21 @@
 
 /// Changes kept for watches.
 const MAX_CHANGES: usize = 20_000;
+/// The largest value, in bytes.
+const MAX_VALUE_BYTES: usize = 1 << 20;
 /// Interval between two checks for expired leases.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(20);
 /// Maximum number of items in an answer to a read of a range.
 const PAGE_ITEMS: usize = 500;
 
+/// Returns whether a transaction writes a value that is too large, from the length of its base64 text.
+fn exceeds_value_limit(body: &Value) -> bool {
+    let length = |write: &Value| write["value"].as_str().map_or(0, str::len) / 4 * 3;
+    // Up to two bytes of the last four characters are padding.
+    let is_large = |write: &Value| length(write) > MAX_VALUE_BYTES + 2;
+    body["writes"].as_array().is_some_and(|writes| writes.iter().any(is_large))
+}
+
 impl State {
     fn put(&mut self, key: &str, value: Vec<u8>, lease: u64) {
         let revision = self.revision;
@@ -349,6 +359,7 @@
                 self.wait_while_watch_held(prefix).await;
                 answer
             }
+            (&Method::POST, "/-/kv-txn") if exceeds_value_limit(body) => (400, json!({})),
             (&Method::POST, "/-/kv-txn") => {
                 if let Some(delay) = self.take_delay(body) {
                     let (store, body) = (self.clone(), body.clone());
