--- a/crates/fleet/src/assignment.rs
+++ b/crates/fleet/src/assignment.rs
@@ -17,6 +17,9 @@
 pub struct Vm {
     /// Processors, in thousandths of a core.
     pub processors_milli: u64,
+    /// Memory, in MiB; 0 if the VM's settings don't tell.
+    #[serde(default)]
+    pub memory_mib: u64,
     /// The incarnation of the process that wrote the entry: the VM's name and address, `#`, and its start.
     #[serde(default)]
     pub incarnation: String,
--- a/crates/fleet/src/cell_record.rs
+++ b/crates/fleet/src/cell_record.rs
@@ -158,6 +158,11 @@
         self.workers.get(id).is_none_or(recorded)
     }
 
+    /// Returns the memory that the jobs take, in bytes.
+    pub(crate) fn held_bytes(&self) -> u64 {
+        self.jobs.values().map(|job| job.footprint_bytes).sum::<usize>() as u64
+    }
+
     fn head_cell(&self) -> u32 {
         self.head.cell
     }
@@ -174,6 +179,7 @@
             cell: self.head.cell,
             free_milli: 0,
             generation: self.head.generation,
+            held_bytes: self.held_bytes(),
             inventory: self.policy.inventory.then(|| self.inventory.clone()),
             largest_milli: 0,
             lasting_limit_milli: 0,
--- a/crates/fleet/src/head.rs
+++ b/crates/fleet/src/head.rs
@@ -13,6 +13,9 @@
     /// Unreserved processors, in thousandths of a core.
     #[serde(default)]
     pub free_milli: u64,
+    /// The memory that the cell's jobs take at their owner, in bytes.
+    #[serde(default)]
+    pub held_bytes: u64,
     /// Processors reserved by lasting tasks, which keep them for minutes, in thousandths of a core.
     #[serde(default)]
     pub lasting_milli: u64,
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -99,6 +99,8 @@
     pub cancelled: bool,
     /// Whether the store may hold its progress.
     pub progress_stored: bool,
+    /// The memory that it takes when it is read, in bytes.
+    pub footprint_bytes: usize,
     /// The job's occurrences, at least one.
     pub occurrences: Vec<Occurrence>,
     /// The newest declaration of its queue that this owner knows.
@@ -227,6 +229,7 @@
     pub fn new(record: Record, progress: &Progress, queue: Arc<Queue>, revision: u64) -> Self {
         let record = Arc::new(record);
         let submission = &record.submission;
+        let footprint_bytes = submission.job_footprint_bytes();
         let steps: Vec<Arc<Step>> = submission.steps.iter().cloned().map(Arc::new).collect();
         let occurrences = (0..submission.occurrences.max(1))
             .map(|number| Occurrence {
@@ -240,6 +243,7 @@
             accepted_at_ms: record.accepted_at_ms,
             begun: false,
             cancelled: false,
+            footprint_bytes,
             progress_stored: *progress != Progress::default(),
             occurrences,
             queue,
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -20,8 +20,8 @@
     config::Config, continuity::Continuity, crash::Crash, delay::Delay, division::Division,
     evacuation::Evacuation, event::Event, fit::Fit, forecast::Forecast, gap::Gap, gate::Gate,
     head::Head, headroom::Headroom, inventory::Inventory, job::Job, lateness::Lateness,
-    lifetime::Lifetime, limits::Limits, listing::Listing, load::Load, policy::Policy,
-    predecessor::Predecessor, progress::Progress, queue::Queue, quota::Quota,
+    lifetime::Lifetime, limits::Limits, listing::Listing, load::Load, memory::Memory,
+    policy::Policy, predecessor::Predecessor, progress::Progress, queue::Queue, quota::Quota,
     registration::Registration, registry::Registry, release::Release, removal::Removal,
     reservation::Reservation, run::Run, settling::Settling, shape::Shape, state::State, step::Step,
     submission::Submission, suspicion::Suspicion, throughput::Throughput, ticket::Ticket,
@@ -55,6 +55,7 @@
 pub mod listing;
 pub mod load;
 mod margin;
+pub mod memory;
 pub mod pace;
 pub mod placement;
 pub mod policy;
--- a/crates/fleet/src/policy.rs
+++ b/crates/fleet/src/policy.rs
@@ -17,6 +17,10 @@
     pub inventory: bool,
     /// Jobs that can still be in time go before those that can't.
     pub lateness: bool,
+    /// What clients make a process hold has a bound.
+    pub intake: bool,
+    /// Jobs for which owners would have no memory are rejected.
+    pub memory: bool,
     /// Jobs that have not begun move to cells that serve them sooner.
     pub moves: bool,
     /// The contention between images is learned by pairs.
@@ -52,7 +56,9 @@
             backfill: true,
             headroom: true,
             inventory: true,
+            intake: true,
             lateness: true,
+            memory: true,
             moves: true,
             pressure: true,
             quorum: true,
@@ -83,6 +89,8 @@
             "backfill" => &mut self.backfill,
             "headroom" => &mut self.headroom,
             "inventory" => &mut self.inventory,
+            "intake" => &mut self.intake,
+            "memory" => &mut self.memory,
             "lateness" => &mut self.lateness,
             "moves" => &mut self.moves,
             "pressure" => &mut self.pressure,
--- a/crates/fleet/src/submission.rs
+++ b/crates/fleet/src/submission.rs
@@ -5,6 +5,9 @@
 /// Maximum number of tasks of a job over all occurrences.
 pub const MAX_TASKS: u64 = 20_000;
 
+/// The memory that a waiting task takes in the indices of tasks, in bytes.
+const WAITING_BYTES: usize = 32;
+
 /// A job as its caller submits it. [`Submission::check`] requires that every step has tasks and
 /// depends only on earlier steps.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -86,6 +89,19 @@
         size_of::<Self>() + self.spec.capacity() + steps
     }
 
+    /// Returns the memory that its job takes at the owner of its cell, in bytes: the submission, its steps once
+    /// more, and the stages and tasks of each occurrence.
+    pub fn job_footprint_bytes(&self) -> usize {
+        let stage = |step: &Step| {
+            let task = size_of::<task::Task>() + WAITING_BYTES;
+            size_of::<job::Stage>() + usize::from(step.count) * task
+        };
+        let stages: usize = self.steps.iter().map(stage).sum();
+        let occurrence = size_of::<job::Occurrence>() + stages;
+        let occurrences = self.occurrences.max(1) as usize;
+        size_of::<Job>() + 2 * self.footprint_bytes() + occurrences.saturating_mul(occurrence)
+    }
+
     /// Returns whether occurrences have due times.
     pub fn is_timed(&self) -> bool {
         self.occurrences > 0
--- a/crates/fleet/src/usage.rs
+++ b/crates/fleet/src/usage.rs
@@ -18,6 +18,8 @@
     pub filling_milli: u64,
     /// The number of running filling tasks.
     pub filling_tasks: usize,
+    /// The memory that the jobs take, in bytes.
+    pub held_bytes: u64,
     /// Processors that lasting tasks may hold when another one starts.
     pub lasting_limit_milli: u64,
     /// Processors that lasting tasks hold.
@@ -73,6 +75,7 @@
     fn usage(&self, clock: Clock) -> Usage {
         let mut usage = Usage {
             lasting_limit_milli: self.quota().limit_milli,
+            held_bytes: self.held_bytes(),
             delayed_jobs: self.delays.len(),
             overtaken_jobs: self.delays.values().filter(|delay| delay.overtaken).count(),
             ..Usage::default()
--- a/crates/fleet/tests/cells.rs
+++ b/crates/fleet/tests/cells.rs
@@ -21,7 +21,12 @@
         .map(|(name, milli)| {
             (
                 (*name).to_owned(),
-                Vm { incarnation: String::new(), processors_milli: *milli, revision: 0 },
+                Vm {
+                    processors_milli: *milli,
+                    memory_mib: 0,
+                    incarnation: String::new(),
+                    revision: 0,
+                },
             )
         })
         .collect()
@@ -69,6 +74,7 @@
     let vm = |incarnation: &str, revision| Vm {
         incarnation: incarnation.into(),
         processors_milli: 500,
+        memory_mib: 0,
         revision,
     };
     let owner = "x@10.0.0.1#1.1";
--- a/crates/fleet/tests/evacuation.rs
+++ b/crates/fleet/tests/evacuation.rs
@@ -191,7 +191,15 @@
         .collect();
     let vms = ["x", "y"]
         .map(|name| {
-            (name.to_owned(), Vm { incarnation: String::new(), processors_milli: 500, revision: 0 })
+            (
+                name.to_owned(),
+                Vm {
+                    processors_milli: 500,
+                    memory_mib: 0,
+                    incarnation: String::new(),
+                    revision: 0,
+                },
+            )
         })
         .into();
     let map = Assignment::default().next(&vms, &members);
--- a/crates/fleet/tests/policy.rs
+++ b/crates/fleet/tests/policy.rs
@@ -32,11 +32,14 @@
         Report::Usage(usage) => Some(*usage),
         _ => None,
     });
+    let submissions = world.records.values().map(|record| &record.submission);
+    let held_bytes = submissions.map(|submission| submission.job_footprint_bytes()).sum::<usize>() as u64;
     let expected = Usage {
         begun_jobs: 2,
         delayed_jobs: 0,
         filling_milli: 2_000,
         filling_tasks: 1,
+        held_bytes,
         largest_active: 2,
         largest_tasks: 2,
         lasting_active: 2,
--- a/crates/intake/src/limit.rs
+++ b/crates/intake/src/limit.rs
@@ -30,6 +30,17 @@
 const STALL_TIMEOUTS: u64 = 4;
 
 impl Limit {
+    /// Returns a limit that nothing reaches, for a number of listeners.
+    pub fn none(listeners: usize) -> Self {
+        let connections = vec![usize::MAX; listeners];
+        Self {
+            bytes: usize::MAX / 2,
+            connections,
+            request_ms: u64::MAX / 2,
+            stall_ms: u64::MAX / 2,
+        }
+    }
+
     /// Returns the limit for a VM. `shares` are those of its listeners, in percent of the connections;
     /// `timeout_ms` is the time limit of callers. 0 bytes or descriptors stand for a default.
     pub fn new(memory_bytes: usize, descriptors: usize, shares: &[usize], timeout_ms: u64) -> Self {
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -190,7 +190,9 @@
 /// Keeps the heads as read, and the cells' load for the choice of a new job's cell.
 fn observe_heads(node: &Node, items: Vec<Item>) {
     let mut balancer = node.balancer.borrow_mut();
+    let mut memory = node.memory.borrow_mut();
     balancer.set_processes(node.vms.borrow().len());
+    memory.set_processes(node.vms.borrow().len());
     let mut heads = Vec::with_capacity(items.len());
     for item in items {
         let head = item.value.as_deref().map(serde_json::from_slice::<Head>);
@@ -200,6 +202,7 @@
             }
             Some(Ok(head)) => {
                 heads.push((head.clone(), item.revision));
+                memory.observe(&head, item.revision);
                 balancer.observe(time::now(), head, item.revision);
             }
             Some(Err(error)) => log::error!(key = item.key, error:% = error; "head_unreadable"),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,8 +14,8 @@
     },
     oleanderstage_fleet::{
         Action, Assignment, Cell, Clock, Commit, Config, Continuity, Evacuation, Event, Gate, Head,
-        Limits, Policy, Predecessor, Progress, Queue, Registration, Registry, Release, Settling,
-        State, Submission, Ticket, action, admission, assignment, cell, evacuation,
+        Limits, Memory, Policy, Predecessor, Progress, Queue, Registration, Registry, Release,
+        Settling, State, Submission, Ticket, action, admission, assignment, cell, evacuation,
         event::{Outcome, Refusal},
         gate, job,
         predecessor::End,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -26,6 +26,8 @@
     pub(crate) vms: RefCell<BTreeMap<String, assignment::Vm>>,
     /// The cells' load from their heads, for the choice of a new job's cell.
     pub(crate) balancer: RefCell<admission::Balancer>,
+    /// The memory that the jobs of all cells take.
+    pub(crate) memory: RefCell<Memory>,
     /// The images of which jobs are rejected now.
     pub(crate) gate: RefCell<Gate>,
     /// The heads as last read, with their revisions.
@@ -88,7 +90,7 @@
             store: Store::new(boot.store, http.clone()),
             orders: Orders::new(http),
             meter: meter::Meter::new().into_diagnostic()?,
-            intake: Intake::new(serve::limit(&boot)),
+            intake: Intake::new(serve::limit(&boot, policy)),
             config: RefCell::default(),
             registry: RefCell::default(),
             evacuation: RefCell::default(),
@@ -96,6 +98,7 @@
             assignment_damaged: Slot::new(false),
             vms: RefCell::default(),
             balancer: RefCell::default(),
+            memory: RefCell::default(),
             gate: RefCell::default(),
             heads: RefCell::default(),
             heads_read_at: Slot::new(0),
@@ -253,6 +256,12 @@
         !is_outage && (workers_stale || zones_stale)
     }
 
+    /// Returns the memory of the VM with the least, in MiB.
+    pub(crate) fn least_memory_mib(&self) -> u64 {
+        let known = self.vms.borrow().values().map(|vm| vm.memory_mib).filter(|mib| *mib > 0).min();
+        known.unwrap_or(self.boot.memory_mib)
+    }
+
     /// Returns whether this VM writes the assignment: its name is the lowest.
     pub(crate) fn is_assignment_writer(&self) -> bool {
         self.vms.borrow().keys().next() == Some(&self.boot.vm)
--- a/crates/node/src/requests.rs
+++ b/crates/node/src/requests.rs
@@ -78,6 +78,7 @@
         let demand = admission::Demand::new(id, &record.submission, queue);
         match reject(node, queue, &record.submission, &demand) {
             Some(rejection) => Err(rejection),
+            None if lacks_memory(node, queue, &record.submission, id) => Err(not_run(node)),
             None => Ok(node.balancer.borrow_mut().choose(&demand)),
         }
     };
@@ -140,6 +141,20 @@
     Some(Reply::NotRun(retry_after_ms.div_ceil(1_000).max(MIN_RETRY_AFTER_S)))
 }
 
+/// Returns whether the owners of cells have no memory left for a job.
+fn lacks_memory(node: &Node, queue: &Queue, submission: &Submission, id: job::Id) -> bool {
+    let (job_bytes, memory_mib) =
+        (submission.job_footprint_bytes() as u64, node.least_memory_mib());
+    let mut memory = node.memory.borrow_mut();
+    if !node.policy.memory || memory.accept(time::now(), job_bytes, memory_mib) {
+        return false;
+    }
+    let held_bytes = memory.held_bytes();
+    node.meter.event("memory_short");
+    log::info!(job:% = id, queue = queue.name, job_bytes, held_bytes, memory_mib; "memory_short");
+    true
+}
+
 fn decode_ticket(item: &Item) -> Option<Ticket> {
     serde_json::from_slice(item.value.as_deref()?)
         .inspect_err(|error| log::error!(key = item.key, error:% = error; "ticket_unreadable"))
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -18,7 +18,10 @@
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Returns what the clients of all listeners may make the process hold.
-pub(crate) fn limit(boot: &Boot) -> Limit {
+pub(crate) fn limit(boot: &Boot, policy: Policy) -> Limit {
+    if !policy.intake {
+        return Limit::none(SHARES_PERCENT.len());
+    }
     let memory_bytes = (boot.memory_mib as usize) << 20;
     Limit::new(memory_bytes, boot.descriptors, &SHARES_PERCENT, requests::CALLER_TIMEOUT_MS)
 }
--- a/crates/node/src/session.rs
+++ b/crates/node/src/session.rs
@@ -46,6 +46,7 @@
     let revision = node.store.get(&key).await?.map_or(0, |item| item.revision);
     let vm = assignment::Vm {
         incarnation: node.incarnation.clone(),
+        memory_mib: node.boot.memory_mib,
         processors_milli: node.boot.processors_milli,
         revision: 0,
     };
