--- a/crates/fleet/tests/policy.rs
+++ b/crates/fleet/tests/policy.rs
@@ -33,7 +33,8 @@
         _ => None,
     });
     let submissions = world.records.values().map(|record| &record.submission);
-    let held_bytes = submissions.map(|submission| submission.job_footprint_bytes()).sum::<usize>() as u64;
+    let held_bytes =
+        submissions.map(|submission| submission.job_footprint_bytes()).sum::<usize>() as u64;
     let expected = Usage {
         begun_jobs: 2,
         delayed_jobs: 0,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -33,7 +33,7 @@
         time::{Duration, SystemTime, UNIX_EPOCH},
     },
     tokio::{
-        net::TcpListener,
+        net::{TcpListener, TcpSocket},
         signal::unix::{SignalKind, signal},
         sync::{Notify, mpsc},
         task::spawn_local,
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -61,9 +61,9 @@
 }
 
 async fn run_node(boot: Boot, arguments: Arguments) -> miette::Result<()> {
-    let front = TcpListener::bind(boot.front).await.into_diagnostic()?;
-    let ready = TcpListener::bind(boot.ready).await.into_diagnostic()?;
-    let metrics = TcpListener::bind((boot.ip, arguments.metrics_port)).await.into_diagnostic()?;
+    let front = serve::bind(boot.front).into_diagnostic()?;
+    let ready = serve::bind(boot.ready).into_diagnostic()?;
+    let metrics = serve::bind((boot.ip, arguments.metrics_port).into()).into_diagnostic()?;
     log::info!(vm = boot.vm, zone = boot.zone, front:% = boot.front; "started");
     let node = Rc::new(Node::new(boot, arguments.without)?);
     spawn_essential("front", serve::listen(node.clone(), front, Purpose::Front));
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -12,6 +12,10 @@
 
 /// Maximum length of a request's head, in bytes.
 const MAX_HEAD_BYTES: usize = 32 << 10;
+/// The buffers of a connection in the kernel, in bytes for each direction.
+const KERNEL_BUFFER_BYTES: u32 = 64 << 10;
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1_024;
 /// The shares of the listeners in the connections of clients, in percent, in the order of [`Purpose`].
 const SHARES_PERCENT: [usize; 3] = [90, 5, 5];
 /// Interval between two searches for connections that have waited too long for their clients.
@@ -26,6 +30,25 @@
     Limit::new(memory_bytes, boot.descriptors, &SHARES_PERCENT, requests::CALLER_TIMEOUT_MS)
 }
 
+/// Listens on an address. Connections have small buffers in the kernel: what it holds for clients that send
+/// ahead or don't read counts against the VM's memory, too.
+pub(crate) fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    let buffers = [
+        socket.set_recv_buffer_size(KERNEL_BUFFER_BYTES),
+        socket.set_send_buffer_size(KERNEL_BUFFER_BYTES),
+    ];
+    for error in buffers.into_iter().filter_map(Result::err) {
+        log::warn!(error:% = error; "buffer_size_failed");
+    }
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
 /// Accepts connections until the process ends.
 pub(crate) async fn listen(node: Rc<Node>, listener: TcpListener, purpose: Purpose) {
     loop {
