--- a/crates/cli/tests/entries.rs
+++ b/crates/cli/tests/entries.rs
@@ -75,6 +75,7 @@
             };
             let settings = settings::Entry {
                 http: "127.0.0.1:0".parse().unwrap(),
+                memory_mib: 0,
                 metrics: None,
                 name: names[own].clone(),
                 peers: vec![peer],
--- a/crates/demo/src/plan.rs
+++ b/crates/demo/src/plan.rs
@@ -54,6 +54,7 @@
     fn entry(&self, own: &Peer, http: SocketAddr) -> settings::Entry {
         settings::Entry {
             http,
+            memory_mib: 0,
             metrics: None,
             name: own.name.clone(),
             peers: others(&self.entries, own),
--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -42,12 +42,13 @@
         response: &mut Response,
         _: &mut FlowCtrl,
     ) {
+        let mut exchange = self.context.clients.begin(request.remote_addr().clone().into_std());
         let path = request.uri().path().to_owned();
         let segments: Vec<&str> = path.split('/').skip(1).collect();
         let context = &self.context;
         match (request.method().as_str(), segments.as_slice()) {
-            (_, ["services", _, ..]) => urgent::serve(context, request, response).await,
-            ("POST", ["jobs"]) => jobs::submit(context, request, response).await,
+            (_, ["services", _, ..]) => urgent::serve(context, exchange, request, response).await,
+            ("POST", ["jobs"]) => jobs::submit(context, &mut exchange, request, response).await,
             ("GET", ["jobs", id]) => jobs::handle(context, Operation::Show, id, response).await,
             ("DELETE", ["jobs", id]) => {
                 jobs::handle(context, Operation::Cancel, id, response).await
--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -1,7 +1,10 @@
 //! The body of an urgent request: buffered whole if short, otherwise streamed once.
 
 use super::*;
-use refusal::{Reason, Refusal};
+use {
+    oleanderstage_intake::Reservation,
+    refusal::{Reason, Refusal},
+};
 
 /// Maximum length of a body that is buffered whole, so that it can be sent again.
 pub(crate) const MAX_BUFFERED_BYTES: usize = 64 << 10;
@@ -33,12 +36,14 @@
 
 impl Body {
     /// Buffers `body`, at least its first `buffer_limit` bytes if it is longer. Refuses a body of more
-    /// than `limit` bytes; `length` is the declared length.
+    /// than `limit` bytes; `length` is the declared length;
+    /// `held` grows with the buffer.
     pub(crate) async fn read(
         mut body: ReqBody,
         length: Option<u64>,
         limit: u64,
         buffer_limit: usize,
+        held: &mut Option<Reservation>,
     ) -> Result<Self, Refusal> {
         if length.is_some_and(|length| length > limit) {
             return Err(too_long(limit));
@@ -47,7 +52,14 @@
         while buffered.len() <= buffer_limit {
             match next_part(&mut body).await? {
                 None => return Ok(Self::Buffered(buffered.freeze())),
-                Some(part) => buffered.extend_from_slice(&part),
+                Some(part) => {
+                    // The buffer grows by doubling.
+                    let grown = held.as_mut().map(|held| held.grow(2 * part.len()));
+                    if let Some(Err(error)) = grown {
+                        return Err(stalled(&error.to_string()));
+                    }
+                    buffered.extend_from_slice(&part);
+                }
             }
             if buffered.len() as u64 > limit {
                 discard(&mut body).await;
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -3,6 +3,7 @@
 use super::*;
 use {
     cells::Cells,
+    clients::Clients,
     clock::Clock,
     counters::Counters,
     drain::Drain,
@@ -17,6 +18,7 @@
 #[derive(Debug)]
 pub(crate) struct Context {
     pub(crate) cells: Cells,
+    pub(crate) clients: Clients,
     pub(crate) clock: Clock,
     pub(crate) counters: Counters,
     pub(crate) drain: Drain,
@@ -55,6 +57,7 @@
         let keys = Keys::new(me, clock.key_now(), peers, store);
         Ok(Arc::new(Self {
             cells: Cells::default(),
+            clients: Clients::new(settings.memory_mib),
             clock,
             counters: Counters::default(),
             drain: Drain::new(leave),
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -71,6 +71,15 @@
         Self { body, headers, status }
     }
 
+    /// Keeps the exchange until the body has been sent, or its caller is gone.
+    pub(crate) fn held_by(self, exchange: clients::Exchange) -> Self {
+        let body = self.body.inspect(move |_| {
+            let _ = &exchange;
+        });
+        let body = body.boxed();
+        Self { body, ..self }
+    }
+
     /// Writes the answer into `response` for the caller of request `id`.
     pub(crate) fn write(self, id: oleanderstage_core::request::Id, response: &mut Response) {
         response.status_code(self.status);
--- a/crates/entry/src/jobs.rs
+++ b/crates/entry/src/jobs.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use {
+    clients::Exchange,
     context::Context,
     refusal::{Reason, Refusal},
     sha2::{Digest, Sha256},
@@ -36,8 +37,13 @@
 }
 
 /// Submits a job; responds once the scheduler has stored it.
-pub(crate) async fn submit(context: &Arc<Context>, request: &mut Request, response: &mut Response) {
-    match accept(context, request).await {
+pub(crate) async fn submit(
+    context: &Arc<Context>,
+    exchange: &mut Exchange,
+    request: &mut Request,
+    response: &mut Response,
+) {
+    match accept(context, exchange, request).await {
         Ok(receipt) => {
             let body = serde_json::to_vec(&receipt).unwrap_or_default();
             api::write_json(StatusCode::CREATED, body, response);
@@ -70,7 +76,11 @@
 }
 
 /// Checks a job and submits it to the scheduler that owns its cell.
-async fn accept(context: &Arc<Context>, request: &mut Request) -> Result<Receipt, Refusal> {
+async fn accept(
+    context: &Arc<Context>,
+    exchange: &mut Exchange,
+    request: &mut Request,
+) -> Result<Receipt, Refusal> {
     if !context.drain.state().accepts_requests() {
         let text = "this entry is leaving: send the job again, to another entry";
         return Err(Refusal::retryable(Reason::Leaving, Duration::ZERO, text));
@@ -78,7 +88,9 @@
     let caller = head::header_text(request.headers(), outcome::CALLER_HEADER).unwrap_or_default();
     let key = head::header_text(request.headers(), head::KEY_HEADER);
     let body = request.take_body();
-    let body = body::Body::read(body, None, MAX_SPEC_BYTES as u64, MAX_SPEC_BYTES).await?;
+    let (limit, mut held) = (MAX_SPEC_BYTES, exchange.receive());
+    let body = body::Body::read(body, None, limit as u64, limit, &mut held).await?;
+    exchange.work();
     let body::Body::Buffered(text) = body else {
         return Err(head::invalid(format!("a job has at most {MAX_SPEC_BYTES} bytes")));
     };
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -50,12 +50,14 @@
     server::{Entry, serve},
 };
 
+mod acceptor;
 mod api;
 mod arguments;
 mod attempt;
 mod body;
 mod cache;
 mod cells;
+mod clients;
 mod clock;
 mod context;
 mod counters;
@@ -75,6 +77,7 @@
 mod server;
 mod service;
 mod slot;
+mod stream;
 mod ticket;
 mod urgent;
 
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -2,7 +2,9 @@
 
 use super::*;
 use {
+    acceptor::Acceptor,
     api::Api,
+    clients::Clients,
     context::{Context, Parts},
 };
 
@@ -48,6 +50,7 @@
         log::info!(address = address.to_string(), name; "entry_started");
         let mut tasks = JoinSet::new();
         tasks.spawn(follow(context.clone()));
+        tasks.spawn(Clients::count(context.clone()));
         tasks.spawn(keys::drive(context.clone()));
         tasks.spawn(peers::serve(context.clone(), listener.clone()));
         tasks.spawn(poll_vm_list(context.clone(), vms));
@@ -85,8 +88,10 @@
 impl Instance {
     /// Serves until the entry has drained, then stops the tasks.
     async fn run(mut self) {
+        let clients = self.context.clients.clone();
+        let acceptor = Acceptor { clients, inner: self.http };
         let mut server =
-            Server::new(self.http).fuse_config(timeouts()).max_connections(MAX_CONNECTIONS);
+            Server::new(acceptor).fuse_config(timeouts()).max_connections(MAX_CONNECTIONS);
         server.http1_mut().max_buf_size(MAX_HEAD_BYTES);
         server.http2_mut().max_header_list_size(MAX_HEAD_BYTES as u32);
         let handle = server.handle();
--- a/crates/entry/src/urgent.rs
+++ b/crates/entry/src/urgent.rs
@@ -4,6 +4,7 @@
 use {
     attempt::{Admission, Attempts},
     body::Body,
+    clients::Exchange,
     context::Context,
     head::Head,
     keyed::{KeyedRequest, Resolution},
@@ -14,7 +15,12 @@
 };
 
 /// Handles one urgent request.
-pub(crate) async fn serve(context: &Arc<Context>, request: &mut Request, response: &mut Response) {
+pub(crate) async fn serve(
+    context: &Arc<Context>,
+    mut exchange: Exchange,
+    request: &mut Request,
+    response: &mut Response,
+) {
     let id = Id(uuid::Uuid::new_v4().as_u128());
     let head = match Head::try_from(&*request) {
         Ok(head) => head,
@@ -22,11 +28,11 @@
     };
     let service = head.service.clone();
     let resolution = match admit(context, id, head) {
-        Ok(admission) => run(context, admission, request.take_body()).await,
+        Ok(admission) => run(context, &mut exchange, admission, request.take_body()).await,
         Err(refusal) => Resolution::Refused(refusal),
     };
     match resolution {
-        Resolution::Answered(answer, id) => answer.write(id, response),
+        Resolution::Answered(answer, id) => answer.held_by(exchange).write(id, response),
         Resolution::Refused(refusal) => {
             if context.service(&service).is_some() {
                 context.counters.count_refusal(context.clock.now(), &service, &refusal);
@@ -71,20 +77,27 @@
 }
 
 /// Reads the body and runs the request, under its idempotency key if it has one.
-async fn run(context: &Arc<Context>, admission: Admission, body: ReqBody) -> Resolution {
+async fn run(
+    context: &Arc<Context>,
+    exchange: &mut Exchange,
+    admission: Admission,
+    body: ReqBody,
+) -> Resolution {
     let (id, key) = (admission.id, admission.head.key.clone());
     let limit = admission.service.config.body_limit_bytes;
     let (limit, buffer_limit) = match key {
         Some(_) => (limit.min(keyed::MAX_BODY_BYTES as u64), keyed::MAX_BODY_BYTES),
         None => (limit, body::MAX_BUFFERED_BYTES),
     };
-    let reading = Body::read(body, admission.head.length, limit, buffer_limit);
+    let mut held = exchange.receive();
+    let reading = Body::read(body, admission.head.length, limit, buffer_limit, &mut held);
     let deadline = context.clock.tokio_instant(admission.deadline);
     let body = match tokio::time::timeout_at(deadline, reading).await {
         Ok(Ok(body)) => body,
         Ok(Err(refusal)) => return Resolution::Refused(refusal),
         Err(_) => return Resolution::Refused(body::stalled("the deadline passed")),
     };
+    exchange.work();
     if let (Some(key), Body::Buffered(bytes)) = (&key, &body) {
         return KeyedRequest::new(context, admission, key, bytes.clone()).run().await;
     }
--- a/crates/entry/tests/cluster/mod.rs
+++ b/crates/entry/tests/cluster/mod.rs
@@ -53,6 +53,16 @@
     }
 }
 
+/// What a test needs that runs the entry as a process of its own.
+pub(crate) struct Client {
+    pub(crate) address: SocketAddr,
+    pub(crate) http: reqwest::Client,
+    /// The file of the entry's settings.
+    pub(crate) settings: PathBuf,
+    _platform: Platform,
+    _workers: Vec<Worker>,
+}
+
 /// Configuration of a test cluster.
 pub(crate) struct Builder {
     behaviour: Behaviour,
@@ -143,6 +153,21 @@
         cluster
     }
 
+    /// Starts everything but the entry, whose settings are written to a file.
+    pub(crate) async fn start_without_entries(self) -> Client {
+        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(self.folder);
+        let mut cluster = Self { entries: 0, ..self }.start().await;
+        let builder = Self { entries: 1, ..Self::new(self.folder) };
+        let mut settings = builder.settings(&cluster.platform).remove(0);
+        let address = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        settings.http = address;
+        let path = folder.join("entry.json");
+        fs::write(&path, serde_json::to_vec(&settings).unwrap()).unwrap();
+        let workers = std::mem::take(&mut cluster.workers);
+        let Cluster { http, platform, .. } = cluster;
+        Client { address, http, settings: path, _platform: platform, _workers: workers }
+    }
+
     fn settings(&self, platform: &Platform) -> Vec<settings::Entry> {
         let names: Vec<Name> = (0..self.entries).map(|i| name(&format!("entry-{i}"))).collect();
         let set = keys::Set::generate(&names).unwrap();
@@ -165,6 +190,7 @@
             let base = format!("http://{}", platform.address());
             settings::Entry {
                 http: loopback(),
+                memory_mib: 0,
                 metrics: None,
                 name: names[index].clone(),
                 peers: others.cloned().collect(),
--- a/crates/intake/src/connection.rs
+++ b/crates/intake/src/connection.rs
@@ -20,6 +20,11 @@
         self.closer.cancelled().await;
     }
 
+    /// Returns a token that is cancelled when the connection has to be closed.
+    pub fn closer(&self) -> CancellationToken {
+        self.closer.clone()
+    }
+
     /// Lets the connection hold more bytes, like [`Reservation::grow`].
     pub(crate) fn grow(&self, bytes: usize) -> Result<(), Error> {
         self.intake.grow(self.id, bytes)
--- a/crates/proof/src/fleet.rs
+++ b/crates/proof/src/fleet.rs
@@ -135,6 +135,7 @@
         let name = name(&format!("entry-{index}"));
         let settings = settings::Entry {
             http: self.address(ENTRY_HTTP_PORT + index),
+            memory_mib: 0,
             metrics: None,
             name: name.clone(),
             peers: self.peers(Role::Entry, Some(index)),
--- a/crates/settings/src/entry.rs
+++ b/crates/settings/src/entry.rs
@@ -9,6 +9,9 @@
     /// Where callers reach it over HTTP, as `IP:PORT`.
     #[schemars(extend("format" = "ip-port"))]
     pub http: SocketAddr,
+    /// The memory of its VM, in MiB. Callers can make it hold a quarter of that; 0 stands for 256.
+    #[serde(default)]
+    pub memory_mib: usize,
     /// Where metrics go, as `IP:PORT` of a statsd listener over UDP; none are sent without it.
     #[serde(default)]
     #[schemars(extend("format" = "ip-port"))]
