--- a/crates/fleet/src/cell_balance.rs
+++ b/crates/fleet/src/cell_balance.rs
@@ -12,9 +12,17 @@
 const MOVE_MARGIN_MS: u64 = 400;
 /// Maximum number of jobs moved to be served sooner, and of jobs split, in one pass.
 const MAX_MOVES: usize = 4;
+/// Maximum size of the filling images of which the head tells figures, as they are written once. The head has to
+/// fit into a value of the store.
+const MAX_IMAGE_BYTES: usize = 256 << 10;
 /// Maximum number of jobs moved in one pass, with those that can only wait in this cell.
 const MAX_URGENT_MOVES: usize = 64;
 
+/// Returns the size of images as they are written with their figures, in bytes.
+fn size_of_images<'a>(images: impl Iterator<Item = &'a String>) -> usize {
+    images.map(|image| pressure::image_bytes(image)).sum()
+}
+
 impl Cell {
     /// Every `LOAD_INTERVAL_MS`, updates the contention between images and the processors that
     /// tasks of each filling image could use.
@@ -38,6 +46,12 @@
                 }
             }
         }
+        let mut bytes = size_of_images(images.keys());
+        while bytes > MAX_IMAGE_BYTES
+            && let Some((image, _)) = images.pop_last()
+        {
+            bytes -= pressure::image_bytes(&image);
+        }
         let mut usable: BTreeMap<String, u64> = BTreeMap::new();
         for (image, step) in &images {
             let usable_at = |worker: &Worker| {
@@ -50,6 +64,9 @@
         self.observe_rates(clock, &images);
         // An image without a job keeps its last value until the next job with it arrives.
         self.usable_milli.extend(usable);
+        if size_of_images(self.usable_milli.keys()) > MAX_IMAGE_BYTES {
+            self.usable_milli.retain(|image, _| images.contains_key(image));
+        }
     }
 
     /// Updates how fast the cell gets through the work of each filling image: what its tasks use, and what
--- a/crates/fleet/src/pressure.rs
+++ b/crates/fleet/src/pressure.rs
@@ -48,6 +48,10 @@
 const MAX_WEIGHT: f64 = 25.0;
 /// Factor by which weights decay per second, since pairs change over time.
 const WEIGHT_DECAY_PER_S: f64 = 0.96;
+/// Maximum size of all pairs as they are written. They have to fit into a value of the store.
+const MAX_BYTES: usize = 512 << 10;
+/// What is written beside the name of an image, in bytes.
+const FIGURES_BYTES: usize = 64;
 /// Levels and weights are stored with a precision of one thousandth.
 const ROUNDING: f64 = 1_000.0;
 
@@ -57,6 +61,11 @@
     1.0 - IDLE_TAIL / tail_ratio.max(IDLE_TAIL)
 }
 
+/// Returns the most bytes in which an image is written with its figures. Characters of its name may be escaped.
+pub(crate) fn image_bytes(image: &str) -> usize {
+    2 * image.len() + FIGURES_BYTES
+}
+
 impl Pressure {
     /// Updates the estimates from the contention that filling images add for a serving image while
     /// they use these shares of the worker's processors. Images that are less well known take more of
@@ -94,10 +103,42 @@
         })
     }
 
-    /// Decays the weight of the evidence by `seconds`.
+    /// Decays the weight of the evidence by `seconds`, and drops the pairs with the least of it beyond `MAX_BYTES`.
     pub fn decay(&mut self, seconds: f64) {
         let kept = WEIGHT_DECAY_PER_S.powf(seconds);
         self.pairs.values_mut().flat_map(BTreeMap::values_mut).for_each(|pair| pair.weight *= kept);
+        self.prune();
+    }
+
+    /// Drops the pairs with the least evidence until the others fit into `MAX_BYTES`.
+    fn prune(&mut self) {
+        let of_pair = |(filling, _): (&String, &Pair)| image_bytes(filling);
+        let of_serving = |(serving, pairs): (&String, &BTreeMap<String, Pair>)| {
+            image_bytes(serving) + pairs.iter().map(of_pair).sum::<usize>()
+        };
+        let mut bytes: usize = self.pairs.iter().map(of_serving).sum();
+        if bytes <= MAX_BYTES {
+            return;
+        }
+        let mut pairs: Vec<(f64, String, String)> = Vec::new();
+        for (serving, fillings) in &self.pairs {
+            let of =
+                |(filling, pair): (&String, &Pair)| (pair.weight, serving.clone(), filling.clone());
+            pairs.extend(fillings.iter().map(of));
+        }
+        pairs.sort_by(|a, b| a.0.total_cmp(&b.0));
+        for (_, serving, filling) in pairs {
+            if bytes <= MAX_BYTES {
+                return;
+            }
+            let Some(fillings) = self.pairs.get_mut(&serving) else { continue };
+            fillings.remove(&filling);
+            bytes -= image_bytes(&filling);
+            if fillings.is_empty() {
+                self.pairs.remove(&serving);
+                bytes -= image_bytes(&serving);
+            }
+        }
     }
 
     /// Merges the estimates of another owner.
--- a/crates/fleet/tests/sharing.rs
+++ b/crates/fleet/tests/sharing.rs
@@ -458,3 +458,33 @@
     world.advance(200);
     assert_eq!(world.starts(name("2", 0, 0)).len(), 1);
 }
+
+/// A cell's records of contention have to fit into a value of the store, whatever images callers name.
+#[test]
+fn records_of_many_images_stay_small_and_keep_the_best_known() {
+    let mut pressure = Pressure::default();
+    for _ in 0..10 {
+        pressure.observe("feed", measured(0.5), &[("known", 0.5)]);
+    }
+    for number in 0..4_000 {
+        let image = format!("{number:04}{}", "\"".repeat(252));
+        pressure.observe("feed", measured(0.1), &[(&image, 0.1)]);
+    }
+    let known = pressure.level("feed", "known");
+    pressure.decay(0.5);
+    assert!(serde_json::to_vec(&pressure.rounded()).unwrap().len() < 1 << 20);
+    assert_eq!(pressure.level("feed", "known"), known);
+}
+
+/// The same of the head, which also tells figures by image.
+#[test]
+fn heads_of_cells_with_many_images_stay_small() {
+    let mut world = World::new(&["w1"]);
+    for number in 0..1_200 {
+        let image = format!("{number:04}{}", "\"".repeat(252));
+        world.submit(&format!("{number:x}"), "render", vec![filling(1, &image)]);
+    }
+    world.advance(600);
+    let head = serde_json::to_vec(&world.head.0).unwrap();
+    assert!(head.len() < 1 << 20, "{}", head.len());
+}
--- a/crates/node/tests/clients.rs
+++ b/crates/node/tests/clients.rs
@@ -141,10 +141,12 @@
         wait_until_ok("the metrics", vm.metrics, "/metrics").await;
         vm.submit("00000000000000a2", 300, json!([step(1, &[])])).await;
         wait_until("the job beside the crowd", TIMEOUT, has_run("00000000000000a2")).await;
+        wait_until_completed(&vm, "00000000000000a2").await;
         assert_lives(&vm, case.memory_mb);
         drop(crowd);
         vm.submit("00000000000000a3", 300, json!([step(1, &[])])).await;
         wait_until("the job after the crowd", TIMEOUT, has_run("00000000000000a3")).await;
+        wait_until_completed(&vm, "00000000000000a3").await;
         assert_lives(&vm, case.memory_mb);
         let (open, most) = (descriptors.get(), case.max_fds - FILES);
         assert!(open <= most, "{open} descriptors were open; at most {most} are allowed");
@@ -207,6 +209,21 @@
     }
 }
 
+/// Waits until a job is shown as completed.
+async fn wait_until_completed(vm: &Process, job: &str) {
+    let deadline = Instant::now() + TIMEOUT;
+    let path = format!("/q/{job}");
+    let is_completed = || async {
+        let http = Http::default();
+        let answer = http.call(vm.front, Method::GET, &path, Vec::new(), Duration::from_secs(3));
+        answer.await.is_ok_and(|answer| answer.body.ends_with(br#""completed"}"#))
+    };
+    while !is_completed().await {
+        assert!(Instant::now() < deadline, "timed out waiting for the end of {job}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
 fn check_memory(name: &'static str, scripts: Vec<Script>) {
     let (port, max_fds, memory_mb) = (Port::Front, MAX_FDS, MEMORY_MB);
     check(Case { name, port, max_fds, memory_mb, scripts, successor: false });
@@ -442,3 +459,33 @@
         assert_lives(&vm, SMALLEST_MEMORY_MB);
     });
 }
+
+/// Jobs whose names are long: what is told of them must fit into the store.
+#[test]
+fn long_names_are_borne() {
+    let image = |client: usize| format!("{client:04}{}", "i".repeat(BODY_LIMIT - 400));
+    let body = |client| {
+        let step = format!(r#"{{"count":1,"cpu":100,"fills":true,"image":"{}"}}"#, image(client));
+        submission(&step, 0)
+    };
+    let request = |client| {
+        let body = body(client);
+        format!("{}{body}", head(client, &format!("content-length: {}\r\n", body.len())))
+    };
+    check_memory("long-names", scripts(12, |client| script(request(client), "", 0)));
+}
+
+/// Many jobs, each with a name of its own.
+#[test]
+fn many_names_are_borne() {
+    let image = |client: usize| format!("{client:04}{}", "i".repeat(246));
+    let request = |client| {
+        let image = image(client);
+        let step = format!(
+            r#"{{"count":1,"cpu":1,"fills":true,"requirements":"none","image":"{image}"}}"#
+        );
+        let body = submission(&step, 0);
+        format!("{}{body}", head(client, &format!("content-length: {}\r\n", body.len())))
+    };
+    check_memory("many-names", scripts(5_000, |client| script(request(client), "", 0)));
+}
