--- a/crates/entry/src/clients.rs
+++ b/crates/entry/src/clients.rs
@@ -32,7 +32,7 @@
 
 /// Interval between two counts of the connections that were closed or refused.
 const COUNT_INTERVAL: Duration = Duration::from_secs(1);
-/// The time limit of callers that bounds nothing here: the server has time limits of its own.
+/// The time limit of callers, in milliseconds. Nothing expires by it here: the server has time limits of its own.
 const TIMEOUT_MS: u64 = 3_000;
 
 impl Clients {
--- a/crates/fleet/src/policy.rs
+++ b/crates/fleet/src/policy.rs
@@ -13,12 +13,12 @@
     pub backfill: bool,
     /// The share that lasting jobs may hold follows what short work needs.
     pub headroom: bool,
+    /// What clients make a process hold has a bound.
+    pub intake: bool,
     /// Steps that no worker of the cell can hold are set aside.
     pub inventory: bool,
     /// Jobs that can still be in time go before those that can't.
     pub lateness: bool,
-    /// What clients make a process hold has a bound.
-    pub intake: bool,
     /// Jobs for which owners would have no memory are rejected.
     pub memory: bool,
     /// Jobs that have not begun move to cells that serve them sooner.
@@ -55,8 +55,8 @@
             affinity: true,
             backfill: true,
             headroom: true,
-            inventory: true,
             intake: true,
+            inventory: true,
             lateness: true,
             memory: true,
             moves: true,
@@ -88,10 +88,10 @@
             "affinity" => &mut self.affinity,
             "backfill" => &mut self.backfill,
             "headroom" => &mut self.headroom,
-            "inventory" => &mut self.inventory,
             "intake" => &mut self.intake,
-            "memory" => &mut self.memory,
+            "inventory" => &mut self.inventory,
             "lateness" => &mut self.lateness,
+            "memory" => &mut self.memory,
             "moves" => &mut self.moves,
             "pressure" => &mut self.pressure,
             "quorum" => &mut self.quorum,
--- a/crates/intake/src/limit.rs
+++ b/crates/intake/src/limit.rs
@@ -47,10 +47,13 @@
         let or = |value, default| if value == 0 { default } else { value };
         let memory_bytes = or(memory_bytes, DEFAULT_MEMORY_BYTES);
         let descriptors = or(descriptors, DEFAULT_DESCRIPTORS).saturating_sub(FILE_DESCRIPTORS);
-        let connections = descriptors * CONNECTIONS_PERCENT / 100;
+        let connections = descriptors.saturating_mul(CONNECTIONS_PERCENT) / 100;
         Self {
             bytes: memory_bytes / 100 * MEMORY_PERCENT,
-            connections: shares.iter().map(|share| (connections * share / 100).max(1)).collect(),
+            connections: shares
+                .iter()
+                .map(|share| (connections.saturating_mul(*share) / 100).max(1))
+                .collect(),
             request_ms: timeout_ms * REQUEST_TIMEOUTS,
             stall_ms: timeout_ms * STALL_TIMEOUTS,
         }
--- a/crates/intake/src/socket.rs
+++ b/crates/intake/src/socket.rs
@@ -26,17 +26,18 @@
         Self { connection, blocked: false, inner, reader: None, read: 0 }
     }
 
-    /// Records bytes that were read. `at_once` of them came with one call.
-    fn received(&mut self, at_once: usize) -> io::Result<()> {
+    /// Records that `bytes` were read.
+    fn received(&mut self, bytes: usize) -> io::Result<()> {
         self.connection.received();
         let was_wide = self.read > WIDE_AFTER_BYTES;
-        self.read = (self.read + at_once).min(WIDE_AFTER_BYTES + 1);
+        self.read = (self.read + bytes).min(WIDE_AFTER_BYTES + 1);
         if !was_wide && self.read > WIDE_AFTER_BYTES {
             self.connection.grow(WIDE_BYTES)?;
         }
         Ok(())
     }
 
+    /// Records the result of a write, and lets the reader go on once the client reads again.
     fn written(&mut self, poll: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         self.blocked = poll.is_pending();
         self.connection.sent(self.blocked);
--- a/crates/intake/src/table.rs
+++ b/crates/intake/src/table.rs
@@ -30,6 +30,11 @@
 pub const CONNECTION_BYTES: usize = 16 << 10;
 
 impl Entry {
+    /// Returns whether nothing of a next request has arrived.
+    fn is_idle(&self) -> bool {
+        self.phase == Phase::Idle
+    }
+
     /// Returns whether the connection waits for its client with something in hand.
     fn is_stalled(&self) -> bool {
         matches!(self.phase, Phase::Receiving | Phase::Sending)
@@ -50,8 +55,9 @@
         let most = self.limit.connections.get(listener).copied().unwrap_or(0);
         let mine = |entry: &Entry| entry.listener == listener;
         if self.connections.values().filter(|entry| mine(entry)).count() >= most {
-            let idle = self.longest(|entry| mine(entry) && entry.phase == Phase::Idle);
-            let longest = idle.or_else(|| self.longest(|entry| mine(entry) && entry.is_stalled()));
+            let idle = self.longest(|_, entry| mine(entry) && entry.is_idle());
+            let longest =
+                idle.or_else(|| self.longest(|_, entry| mine(entry) && entry.is_stalled()));
             let Some(id) = longest else { return Err(self.refuse()) };
             self.end(id, Cause::Connections);
             closed.push(id);
@@ -168,9 +174,9 @@
             return Err(self.refuse());
         }
         while self.used + bytes > limit {
-            let stalled = self.longest_but(id, Entry::is_stalled);
-            let idle = |entry: &Entry| entry.phase == Phase::Idle;
-            let Some(other) = stalled.or_else(|| self.longest_but(id, idle)) else {
+            let stalled = self.longest(|other, entry| other != id && entry.is_stalled());
+            let idle = || self.longest(|other, entry| other != id && entry.is_idle());
+            let Some(other) = stalled.or_else(idle) else {
                 return Err(self.refuse());
             };
             self.end(other, Cause::Memory);
@@ -180,15 +186,8 @@
     }
 
     /// Returns the connection that has waited longest among those that match.
-    fn longest(&self, matches: impl Fn(&Entry) -> bool) -> Option<u64> {
-        let matching = self.connections.iter().filter(|(_, entry)| matches(entry));
-        matching.min_by_key(|(id, entry)| (entry.progress_at, **id)).map(|(id, _)| *id)
-    }
-
-    /// The same without the connection `id`.
-    fn longest_but(&self, id: u64, matches: impl Fn(&Entry) -> bool) -> Option<u64> {
-        let matching = self.connections.iter().filter(|(other, _)| **other != id);
-        let matching = matching.filter(|(_, entry)| matches(entry));
+    fn longest(&self, matches: impl Fn(u64, &Entry) -> bool) -> Option<u64> {
+        let matching = self.connections.iter().filter(|(id, entry)| matches(**id, entry));
         matching.min_by_key(|(id, entry)| (entry.progress_at, **id)).map(|(id, _)| *id)
     }
 
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -113,12 +113,12 @@
     limit: usize,
     connection: &Arc<Connection>,
 ) -> Result<Option<Body>, Unread> {
-    let awaits_leave = request.headers().contains_key(hyper::header::EXPECT);
+    let expects_continue = request.headers().contains_key(hyper::header::EXPECT);
     let mut incoming = request.into_body();
     connection.enter(Phase::Receiving);
     let mut body = Body::new(connection.clone());
     if incoming.size_hint().lower() > limit as u64 {
-        if !awaits_leave {
+        if !expects_continue {
             discard(&mut incoming).await;
         }
         connection.enter(Phase::Working);
