--- a/crates/entry/src/acceptor.rs
+++ b/crates/entry/src/acceptor.rs
@@ -26,6 +26,7 @@
         policy: Option<ArcFusePolicy>,
     ) -> io::Result<Accepted<Self::Coupler, Self::Stream>> {
         loop {
+            self.clients.settle().await;
             let accepted = self.inner.accept(policy.clone()).await?;
             let unknown = || io::Error::other("the peer has no IP address");
             let from = accepted.remote_addr.clone().into_std().ok_or_else(unknown)?;
--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -42,7 +42,8 @@
         response: &mut Response,
         _: &mut FlowCtrl,
     ) {
-        let mut exchange = self.context.clients.begin(request.remote_addr().clone().into_std());
+        let from = request.remote_addr().clone().into_std();
+        let mut exchange = self.context.clients.begin(from);
         let path = request.uri().path().to_owned();
         let segments: Vec<&str> = path.split('/').skip(1).collect();
         let context = &self.context;
@@ -62,15 +63,18 @@
             ("POST", ["drain"]) => self.drain(response),
             (method, _) => unknown_route(method, &path, response),
         }
-        self.close_if_leaving(request.version(), response);
+        let is_last = self.context.clients.is_last(from);
+        self.close_if_leaving(request.version(), is_last, response);
     }
 }
 
 impl Api {
     /// Asks an HTTP/1 caller to close its connection while the entry is leaving, so that no request
-    /// is sent on a connection that the drain is about to close. HTTP/2 has GOAWAY for this.
-    fn close_if_leaving(&self, version: Version, response: &mut Response) {
-        if version <= Version::HTTP_11 && !self.context.drain.state().is_healthy() {
+    /// is sent on a connection that the drain is about to close, and if others need its place. HTTP/2 has
+    /// GOAWAY for the drain.
+    fn close_if_leaving(&self, version: Version, is_last: bool, response: &mut Response) {
+        let leaves = !self.context.drain.state().is_healthy();
+        if version <= Version::HTTP_11 && (leaves || is_last) {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
     }
--- a/crates/entry/src/clients.rs
+++ b/crates/entry/src/clients.rs
@@ -44,6 +44,11 @@
         Self { connections: Arc::default(), intake: Intake::new(limit) }
     }
 
+    /// Waits until few connections are being closed.
+    pub(crate) async fn settle(&self) {
+        self.intake.settle().await;
+    }
+
     /// Adds a connection; `None` if it has to be closed at once.
     pub(crate) fn open(&self, from: SocketAddr) -> Option<Arc<Connection>> {
         let connection = Arc::new(self.intake.open(0).ok()?);
@@ -61,6 +66,13 @@
         }
     }
 
+    /// Returns whether the connection from an address has to end after the answer that is being prepared.
+    pub(crate) fn is_last(&self, from: Option<SocketAddr>) -> bool {
+        let connections = lock(&self.connections);
+        let client = from.and_then(|from| connections.get(&from));
+        client.is_some_and(|client| client.connection.is_last())
+    }
+
     /// Begins an exchange on the connection from an address.
     pub(crate) fn begin(&self, from: Option<SocketAddr>) -> Exchange {
         let mut exchange = Exchange { clients: self.clone(), from, working: false };
--- a/crates/intake/src/connection.rs
+++ b/crates/intake/src/connection.rs
@@ -35,6 +35,11 @@
         self.intake.shrink(self.id, bytes);
     }
 
+    /// Returns whether the connection has to end after the answer that is being prepared.
+    pub fn is_last(&self) -> bool {
+        self.intake.is_last(self.id)
+    }
+
     /// Records what the connection now waits for.
     pub fn enter(&self, phase: Phase) {
         self.intake.enter(self.id, phase);
--- a/crates/intake/src/intake.rs
+++ b/crates/intake/src/intake.rs
@@ -14,8 +14,13 @@
     table: Table,
     /// Closes each connection of the table.
     closers: BTreeMap<u64, CancellationToken>,
+    /// The number of connections that have not been dropped, also of those that have left the table.
+    held: usize,
 }
 
+/// The most connections that are being closed while others are accepted.
+const MAX_CLOSING: usize = 16;
+
 impl State {
     fn cancel(&mut self, closed: &[u64]) {
         closed.iter().filter_map(|id| self.closers.remove(id)).for_each(|closer| closer.cancel());
@@ -25,7 +30,7 @@
 impl Intake {
     /// Returns the intake of a process with this limit.
     pub fn new(limit: Limit) -> Self {
-        let state = State { table: Table::new(limit), closers: BTreeMap::new() };
+        let state = State { table: Table::new(limit), closers: BTreeMap::new(), held: 0 };
         Self { started: Instant::now(), state: Arc::new(Mutex::new(state)) }
     }
 
@@ -41,9 +46,24 @@
         state.cancel(&closed);
         let closer = CancellationToken::new();
         state.closers.insert(id, closer.clone());
+        state.held += 1;
         Ok(Connection::new(self.clone(), id, closer))
     }
 
+    /// Waits until few connections are being closed, whose descriptors are still in use. To be called before a
+    /// connection is accepted.
+    pub async fn settle(&self) {
+        while self.closing() > MAX_CLOSING {
+            tokio::task::yield_now().await;
+        }
+    }
+
+    /// Returns the number of connections that have left the table and are not closed yet.
+    fn closing(&self) -> usize {
+        let state = self.lock();
+        state.held.saturating_sub(state.table.len())
+    }
+
     /// Closes the connections that have waited too long for their clients.
     pub fn expire(&self) {
         let now = self.now();
@@ -78,6 +98,10 @@
         self.lock().table.phase(id)
     }
 
+    pub(crate) fn is_last(&self, id: u64) -> bool {
+        self.lock().table.is_last(id)
+    }
+
     pub(crate) fn enter(&self, id: u64, phase: Phase) {
         let now = self.now();
         self.lock().table.enter(id, phase, now);
@@ -87,6 +111,7 @@
         let mut state = self.lock();
         state.table.close(id);
         state.closers.remove(&id);
+        state.held -= 1;
     }
 
     fn now(&self) -> u64 {
--- a/crates/intake/src/table.rs
+++ b/crates/intake/src/table.rs
@@ -18,6 +18,8 @@
 #[derive(Debug)]
 struct Entry {
     bytes: usize,
+    /// Whether it ends after the answer to the request that is at work.
+    last: bool,
     listener: usize,
     phase: Phase,
     /// When its client last did what it waits for, in milliseconds.
@@ -49,7 +51,9 @@
     }
 
     /// Adds a connection of a listener at `now`, in milliseconds. Returns its number and the connections to
-    /// close for it. Idle ones give way first, then those that have waited longest for their client.
+    /// close for it. Idle ones give way first, then those that have waited longest for their client. If all are
+    /// at work, the one that has been for longest ends after its answer: clients that always have another request
+    /// at hand would keep everybody else out.
     pub fn open(&mut self, now: u64, listener: usize) -> Result<(u64, Vec<u64>), Error> {
         let mut closed = Vec::new();
         let most = self.limit.connections.get(listener).copied().unwrap_or(0);
@@ -58,16 +62,23 @@
             let idle = self.longest(|_, entry| mine(entry) && entry.is_idle());
             let longest =
                 idle.or_else(|| self.longest(|_, entry| mine(entry) && entry.is_stalled()));
-            let Some(id) = longest else { return Err(self.refuse()) };
+            let Some(id) = longest else {
+                self.end_after_answer(listener);
+                return Err(self.refuse());
+            };
             self.end(id, Cause::Connections);
             closed.push(id);
         }
         let id = self.next_id;
-        self.make_room(CONNECTION_BYTES, id, &mut closed)?;
+        if let Err(error) = self.make_room(CONNECTION_BYTES, id, &mut closed) {
+            self.end_after_answer(listener);
+            return Err(error);
+        }
         self.next_id += 1;
         self.used += CONNECTION_BYTES;
         let (bytes, phase) = (CONNECTION_BYTES, Phase::Idle);
-        let entry = Entry { bytes, listener, phase, progress_at: now, started_at: now };
+        let (last, progress_at, started_at) = (false, now, now);
+        let entry = Entry { bytes, last, listener, phase, progress_at, started_at };
         self.connections.insert(id, entry);
         Ok((id, closed))
     }
@@ -106,6 +117,11 @@
         entry.progress_at = now;
     }
 
+    /// Returns whether a connection has to end after the answer to the request that is at work.
+    pub fn is_last(&self, id: u64) -> bool {
+        self.connections.get(&id).is_none_or(|entry| entry.last)
+    }
+
     /// Returns what a connection waits for, unless it was closed.
     pub fn phase(&self, id: u64) -> Option<Phase> {
         self.connections.get(&id).map(|entry| entry.phase)
@@ -185,6 +201,16 @@
         Ok(())
     }
 
+    /// Lets the connection of a listener that has been at work for longest end after its answer.
+    fn end_after_answer(&mut self, listener: usize) {
+        let is_open = |entry: &Entry| entry.phase == Phase::Working && !entry.last;
+        let longest = self.longest(|_, entry| entry.listener == listener && is_open(entry));
+        if let Some(entry) = longest.and_then(|id| self.connections.get_mut(&id)) {
+            entry.last = true;
+            *self.ended.entry(Cause::Connections).or_default() += 1;
+        }
+    }
+
     /// Returns the connection that has waited longest among those that match.
     fn longest(&self, matches: impl Fn(u64, &Entry) -> bool) -> Option<u64> {
         let matching = self.connections.iter().filter(|(id, entry)| matches(**id, entry));
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -52,6 +52,7 @@
 /// Accepts connections until the process ends.
 pub(crate) async fn listen(node: Rc<Node>, listener: TcpListener, purpose: Purpose) {
     loop {
+        node.intake.settle().await;
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(error) => {
@@ -96,11 +97,17 @@
         let (node, connection) = (node.clone(), own.clone());
         async move {
             connection.enter(Phase::Working);
-            let answer = match purpose {
+            let mut answer = match purpose {
                 Purpose::Front => front::answer(node, request, &connection).await,
                 Purpose::Metrics => Ok(Response::new(Full::new(Bytes::from(node.meter.text())))),
                 Purpose::Ready => Ok(front::ready(&node, &request)),
             };
+            if let Ok(response) = &mut answer
+                && connection.is_last()
+            {
+                let close = hyper::header::HeaderValue::from_static("close");
+                response.headers_mut().insert(hyper::header::CONNECTION, close);
+            }
             connection.enter(Phase::Idle);
             answer
         }
