--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -36,8 +36,7 @@
 
 impl Body {
     /// Buffers `body`, at least its first `buffer_limit` bytes if it is longer. Refuses a body of more
-    /// than `limit` bytes; `length` is the declared length;
-    /// `held` grows with the buffer.
+    /// than `limit` bytes; `length` is the declared length. `held` grows with the buffer.
     pub(crate) async fn read(
         mut body: ReqBody,
         length: Option<u64>,
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -76,8 +76,7 @@
         let body = self.body.inspect(move |_| {
             let _ = &exchange;
         });
-        let body = body.boxed();
-        Self { body, ..self }
+        Self { body: body.boxed(), ..self }
     }
 
     /// Writes the answer into `response` for the caller of request `id`.
