--- a/review/standin-3/src/record.rs
+++ b/review/standin-3/src/record.rs
@@ -9,6 +9,11 @@
     time::Instant,
 };
 
+/// The prefix of the IDs of jobs of many tasks: the record has only the starts and ends of their first ones.
+pub const WIDE_PREFIX: &str = "0000000000000c";
+/// The number of their tasks that the record tells of.
+const WIDE_SHOWN: usize = 3;
+
 /// What became of a task's runs.
 #[derive(Clone, Debug, Default)]
 pub struct Task {
@@ -42,6 +47,14 @@
         writeln!(self.file.lock().unwrap(), "{at:8.3} {text}").unwrap();
     }
 
+    /// Writes a line about a task, unless it is one of too many.
+    pub fn task_line(&self, task: &str, text: &str) {
+        let index = task.rsplit('.').next().and_then(|index| index.parse().ok());
+        if !task.starts_with(WIDE_PREFIX) || index.is_some_and(|index: usize| index < WIDE_SHOWN) {
+            self.line(text);
+        }
+    }
+
     fn change(&self, task: &str, change: impl FnOnce(&mut Task)) {
         change(self.tasks.lock().unwrap().entry(task.into()).or_default());
     }
--- a/review/standin-3/src/store.rs
+++ b/review/standin-3/src/store.rs
@@ -47,6 +47,8 @@
 }
 
 const PAGE_ITEMS: usize = 500;
+/// The most bytes of a value: `value_bytes` of the settings.
+const VALUE_BYTES: usize = 1_048_576;
 
 impl State {
     fn put(&mut self, key: &str, value: String, lease: u64) {
@@ -87,6 +89,10 @@
             return (412, format!("{{\"items\":[{}]}}", items.join(",")));
         }
         let writes = body.get("writes").list();
+        let is_too_large = |row: &Json| row.get("value").text().len() / 4 * 3 > VALUE_BYTES;
+        if writes.iter().any(is_too_large) {
+            return (400, "{}".into());
+        }
         let lease_is_gone = |row: &Json| {
             let lease = row.get("lease").number();
             lease != 0 && !self.leases.contains_key(&lease)
--- a/review/standin-3/src/worker.rs
+++ b/review/standin-3/src/worker.rs
@@ -163,8 +163,10 @@
     pub fn crash(&self, store: &Store, down: Duration) {
         let mut state = self.state.0.lock().unwrap();
         for (task, run) in &state.running {
-            self.record
-                .line(&format!("worker {} crash: {task} run {} is gone", self.id, run.number));
+            self.record.task_line(
+                task,
+                &format!("worker {} crash: {task} run {} is gone", self.id, run.number),
+            );
             self.record.lost(task);
             if run.gang.is_some() {
                 self.gangs.with(task, run.number, |gang| gang.broken = true);
@@ -229,7 +231,10 @@
             let highest = state.highest.entry(task.clone()).or_default();
             *highest = (*highest).max(run.number);
             self.record.ended(task, how);
-            self.record.line(&format!("worker {} ends {task} run {} {how}", self.id, run.number));
+            self.record.task_line(
+                task,
+                &format!("worker {} ends {task} run {} {how}", self.id, run.number),
+            );
         }
         if !over.is_empty() {
             drop(state);
@@ -284,7 +289,7 @@
                         });
                     }
                     self.record.started(&task, number, &checkpoint);
-                    self.record.line(&format!(
+                    self.record.task_line(&task, &format!(
                         "worker {} starts {task} run {number} fence {fence} checkpoint {checkpoint:?}",
                         self.id
                     ));
