--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -11,6 +11,7 @@
 mod record;
 mod store;
 mod wide;
+mod wide_gang;
 mod worker;
 
 use {
@@ -54,6 +55,7 @@
     let outcome = match case.as_str() {
         "late-leave" => late_leave::run(&record, Path::new(folder), trouble),
         "gang" => gang::run(&record, Path::new(folder), trouble),
+        "wide-gang" => wide_gang::run(&record, Path::new(folder), trouble),
         "wide" => wide::run(&record, Path::new(folder), trouble),
         _ => Outcome::NotRun(format!("no case `{case}`")),
     };
