--- a/crates/fleet/src/action.rs
+++ b/crates/fleet/src/action.rs
@@ -277,6 +277,23 @@
         /// The number of runs that these hold or may hold, which go on.
         runs: usize,
     },
+    /// A lasting task that has run waits. Reported for one task of a job, each time the cause changes.
+    Waiting {
+        /// The task.
+        task: task::Name,
+        /// The number of such tasks of the job.
+        tasks: usize,
+        /// Why it waits.
+        cause: wait::Cause,
+        /// For how long the job has had such tasks in this cell, in milliseconds.
+        waited_ms: u64,
+        /// The number of workers that get new runs and may run it.
+        usable: usize,
+        /// Those of them with room for it.
+        fitting: usize,
+        /// The number of crashes under the task.
+        suspicion: usize,
+    },
     /// The state of a worker changed: it answered this owner for the first time or again after
     /// missed polls, stopped answering, restarted or failed its runs.
     Worker {
--- a/crates/fleet/src/cell.rs
+++ b/crates/fleet/src/cell.rs
@@ -146,6 +146,10 @@
     pub(crate) unfenced: BTreeSet<Arc<str>>,
     /// The workers' entries are too old: some worker may drain by now.
     pub(crate) view_stale: bool,
+    /// Jobs with lasting tasks that have run and wait.
+    pub(crate) waits: BTreeMap<job::Id, wait::Wait>,
+    /// When such jobs were last searched for, in milliseconds.
+    pub(crate) waits_reported_at: u64,
     pub(crate) workers: BTreeMap<Arc<str>, Worker>,
 }
 
@@ -223,6 +227,8 @@
             unheld: BTreeSet::new(),
             unfenced: members.keys().filter(|id| !vacated.contains(&***id)).cloned().collect(),
             view_stale: false,
+            waits: BTreeMap::new(),
+            waits_reported_at: 0,
             workers: BTreeMap::new(),
         };
         for (id, record, progress, revision) in jobs {
@@ -311,6 +317,7 @@
         self.poll_workers(clock);
         self.ask_for_confirmation(clock);
         self.report_usage(clock);
+        self.report_waits(clock);
     }
 
     /// Returns whether the next owner can see everything: no commit or start order is in flight and
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -306,6 +306,17 @@
         self.waiting_tasks().into_iter().filter(unstarted).collect()
     }
 
+    /// Returns the lasting tasks of the first occurrence that wait and may have run before.
+    pub(crate) fn restarts(&self, id: Id) -> Vec<task::Name> {
+        if !self.is_lasting() || self.final_state.is_some() {
+            return Vec::new();
+        }
+        let unstarted = self.unstarted_tasks();
+        let name = |(step, index)| task::Name { job: id, occurrence: 0, step, index };
+        let lasting = |&(step, _): &(u16, u16)| self.stage(0, step).is_some_and(|s| s.step.lasting);
+        self.waiting_tasks().difference(&unstarted).copied().filter(lasting).map(name).collect()
+    }
+
     /// Returns whether lasting tasks of it wait that have never run.
     pub fn has_unstarted(&self) -> bool {
         self.is_lasting() && self.final_state.is_none() && !self.unstarted_tasks().is_empty()
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -82,6 +82,7 @@
 pub mod ticket;
 pub mod trace;
 pub mod usage;
+pub mod wait;
 mod window;
 pub mod worker;
 
--- a/crates/fleet/tests/crashes.rs
+++ b/crates/fleet/tests/crashes.rs
@@ -468,3 +468,36 @@
     world.advance(4_500);
     assert_eq!(world.running(name("1", 0, 1)).len(), 1);
 }
+
+/// How long lasting tasks may wait once all has been calm, in milliseconds.
+const CALM_MS: u64 = 7_000;
+
+/// Innocent tasks under which several workers had crashed each waited for a worker without any suspect.
+#[test]
+fn lasting_tasks_run_again_in_time_after_many_workers_have_crashed() {
+    for racks in [1, 2, 6] {
+        let mut world = World::new(&WORKERS);
+        for (number, worker) in (0..).zip(world.workers.values_mut()) {
+            worker.rack = number * racks / 6;
+        }
+        let members = world.members();
+        world.handle(Event::Workers(members));
+        world.run_ms = 600_000;
+        for job in 0..30 {
+            world.submit(&job.to_string(), QUEUE, vec![lasting(2)]);
+        }
+        world.advance(1_000);
+        for half in [["w1", "w2", "w3"], ["w4", "w5", "w6"], ["w1", "w2", "w3"]] {
+            for _ in 0..2 {
+                // They are back after three seconds.
+                half.iter().for_each(|id| world.crash(id));
+                world.advance(5_000);
+            }
+            world.advance(CALM_MS);
+        }
+        let tasks = (0..30).flat_map(|job| (0..2).map(move |index| (job, index)));
+        let waits =
+            |&(job, index): &(u32, u16)| world.running(name(&job.to_string(), 0, index)).is_empty();
+        assert_eq!(tasks.filter(waits).collect::<Vec<_>>(), [], "{racks} racks");
+    }
+}
--- a/crates/node/src/meter.rs
+++ b/crates/node/src/meter.rs
@@ -133,6 +133,7 @@
             Report::Unclaimed { .. } => "end_unclaimed",
             Report::Unheld { .. } => "step_unheld",
             Report::Usage(_) => "cell_usage",
+            Report::Waiting { .. } => "tasks_waiting",
             Report::Worker { .. } => "worker_believed",
             Report::Zone { .. } => "cell_zone_changed",
         };
