--- a/crates/fleet/src/cell_crashes.rs
+++ b/crates/fleet/src/cell_crashes.rs
@@ -19,6 +19,9 @@
 /// How long a suspect keeps other suspects away from its worker, in milliseconds. One under which a
 /// worker crashed later than that is seldom the cause, and would hold up the others for long.
 const MAX_TRIAL_MS: u64 = 5_000;
+/// How long a lasting task that is suspect waits for a worker without other suspects, in milliseconds: less than it
+/// waits for a cell with room.
+const MAX_APART_MS: u64 = 500;
 /// How long the fate of a worker whose lease has run out may stay unknown, in milliseconds, before the
 /// worker is forgotten.
 const MAX_SILENCE_MS: u64 = 30_000;
@@ -210,6 +213,45 @@
             && self.workers.values().any(on_trial)
     }
 
+    /// Returns whether a waiting task keeps away from workers with other suspects. Where many workers have crashed,
+    /// every worker has some, and a lasting task has to run again in time.
+    pub(crate) fn is_kept_apart(&self, now: u64, step: &Step, task: &task::Task) -> bool {
+        let waited = task.ready_since.is_some_and(|since| now >= since + MAX_APART_MS);
+        !(step.lasting && waited)
+    }
+
+    /// Notes since when the suspects among the waiting tasks of a lasting step have been ready to start.
+    pub(crate) fn note_ready(&mut self, now: u64, id: job::Id, occurrence: u32, step: u16) {
+        let stage = self.jobs.get_mut(&id).and_then(|job| job.stage_mut(occurrence, step));
+        let Some(stage) = stage.filter(|stage| stage.step.lasting) else { return };
+        for &index in &stage.waiting {
+            if let Some(task) = stage.tasks.get_mut(usize::from(index))
+                && task.suspicion.level() > 0
+            {
+                task.ready_since.get_or_insert(now);
+            }
+        }
+    }
+
+    /// Notes in the traces of a worker's suspects that they share it, if the run of `name` is one of them.
+    pub(crate) fn note_shared(&mut self, id: &Arc<str>, name: task::Name) {
+        let Some(worker) = self.workers.get(id) else { return };
+        let suspects = worker.runs.iter().filter(|(_, run)| run.suspicion > 0);
+        let suspects: Vec<task::Name> = suspects.map(|(suspect, _)| *suspect).collect();
+        let others = suspects.iter().any(|suspect| suspect.job != name.job);
+        if !others || !suspects.contains(&name) {
+            return;
+        }
+        for suspect in suspects {
+            let task = self.jobs.get_mut(&suspect.job).and_then(|job| job.task_mut(&suspect));
+            let trace = task.and_then(|task| task.trace.as_mut());
+            if let Some(trace) = trace.filter(|trace| !trace.shared) {
+                trace.shared = true;
+                self.mark_dirty(suspect.job);
+            }
+        }
+    }
+
     /// Orders the planned starts that are recorded. Those whose worker gets no new runs any more are
     /// dropped.
     pub(crate) fn order_planned(&mut self, clock: Clock) {
@@ -242,8 +284,8 @@
         let Some(job) = self.jobs.get_mut(&name.job) else { return };
         let Some(task) = job.task_mut(name) else { return };
         let Some(trace) = task.trace.take() else { return };
-        // A task with several crashes had a worker without other suspects.
-        let singled_out = task.suspicion.level_before(trace.run) > 1;
+        // A task with several crashes has a worker without other suspects, unless it had to share one.
+        let singled_out = task.suspicion.level_before(trace.run) > 1 && !trace.shared;
         let worker = self.workers.get(trace.worker.as_str());
         let entry = worker.and_then(|worker| worker.registration.as_ref());
         let confirmed = match worker {
--- a/crates/fleet/src/cell_lasting.rs
+++ b/crates/fleet/src/cell_lasting.rs
@@ -80,6 +80,7 @@
         }
         let placed = cell_schedule::tasks_per_worker(stage);
         let criteria = placement::Criteria {
+            apart: self.is_kept_apart(clock.now, &step, task),
             suspicion: &task.suspicion,
             now: clock.now,
             service: &job.queue.service,
--- a/crates/fleet/src/cell_orders.rs
+++ b/crates/fleet/src/cell_orders.rs
@@ -36,8 +36,10 @@
         let level = suspicion.max(gang_level);
         let traced = recovered || level > 0;
         let born = worker.born;
-        task.trace = traced.then(|| Trace { born, run, worker: (**id).into() });
+        task.trace = traced.then(|| Trace { born, run, shared: false, worker: (**id).into() });
+        task.ready_since = None;
         worker.insert(name, Run { suspicion, ..Run::new(clock.now, run, step) });
+        self.note_shared(id, name);
         if first_start || traced || unstarted {
             self.mark_dirty(name.job);
         }
--- a/crates/fleet/src/cell_polls.rs
+++ b/crates/fleet/src/cell_polls.rs
@@ -394,13 +394,14 @@
         run.suspicion = suspicion;
         run.pace = None;
         run.progress = row.progress;
-        let trace = Trace { born: worker.born, run: row.run, worker: (**id).into() };
+        let trace = Trace { born: worker.born, run: row.run, shared: false, worker: (**id).into() };
         worker.insert(name, run);
         if wanted {
             task.trace = Some(trace);
             stage.waiting.remove(&name.index);
             task.status = Status::Active { worker: id.clone(), run: row.run };
             self.set_checkpoint(name, &row.checkpoint);
+            self.note_shared(id, name);
             if !mark_begun(&mut self.jobs, name.job) || unrecorded {
                 self.mark_dirty(name.job);
             }
--- a/crates/fleet/src/cell_relocate.rs
+++ b/crates/fleet/src/cell_relocate.rs
@@ -87,6 +87,7 @@
     fn fits_elsewhere(&self, clock: Clock, id: job::Id, here: &Arc<str>, run: &Run) -> bool {
         let Some(job) = self.jobs.get(&id) else { return false };
         let criteria = placement::Criteria {
+            apart: true,
             suspicion: &Suspicion::default(),
             now: clock.now,
             service: &job.queue.service,
--- a/crates/fleet/src/cell_schedule.rs
+++ b/crates/fleet/src/cell_schedule.rs
@@ -231,16 +231,18 @@
             };
         }
         waiting.extend(unstarted);
+        self.note_ready(clock.now, id, occurrence, step_number);
         for index in waiting {
             let name = task::Name { job: id, occurrence, step: step_number, index };
             self.resolve_trace(&name);
-            if self.waits_for_trial(&name) {
-                continue;
-            }
             let Some(job) = self.jobs.get(&id).filter(|job| job.final_state.is_none()) else {
                 return Search::Placed;
             };
             let Some(task) = job.task(&name) else { continue };
+            let apart = self.is_kept_apart(clock.now, &step, task);
+            if apart && self.waits_for_trial(&name) {
+                continue;
+            }
             let starts = step.lasting && !task.has_run();
             let milli = step.reserved().processors_milli;
             if starts && !self.may_start_lasting(milli, pass) {
@@ -250,6 +252,7 @@
             // Lasting tasks that have ended restart at once, also in reserved room.
             let takes_reserved = step.lasting && !starts;
             let criteria = placement::Criteria {
+                apart,
                 suspicion: &task.suspicion,
                 now: clock.now,
                 service: &service,
@@ -302,6 +305,7 @@
                 break;
             }
             let criteria = placement::Criteria {
+                apart: true,
                 suspicion: &none,
                 now: clock.now,
                 service: &job.queue.service,
@@ -386,6 +390,7 @@
         for (index, suspicion) in (0..step.count).zip(&suspicions) {
             let name = task::Name { job: id, occurrence, step: step_number, index };
             let criteria = placement::Criteria {
+                apart: true,
                 suspicion,
                 now: clock.now,
                 service: &service,
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -14,6 +14,8 @@
     pub step: &'a Step,
     /// The worker to avoid: that of the task's last failed run, or the one that it is to leave.
     pub avoid: Option<&'a str>,
+    /// Whether the task keeps away from workers with other suspects, if it is one.
+    pub apart: bool,
     /// The crashes of workers that the task may have caused.
     pub suspicion: &'a Suspicion,
     /// Which mechanisms are on.
@@ -134,6 +136,7 @@
     let step = criteria.step;
     worker.is_usable(criteria.now)
         && (step.gang
+            || !criteria.apart
             || may_share(worker.suspicion(), criteria.suspicion.level())
             || !criteria.policy.suspicion)
         && entry.service == criteria.service
@@ -172,7 +175,7 @@
             - if remote_data { REMOTE_DATA_COST } else { 0 }
             - if avoided { AVOIDED_WORKER_COST } else { 0 }
             - i64::from(worker.failures) * FAILURE_COST
-            - if criteria.policy.suspicion { trial_cost(worker, criteria.suspicion) } else { 0 },
+            - if criteria.policy.suspicion { trial_cost(worker, criteria) } else { 0 },
     )
 }
 
@@ -183,7 +186,7 @@
     criteria: &Criteria,
 ) -> BTreeSet<&'a [String]> {
     let mut trials: BTreeMap<&[String], usize> = BTreeMap::new();
-    if criteria.suspicion.level() > 1 && !criteria.step.gang {
+    if criteria.suspicion.level() > 1 && criteria.apart && !criteria.step.gang {
         let recent = |run: &Run| criteria.now <= run.started + suspicion::COMMON_CAUSE_MS;
         let on_trial =
             |worker: &&Worker| worker.runs.values().any(|run| run.suspicion > 1 && recent(run));
@@ -209,10 +212,12 @@
 /// Returns the penalty by which suspects are kept apart, so that the next crash decides among them, and
 /// by which a task under which several workers have crashed is tried where few runs are at stake, and
 /// where a failing rack can't be taken for its work. Others stay away from the worker of such a task.
-fn trial_cost(worker: &Worker, suspicion: &Suspicion) -> i64 {
+fn trial_cost(worker: &Worker, criteria: &Criteria) -> i64 {
+    let suspicion = criteria.suspicion;
     let level = suspicion.level();
     let beside = worker.suspicion();
-    let apart = if level > 0 && beside > 0 || beside > 1 { SUSPECT_COST } else { 0 };
+    let weight = if criteria.apart { 1 } else { beside as i64 };
+    let apart = if level > 0 && beside > 0 || beside > 1 { SUSPECT_COST * weight } else { 0 };
     if level <= 1 {
         return apart;
     }
--- a/crates/fleet/src/task.rs
+++ b/crates/fleet/src/task.rs
@@ -58,6 +58,8 @@
     pub ran_before: bool,
     /// Where its newest run was ordered, if that has to be recorded.
     pub trace: Option<Trace>,
+    /// Since when a lasting task that is suspect has been ready to start, in milliseconds.
+    pub ready_since: Option<u64>,
     /// The status of the task.
     pub status: Status,
 }
--- a/crates/fleet/src/trace.rs
+++ b/crates/fleet/src/trace.rs
@@ -10,6 +10,9 @@
     pub born: Option<u64>,
     /// The run's number.
     pub run: u32,
+    /// Whether a suspect of another job was on the worker, so that a crash there singles neither out.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub shared: bool,
     /// The worker's ID.
     pub worker: String,
 }
--- a/crates/fleet/src/wait.rs
+++ b/crates/fleet/src/wait.rs
@@ -90,6 +90,7 @@
         let stage = job.stage(name.occurrence, name.step)?;
         let task = job.task(&name)?;
         let criteria = placement::Criteria {
+            apart: self.is_kept_apart(clock.now, &stage.step, task),
             suspicion: &task.suspicion,
             now: clock.now,
             service: &job.queue.service,
--- a/crates/fleet/tests/crashes.rs
+++ b/crates/fleet/tests/crashes.rs
@@ -501,3 +501,27 @@
         assert_eq!(tasks.filter(waits).collect::<Vec<_>>(), [], "{racks} racks");
     }
 }
+
+/// Two innocent suspects share the only worker, and their owner is lost when it crashes.
+#[test]
+fn a_crash_that_the_next_owner_finds_singles_out_no_suspect_that_shared_its_worker() {
+    let mut world = World::new(&["w1"]);
+    world.run_ms = 600_000;
+    world.submit("1", QUEUE, vec![lasting(1)]);
+    world.submit("2", QUEUE, vec![lasting(1)]);
+    world.advance(500);
+    for _ in 0..2 {
+        world.crash("w1");
+        world.advance(5_000);
+    }
+    for job in ["1", "2"] {
+        assert_eq!(world.running(name(job, 0, 0)).len(), 1, "{job}");
+    }
+    world.crash("w1");
+    world.advance(100);
+    world.take_over();
+    world.advance(15_000);
+    for job in ["1", "2"] {
+        assert_eq!(singled_out(&world, name(job, 0, 0)), [false; 3], "{job}");
+    }
+}
