--- a/crates/fleet/src/cell_schedule.rs
+++ b/crates/fleet/src/cell_schedule.rs
@@ -232,6 +232,8 @@
         }
         waiting.extend(unstarted);
         self.note_ready(clock.now, id, occurrence, step_number);
+        // The crashes under a suspect that found no worker, and whether it keeps apart: one with fewer may find some.
+        let mut missed: Option<(usize, bool)> = None;
         for index in waiting {
             let name = task::Name { job: id, occurrence, step: step_number, index };
             self.resolve_trace(&name);
@@ -240,7 +242,10 @@
             };
             let Some(task) = job.task(&name) else { continue };
             let apart = self.is_kept_apart(clock.now, &step, task);
-            if apart && self.waits_for_trial(&name) {
+            let level = task.suspicion.level();
+            let is_missed =
+                missed.is_some_and(|(least, kept_apart)| level >= least && (apart || !kept_apart));
+            if is_missed || apart && self.waits_for_trial(&name) {
                 continue;
             }
             let starts = step.lasting && !task.has_run();
@@ -266,8 +271,11 @@
                 duration_ms,
             };
             let Some(worker) = placement::choose(&self.workers, &criteria).cloned() else {
-                let general = step.per_worker == 0 && task.suspicion.level() == 0;
-                return Search::Missed { general, takes_reserved };
+                if level > 0 {
+                    missed = Some((level, apart));
+                    continue;
+                }
+                return Search::Missed { general: step.per_worker == 0, takes_reserved };
             };
             pass.reservations.take(&worker, clock.now, &step, duration_ms);
             if let Some(quota) = pass.quota.as_mut().filter(|_| !takes_reserved) {
@@ -278,7 +286,10 @@
             self.start(clock, &worker, name, run);
             slowly = false;
         }
-        Search::Placed
+        match missed {
+            Some(_) => Search::Missed { general: false, takes_reserved: step.lasting },
+            None => Search::Placed,
+        }
     }
 
     /// Reserves a worker for each waiting task of a step that fits nowhere now, as far as the pass
--- a/crates/fleet/tests/crashes.rs
+++ b/crates/fleet/tests/crashes.rs
@@ -525,3 +525,20 @@
         assert_eq!(singled_out(&world, name(job, 0, 0)), [false; 3], "{job}");
     }
 }
+
+/// The second task of a step waited behind the first one, under which two workers had crashed.
+#[test]
+fn a_suspect_without_a_worker_holds_up_no_other_task_of_its_step() {
+    let mut world = World::new(&["w1"]);
+    world.run_ms = 600_000;
+    world.submit("1", QUEUE, vec![lasting(1)]);
+    // There is room for one of its tasks at a time.
+    world.submit("2", QUEUE, vec![step(2, 9)]);
+    world.advance(500);
+    for _ in 0..2 {
+        world.crash("w1");
+        world.advance(4_000);
+    }
+    assert_eq!(world.running(name("2", 0, 0)).len(), 0, "it keeps away from the first job");
+    assert_eq!(world.running(name("2", 0, 1)).len(), 1);
+}
