--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -497,6 +497,18 @@
         }
     }
 
+    /// Carries out all delayed start orders at their workers. The owner does not wait for the answers.
+    pub fn carry_out_all_delayed(&mut self) {
+        while self.has_delayed() {
+            self.carry_out_delayed(false);
+        }
+    }
+
+    /// Returns whether start orders are on their way.
+    pub fn has_delayed(&self) -> bool {
+        !self.delayed.is_empty()
+    }
+
     /// Crashes the workers that have run a crashing task for long enough.
     fn crash_workers(&mut self) {
         let now = self.now;
