--- a/crates/fleet/src/cell_crashes.rs
+++ b/crates/fleet/src/cell_crashes.rs
@@ -111,9 +111,11 @@
     fn suspect(&mut self, name: task::Name, crash: Crash, labels: &[String]) {
         let Some(job) = self.jobs.get_mut(&name.job) else { return };
         let open = job.final_state.is_none();
-        let Some(task) = job.task_mut(&name) else { return };
+        let Some(stage) = job.stage_mut(name.occurrence, name.step) else { return };
+        let lasting = stage.step.lasting;
+        let Some(task) = stage.tasks.get_mut(usize::from(name.index)) else { return };
         task.suspicion.add(crash, labels);
-        let (crashes, proven) = (task.suspicion.level(), task.suspicion.is_proven());
+        let (crashes, proven) = (task.suspicion.level(), task.suspicion.is_proven(lasting));
         self.mark_dirty(name.job);
         self.placement_due = true;
         if proven && open {
--- a/crates/fleet/src/suspicion.rs
+++ b/crates/fleet/src/suspicion.rs
@@ -89,9 +89,12 @@
         self.crashes.iter().map(age_ms).max().is_some_and(|age_ms| outlives(survived_ms, age_ms))
     }
 
-    /// Returns whether the task is to be given up.
-    pub fn is_proven(&self) -> bool {
-        let confirmed = || self.crashes.iter().filter(|crash| crash.confirmed);
+    /// Returns whether the task is to be given up. Crashes of unrelated workers add up under a task that lasts, and
+    /// nothing limits its starts: only crashes at a known and like age count against it.
+    pub fn is_proven(&self, lasting: bool) -> bool {
+        let counts =
+            |crash: &&Crash| crash.confirmed && (!lasting || crash.lifetime.silent_ms.is_some());
+        let confirmed = || self.crashes.iter().filter(counts);
         let singled_out = confirmed().filter(|crash| crash.singled_out).count();
         let crashes = confirmed().count();
         let soon = |crash: &Crash| crash.lifetime.silent_ms.is_none_or(|age_ms| age_ms < SOON_MS);
@@ -99,7 +102,7 @@
         let ages: Vec<u64> =
             confirmed().map(|crash| crash.lifetime.silent_ms.unwrap_or(0)).collect();
         crashes >= MIN_CRASHES && singled_out >= MIN_SINGLED_OUT && agree(&ages)
-            || crashes >= MANY_CRASHES && (singled_out > 0 || confirmed().all(soon))
+            || !lasting && crashes >= MANY_CRASHES && (singled_out > 0 || confirmed().all(soon))
     }
 
     /// Returns how many labels a worker shares with those that crashed.
