--- a/crates/fleet/src/cell.rs
+++ b/crates/fleet/src/cell.rs
@@ -68,6 +68,8 @@
     pub(crate) silences: VecDeque<cell_crashes::Silence>,
     /// The job with which the next placement pass goes on, if the last one stopped before it.
     pub(crate) resume_at: Option<job::Id>,
+    /// The same for jobs with lasting tasks that have run.
+    pub(crate) resume_restarts_at: Option<job::Id>,
     /// The jobs for which workers' room was held in the last placement pass.
     pub(crate) reserved: BTreeMap<Arc<str>, job::Id>,
     /// Recently removed jobs. A record read at a revision before the removal must not add the job again.
@@ -190,6 +192,7 @@
             planned: BTreeSet::new(),
             silences: VecDeque::new(),
             resume_at: None,
+            resume_restarts_at: None,
             reserved: BTreeMap::new(),
             removed: HashMap::new(),
             removed_order: VecDeque::new(),
--- a/crates/fleet/src/cell_lasting.rs
+++ b/crates/fleet/src/cell_lasting.rs
@@ -54,9 +54,9 @@
         restarts_milli
     }
 
-    /// Reserves a worker for an unstarted lasting task that fits nowhere now, if the limit of lasting tasks allows it
-    /// to start: otherwise smaller ones would take each gap that comes free. Short tasks are kept out only where they
-    /// hold the room that it needs.
+    /// Reserves a worker for a lasting task that fits nowhere now: otherwise smaller ones would take each gap that comes
+    /// free. The limit of lasting tasks has to allow a first start. Short tasks are kept out only where they hold the
+    /// room that it needs.
     pub(crate) fn reserve_for_lasting(
         &mut self,
         clock: Clock,
@@ -67,14 +67,14 @@
         let Some(job) = self.jobs.get(&id) else { return };
         let Some(stage) = job.stage(0, step_number) else { return };
         let step = stage.step.clone();
-        let Some(index) = stage.waiting.iter().find(|&&index| stage.is_unstarted(index)) else {
-            return;
-        };
-        let Some(task) = stage.tasks.get(usize::from(*index)) else { return };
-        if !self.may_start_lasting(step.reserved().processors_milli, pass) {
+        let Some(index) = stage.due(pass.restarts).next() else { return };
+        let Some(task) = stage.tasks.get(usize::from(index)) else { return };
+        if !pass.restarts && !self.may_start_lasting(step.reserved().processors_milli, pass) {
             return self.note_delay(clock, id);
         }
-        self.delays.remove(&id);
+        if !pass.restarts {
+            self.delays.remove(&id);
+        }
         if !self.policy.turns || pass.reservations.is_full_for_lasting() {
             return;
         }
--- a/crates/fleet/src/cell_schedule.rs
+++ b/crates/fleet/src/cell_schedule.rs
@@ -21,6 +21,8 @@
 pub(crate) struct Pass {
     /// The steps for which room to hold was searched for; at most `window::MAX_MISSES`.
     held_for: usize,
+    /// Whether it places lasting tasks that have run, which go before all others, or those others.
+    pub(crate) restarts: bool,
     /// Room that is held for tasks that fit nowhere.
     pub(crate) reservations: reservation::Book,
     /// Whether a lasting task waits for room below the limit, which no younger one may take then.
@@ -41,8 +43,6 @@
     Missed {
         /// Whether nothing but its constraint and its size kept the task from one.
         general: bool,
-        /// Whether the task may take reserved room.
-        takes_reserved: bool,
     },
 }
 
@@ -59,6 +59,7 @@
         self.delays.retain(|job, _| self.jobs.contains_key(job));
         let mut pass = Pass {
             held_for: 0,
+            restarts: true,
             reservations: reservation::Book::default(),
             lasting_closed: false,
             quota: None,
@@ -66,21 +67,40 @@
             spare: self.policy.waits && self.quota().is_spare(),
         };
         let ranked = self.jobs_by_rank(clock);
+        let restarting = |id: &job::Id| self.jobs.get(id).is_some_and(Job::has_restarts);
+        let restarting: Vec<job::Id> = ranked.iter().copied().filter(restarting).collect();
+        let resume_at = self.resume_restarts_at.take();
+        self.resume_restarts_at = self.place_jobs(clock, &restarting, resume_at, &mut pass);
+        pass.lasting_closed |= self.policy.turns && self.resume_restarts_at.is_some();
+        pass.restarts = false;
         let resume_at = self.resume_at.take();
+        self.resume_at = self.place_jobs(clock, &ranked, resume_at, &mut pass);
+    }
+
+    /// Places the waiting tasks of ranked jobs as far as the window of the pass goes, and returns the job with which
+    /// the next pass goes on.
+    fn place_jobs(
+        &mut self,
+        clock: Clock,
+        ranked: &[job::Id],
+        resume_at: Option<job::Id>,
+        pass: &mut Pass,
+    ) -> Option<job::Id> {
         let resume_at = resume_at.and_then(|job| ranked.iter().position(|id| *id == job));
         let mut window = Window::new(resume_at.unwrap_or(0));
         let mut position = 0;
         while let Some(&id) = ranked.get(position) {
-            let misses = self.place_job(clock, id, &mut pass);
+            let misses = self.place_job(clock, id, pass);
             let Some(next) = window.next(position, misses) else {
-                self.resume_at = ranked.get(position + 1).copied();
-                return;
+                return ranked.get(position + 1).copied();
             };
             let skipped = ranked.get(position + 1..next).unwrap_or_default();
-            pass.lasting_closed |= self.policy.turns
-                && skipped.iter().filter_map(|id| self.jobs.get(id)).any(Job::has_unstarted);
+            let waits =
+                |id: &job::Id| pass.restarts || self.jobs.get(id).is_some_and(Job::has_unstarted);
+            pass.lasting_closed |= self.policy.turns && skipped.iter().any(waits);
             position = next;
         }
+        None
     }
 
     /// Places the waiting tasks of a job and returns how many searches found no worker. Those for filling tasks
@@ -90,7 +110,7 @@
         let moving = job.moving_to.is_some() || job.splitting.is_some();
         let unsettled = job.recovered && !self.unfenced.is_empty();
         if moving || unsettled {
-            if job.moving_to.is_none() && job.has_unstarted() {
+            if job.moving_to.is_none() && !pass.restarts && job.has_unstarted() {
                 let step = job.unstarted_tasks().first().map_or(0, |&(step, _)| step);
                 let milli =
                     job.stage(0, step).map_or(0, |stage| stage.step.reserved().processors_milli);
@@ -106,17 +126,18 @@
         let slowly = pass.spare && waited >= FULL_PACE_WAIT_MS && !job.is_active();
         let mut misses = 0;
         for (occurrence, number, step) in ready_stages(job, clock.unix) {
-            if !self.is_held(id, number, &step) {
+            let stage = self.jobs.get(&id).and_then(|job| job.stage(occurrence, number));
+            let is_due = stage.is_some_and(|stage| stage.due(pass.restarts).next().is_some());
+            if !is_due || !self.is_held(id, number, &step) {
                 continue;
             }
-            let Some((mut constraint, request)) = self.request(id, number, &step, slowly) else {
+            let Some((mut constraint, request)) = self.request(id, &step, slowly, pass) else {
                 break;
             };
             let stage = (id, occurrence, number);
             if !pass.shortage.covers(&constraint, &request) {
                 let search = self.place_stage(clock, stage, slowly, pass);
-                let Search::Missed { general, takes_reserved } = search else { continue };
-                constraint.takes_reserved = takes_reserved;
+                let Search::Missed { general } = search else { continue };
                 // Only the first task of a job starts slowly.
                 constraint.slowly &= !self.jobs.get(&id).is_some_and(Job::is_active);
                 if general {
@@ -162,9 +183,9 @@
     fn request(
         &self,
         id: job::Id,
-        step_number: u16,
         step: &Step,
         slowly: bool,
+        pass: &Pass,
     ) -> Option<(shortage::Constraint, shortage::Request)> {
         let job = self.jobs.get(&id)?;
         let constraint = shortage::Constraint {
@@ -172,7 +193,7 @@
             label: step.label.clone(),
             filling: step.fills.then(|| step.image.clone()),
             slowly,
-            takes_reserved: step.lasting && job.has_started_waiting(step_number),
+            takes_reserved: pass.restarts,
         };
         // Reservations hold no filling task back.
         let duration_ms = self.duration_ms(job, step).filter(|_| !step.fills);
@@ -212,25 +233,24 @@
         let service = job.queue.service.clone();
         let recovered = job.recovered;
         let mut placed = tasks_per_worker(stage);
-        // Those that have run go first: an unstarted one may have to wait.
-        let (mut waiting, unstarted): (Vec<u16>, Vec<u16>) =
-            stage.waiting.iter().partition(|&&index| !stage.is_unstarted(index));
+        let waiting: Vec<u16> = stage.due(pass.restarts).collect();
+        let starts = step.lasting && !pass.restarts;
         if step.gang {
             let milli = step.reserved().processors_milli.saturating_mul(step.count.into());
-            let starts = step.lasting && !unstarted.is_empty();
             if starts && !self.may_start_lasting(milli, pass) {
                 self.note_delay(clock, id);
                 return Search::Placed;
             }
-            return match self.place_gang(clock, id, occurrence, step_number, &pass.reservations) {
+            // Lasting tasks that have run start in reserved room, too.
+            let reservations = if pass.restarts { &none } else { &pass.reservations };
+            return match self.place_gang(clock, id, occurrence, step_number, reservations) {
                 true => {
                     pass.quota = None;
                     Search::Placed
                 }
-                false => Search::Missed { general: false, takes_reserved: false },
+                false => Search::Missed { general: false },
             };
         }
-        waiting.extend(unstarted);
         self.note_ready(clock.now, id, occurrence, step_number);
         // The crashes under a suspect that found no worker, and whether it keeps apart: one with fewer may find some.
         let mut missed: Option<(usize, bool)> = None;
@@ -248,14 +268,11 @@
             if is_missed || apart && self.waits_for_trial(&name) {
                 continue;
             }
-            let starts = step.lasting && !task.has_run();
             let milli = step.reserved().processors_milli;
             if starts && !self.may_start_lasting(milli, pass) {
                 self.note_delay(clock, id);
                 return Search::Placed;
             }
-            // Lasting tasks that have ended restart at once, also in reserved room.
-            let takes_reserved = step.lasting && !starts;
             let criteria = placement::Criteria {
                 apart,
                 suspicion: &task.suspicion,
@@ -267,18 +284,22 @@
                 pressure: &self.pressure,
                 min_pace: if slowly { MIN_PACE_AFTER_WAIT } else { MIN_PACE },
                 placed: &placed,
-                reservations: if takes_reserved { &none } else { &pass.reservations },
+                reservations: if pass.restarts { &none } else { &pass.reservations },
                 duration_ms,
             };
             let Some(worker) = placement::choose(&self.workers, &criteria).cloned() else {
+                if pass.restarts && self.policy.turns {
+                    let workers = placement::suitable(&self.workers, &criteria);
+                    pass.reservations.close(workers);
+                }
                 if level > 0 {
                     missed = Some((level, apart));
                     continue;
                 }
-                return Search::Missed { general: step.per_worker == 0, takes_reserved };
+                return Search::Missed { general: step.per_worker == 0 };
             };
             pass.reservations.take(&worker, clock.now, &step, duration_ms);
-            if let Some(quota) = pass.quota.as_mut().filter(|_| !takes_reserved) {
+            if let Some(quota) = pass.quota.as_mut().filter(|_| !pass.restarts) {
                 quota.add(&step);
             }
             let run = self.next_run(task.last_run, recovered);
@@ -287,7 +308,7 @@
             slowly = false;
         }
         match missed {
-            Some(_) => Search::Missed { general: false, takes_reserved: step.lasting },
+            Some(_) => Search::Missed { general: false },
             None => Search::Placed,
         }
     }
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -211,6 +211,15 @@
             && self.tasks.get(usize::from(index)).is_some_and(unstarted)
     }
 
+    /// Returns the waiting tasks that are to run again because the step lasts, or all others. A gang goes whole.
+    pub(crate) fn due(&self, restarts: bool) -> impl Iterator<Item = u16> {
+        let is_restart = |index: u16| self.step.lasting && !self.is_unstarted(index);
+        let whole = self.step.gang.then(|| self.waiting.iter().all(|&index| is_restart(index)));
+        let waiting = (self.step.lasting || !restarts).then_some(&self.waiting);
+        let due = move |index: &u16| whole.unwrap_or_else(|| is_restart(*index)) == restarts;
+        waiting.into_iter().flatten().copied().filter(due)
+    }
+
     fn new(step: &Arc<Step>) -> Self {
         let count = usize::from(step.count);
         Self {
@@ -322,10 +331,10 @@
         self.is_lasting() && self.final_state.is_none() && !self.unstarted_tasks().is_empty()
     }
 
-    /// Returns whether tasks of a step wait that may have run before.
-    pub(crate) fn has_started_waiting(&self, step: u16) -> bool {
-        let waiting = self.stage(0, step);
-        waiting.is_some_and(|stage| stage.waiting.iter().any(|&index| !stage.is_unstarted(index)))
+    /// Returns whether lasting tasks of it wait that may have run before.
+    pub(crate) fn has_restarts(&self) -> bool {
+        let mut stages = self.occurrences.iter().flat_map(|occurrence| &occurrence.stages);
+        self.is_lasting() && stages.any(|stage| stage.due(true).next().is_some())
     }
 
     fn restore(&mut self, progress: &Progress) {
--- a/crates/fleet/tests/reservation.rs
+++ b/crates/fleet/tests/reservation.rs
@@ -203,3 +203,103 @@
     forecast.observe("q", 1_000, 600_000);
     assert!(forecast.duration_ms("q", 1_000) < 2_100, "one stuck run says little");
 }
+
+fn lasting(count: u16, cores: u64) -> Step {
+    Step { lasting: true, ..step(count, cores) }
+}
+
+/// Takes a worker away for good.
+fn lose(world: &mut World, worker: &str) {
+    world.crash(worker);
+    world.worker(worker).down_until = u64::MAX;
+    world.worker(worker).gone = true;
+    world.tell_members();
+}
+
+/// Loses the worker of a lasting task of twelve cores while tasks of four cores keep the others full. Returns how long
+/// it is away, in milliseconds.
+fn away_beside_small_tasks(queue: &str, small_ms: u64) -> u64 {
+    let mut world = World::new(&["w1", "w2", "w3", "w4"]);
+    world.run_ms = 600_000;
+    world.submit("f", queue, vec![lasting(1, 12)]);
+    world.advance(100);
+    world.run_ms = small_ms;
+    let mut lost_at = 0;
+    // Three workers run twelve at a time.
+    let interval_ms = small_ms / 13 / 10 * 10;
+    for job in 0..30_000 / interval_ms {
+        if lost_at == 0 && world.now > 3_000 + small_ms {
+            let holder = world.running(name("f", 0, 0))[0].to_owned();
+            lost_at = world.now;
+            lose(&mut world, &holder);
+        }
+        world.submit(&job.to_string(), QUEUE, vec![task(4_000, small_ms)]);
+        world.advance(interval_ms);
+        if lost_at > 0 && world.starts(name("f", 0, 0)).len() > 1 {
+            return world.now - lost_at;
+        }
+    }
+    u64::MAX
+}
+
+/// Only first starts had room held for them: short tasks took each gap, and those of a higher priority went first.
+#[test]
+fn a_large_lasting_task_runs_again_although_small_ones_keep_coming() {
+    for queue in [QUEUE, "render"] {
+        for small_ms in [500, 1_000, 2_000] {
+            let away = away_beside_small_tasks(queue, small_ms);
+            assert!(away <= 6_000, "{queue}, {small_ms} ms: {away}");
+        }
+    }
+}
+
+/// The cell counted as spare, and each gap that came free went to a task that had never run.
+#[test]
+fn lasting_tasks_that_have_run_go_before_first_starts() {
+    let mut world = World::new(&["w1", "w2", "w3", "w4", "w5"]);
+    world.run_ms = 600_000;
+    world.worker("w5").capacity = Some(Resources { memory_mib: 65_536, ..cores(8) });
+    world.tell_members();
+    world.submit("f", QUEUE, vec![lasting(1, 12)]);
+    world.advance(200);
+    world.submit("2", QUEUE, vec![Step { per_worker: 1, ..lasting(3, 5) }]);
+    world.advance(200);
+    let holder = world.running(name("f", 0, 0))[0].to_owned();
+    lose(&mut world, &holder);
+    world.advance(6_000);
+    for job in ["a0", "a1", "a2"] {
+        world.submit(job, QUEUE, vec![Step { per_worker: 1, ..lasting(2, 1) }]);
+        world.advance(500);
+        assert_eq!(world.running(name(job, 0, 0)), ["w5"], "too small for the one that waits");
+        assert!(world.running(name(job, 0, 1)).is_empty(), "{job}");
+    }
+    world.cancel("2");
+    world.advance(500);
+    assert_eq!(world.running(name("f", 0, 0)).len(), 1);
+    let second = |job: &&str| world.running(name(job, 0, 1)).len() == 1;
+    assert_eq!(["a0", "a1", "a2"].iter().filter(|job| second(job)).count(), 3);
+}
+
+/// A pass ended before it came to a task of a lower priority that had run, for which there was room.
+#[test]
+fn urgent_tasks_that_fit_nowhere_hold_back_no_lasting_one_that_has_run() {
+    let mut world = World::new(&["w1", "w2"]);
+    world.run_ms = 600_000;
+    world.submit("f", "render", vec![lasting(1, 4)]);
+    world.advance(100);
+    let holder = world.running(name("f", 0, 0))[0].to_owned();
+    world.submit("1", QUEUE, vec![Step { per_worker: 1, ..task(12_000, 600_000) }]);
+    world.submit("2", QUEUE, vec![Step { per_worker: 1, ..task(12_000, 600_000) }]);
+    world.advance(100);
+    for job in 0..400 {
+        world.submit(
+            &format!("a{job}"),
+            QUEUE,
+            vec![Step { per_worker: 1, ..task(12_000, 1_000) }],
+        );
+    }
+    world.advance(1_000);
+    lose(&mut world, &holder);
+    world.advance(6_000);
+    assert_eq!(world.running(name("f", 0, 0)).len(), 1);
+}
