--- a/crates/fleet/src/cell_orders.rs
+++ b/crates/fleet/src/cell_orders.rs
@@ -203,15 +203,19 @@
             .map(|task| task.checkpoint.clone())
             .unwrap_or_default();
         let Some(worker) = self.workers.get_mut(id) else { return };
-        let lease_until = lease_ms.and_then(|lease_ms| worker.grant(clock.now, lease_ms));
         let accepts_runs = worker.accepts_runs() && worker.takes_starts();
+        let Some(run) = worker.runs.get(&name) else { return };
+        let (phase, number) = (run.phase, run.number);
+        let is_recent = clock.now < run.started + START_RETRY_WINDOW_MS;
+        let may_retry = is_recent && accepts_runs && !self.view_stale;
+        // Only a start asks for a lease.
+        let starts = matches!(phase, Phase::Starting { .. }) && may_retry;
+        let lease_ms = lease_ms.filter(|_| starts && spec.is_some());
+        let lease_until = lease_ms.and_then(|lease_ms| worker.grant(clock.now, lease_ms));
         let fence = worker.order_fence();
         let Some(run) = worker.runs.get_mut(&name) else { return };
-        let number = run.number;
-        let may_retry =
-            clock.now < run.started + START_RETRY_WINDOW_MS && accepts_runs && !self.view_stale;
-        match (run.phase, spec, lease_until) {
-            (Phase::Starting { uncertain, .. }, Some(spec), Some(lease_until)) if may_retry => {
+        match (phase, spec, lease_until) {
+            (Phase::Starting { uncertain, .. }, Some(spec), Some(lease_until)) => {
                 run.phase = Phase::Starting { retry_at: None, uncertain };
                 self.actions.push(Action::Start {
                     worker: id.clone(),
--- a/crates/fleet/tests/restarts.rs
+++ b/crates/fleet/tests/restarts.rs
@@ -426,6 +426,30 @@
     trial.longest_away_ms
 }
 
+/// Returns a cell in which the start of a task without an answer is sent again to a worker that is cut off.
+fn cut_off_at_start() -> (World, task::Name) {
+    let mut world = World::new(&["w1", "w2"]);
+    world.limits = LIMITS;
+    world.take_over();
+    world.run_ms = 600_000;
+    world.advance(3_000);
+    (world, name("1", 0, 0))
+}
+
+/// A task that waited for a worker's lease waited longer by the time for which its stop was sent again, which asks for no
+/// lease.
+#[test]
+fn a_stop_extends_no_lease() {
+    for offset_ms in (0..1_000).step_by(100) {
+        let (mut world, task) = cut_off_at_start();
+        world.advance(offset_ms);
+        world.worker("w1").unreachable = true;
+        world.submit("1", QUEUE, vec![lasting(1, 1)]);
+        world.advance(LIMITS.longest_lease_ms() + 700);
+        assert_eq!(world.running(task), ["w2"], "cut off after {offset_ms} ms");
+    }
+}
+
 /// Returns a number from the environment.
 fn number(variable: &str, default: u64) -> u64 {
     env::var(variable).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
