--- a/crates/fleet/src/cell_crashes.rs
+++ b/crates/fleet/src/cell_crashes.rs
@@ -255,7 +255,8 @@
     }
 
     /// Orders the planned starts that are recorded. Those whose worker gets no new runs any more are
-    /// dropped.
+    /// dropped. While the workers' entries are too old they wait: placing them anew would take another record, and an
+    /// owner that is slow, whose view grows old again and again, would never start them.
     pub(crate) fn order_planned(&mut self, clock: Clock) {
         let may_start = self.lease_ms(clock.now).is_some();
         for (id, name) in std::mem::take(&mut self.planned) {
@@ -266,11 +267,12 @@
             let takes_starts = worker.takes_starts();
             let Some(run) = worker.runs.get_mut(&name) else { continue };
             let Phase::Planned { change, until, .. } = run.phase else { continue };
-            if self.leaving || self.view_stale || !accepts_runs {
+            if self.leaving || !accepts_runs && !self.view_stale {
                 self.release(&id, name, Proof::NotOrdered);
                 continue;
             }
             let waited = until.is_some_and(|until| clock.now >= until);
+            let may_start = may_start && !self.view_stale;
             if may_start && takes_starts && (change <= self.durable || waited) {
                 run.phase = Phase::Starting { retry_at: None, uncertain: false };
                 run.started = clock.now;
--- a/crates/fleet/tests/restarts.rs
+++ b/crates/fleet/tests/restarts.rs
@@ -492,3 +492,48 @@
     let bound_ms = 2 * LIMITS.longest_silence_ms() + 2 * (LIMITS.longest_lease_ms() + RETRY_MS);
     with_seeds(16, |seed| survive_unending(seed, Load::trusted(), true, bound_ms));
 }
+
+/// Planned starts were dropped each time the workers' entries were too old for a moment.
+#[test]
+fn planned_starts_outlast_moments_in_which_the_workers_entries_are_too_old() {
+    let mut world = World::new(&["w1", "w2"]);
+    world.run_ms = 5_000;
+    world.submit("1", QUEUE, vec![lasting(4, 1)]);
+    world.advance(500);
+    world.limits = LIMITS;
+    world.take_over();
+    world.advance(4_400);
+    // The tasks end, and their next starts wait for a second to be recorded.
+    world.store = Store::Down;
+    for _ in 0..6 {
+        world.advance(300);
+        world.handle(Event::ViewStale(true));
+        world.handle(Event::ViewStale(false));
+    }
+    let waits = |&task: &u16| world.running(name("1", 0, task)).is_empty();
+    assert_eq!((0..4).filter(waits).collect::<Vec<u16>>(), [0; 0]);
+}
+
+/// The entry that was too old when a start was ordered may have been that of a worker that leaves.
+#[test]
+fn planned_starts_go_to_no_worker_that_leaves_meanwhile() {
+    let mut world = World::new(&["w1"]);
+    world.run_ms = 600_000;
+    world.submit("1", QUEUE, vec![lasting(1, 1)]);
+    world.advance(500);
+    world.take_over();
+    world.advance(500);
+    world.store = Store::Down;
+    world.crash("w1");
+    world.advance(3_300);
+    let starts = world.worker("w1").starts.len();
+    world.handle(Event::ViewStale(true));
+    world.advance(2_000);
+    assert_eq!(world.worker("w1").starts.len(), starts, "the entries are too old");
+    world.worker("w1").draining = true;
+    let members = world.members();
+    world.handle(Event::Workers(members));
+    world.handle(Event::ViewStale(false));
+    world.advance(2_000);
+    assert_eq!(world.worker("w1").starts.len(), starts, "the worker leaves");
+}
