--- a/crates/fleet/src/cell_orders.rs
+++ b/crates/fleet/src/cell_orders.rs
@@ -273,6 +273,8 @@
             let wait_ms = match is_heard {
                 // Whether it has restarted shows in any answer.
                 false => 0,
+                // Such a run may have no end for which the poll would return.
+                true if stops_unseen_run(worker) => limits::POLL_PAUSE_MS.min(longest_wait_ms),
                 true if worker.is_shared() => limits::SHARED_POLL_WAIT_MS.min(longest_wait_ms),
                 true => longest_wait_ms,
             };
@@ -413,3 +415,9 @@
         self.actions.push(Action::Lost);
     }
 }
+
+/// Returns whether a run was stopped at a worker that may never have started there.
+fn stops_unseen_run(worker: &Worker) -> bool {
+    let is_unseen = |run: &Run| run.seen_at.is_none() && !run.adopted;
+    worker.runs.values().any(|run| matches!(run.phase, Phase::Stopping { .. }) && is_unseen(run))
+}
--- a/crates/fleet/tests/restarts.rs
+++ b/crates/fleet/tests/restarts.rs
@@ -436,6 +436,24 @@
     (world, name("1", 0, 0))
 }
 
+/// A task whose start got no answer waited for two more polls of a second each after its worker answered again, with a new
+/// lease: longer than a worker stayed reachable that came and went.
+#[test]
+fn a_start_without_an_answer_is_over_soon_after_its_worker_answers_again() {
+    let (mut world, task) = cut_off_at_start();
+    world.worker("w1").unreachable = true;
+    world.submit("1", QUEUE, vec![lasting(1, 1)]);
+    world.advance(2_500);
+    assert_eq!(
+        world.running(task),
+        [] as [&str; 0],
+        "its start has gone to the worker that is cut off"
+    );
+    world.worker("w1").unreachable = false;
+    world.advance(900);
+    assert_eq!(world.running(task).len(), 1);
+}
+
 /// A task that waited for a worker's lease waited longer by the time for which its stop was sent again, which asks for no
 /// lease.
 #[test]
