--- a/crates/node/src/executor.rs
+++ b/crates/node/src/executor.rs
@@ -21,6 +21,8 @@
     events: mpsc::UnboundedSender<Event>,
     /// The workers' addresses for orders, including those of workers whose entry is gone.
     addresses: RefCell<HashMap<Arc<str>, SocketAddr>>,
+    /// When the workers have started, in milliseconds since 1970, as far as their entries tell.
+    births: RefCell<HashMap<Arc<str>, Option<u64>>>,
 }
 
 impl Executor {
@@ -40,6 +42,7 @@
             committed_at: Slot::new(sent_at),
             events,
             addresses: RefCell::default(),
+            births: RefCell::default(),
         }
     }
 
@@ -57,11 +60,13 @@
         let _ = self.events.send(event);
     }
 
-    /// Stores the addresses of the workers that have an entry.
+    /// Stores the addresses of the workers that have an entry, and when they have started.
     pub(crate) fn update_addresses(&self, members: &BTreeMap<Arc<str>, Option<Registration>>) {
         let mut addresses = self.addresses.borrow_mut();
+        let mut births = self.births.borrow_mut();
         for (id, entry) in members {
             let Some(entry) = entry else { continue };
+            births.insert(id.clone(), entry.born);
             if let Ok(address) = entry.address.parse() {
                 addresses.insert(id.clone(), address);
             }
@@ -72,10 +77,11 @@
     fn peer<'a>(&self, worker: &'a Arc<str>, fence: u64) -> Result<orders::Peer<'a>, Refusal> {
         let address = self.addresses.borrow().get(worker).copied();
         let address = address.ok_or(Refusal::Unreachable)?;
+        let born = self.births.borrow().get(worker).copied().flatten();
         let mut fences = self.fences.borrow_mut();
         let highest = fences.entry(worker.clone()).or_default();
         *highest = fence.max(*highest);
-        Ok(orders::Peer { address, fence, id: worker })
+        Ok(orders::Peer { address, born, fence, id: worker })
     }
 
     /// Returns the answer to an order with this fencing token.
