--- a/crates/fleet/src/cell_orders.rs
+++ b/crates/fleet/src/cell_orders.rs
@@ -323,7 +323,10 @@
     /// Releases the runs of workers whose lease has certainly expired. Nothing else shows that a worker that
     /// does not answer runs nothing: one that is cut off loses its entry, too.
     pub(crate) fn release_expired(&mut self, clock: Clock) {
-        let lapsed_at = |worker: &Worker| worker.lapsed_at().filter(|at| *at <= clock.now);
+        let lapsed_at = |worker: &Worker| {
+            let at = worker.lapsed_at()?.max(self.earlier_lease_over_at(worker));
+            (at <= clock.now).then_some(at)
+        };
         let lapsed: Vec<(Arc<str>, u64)> = self
             .workers
             .iter()
@@ -340,6 +343,17 @@
         }
     }
 
+    /// Returns when the leases of earlier owners are over at a worker that runs their orders, in milliseconds; 0 if it
+    /// runs none. It has rejected those owners since it answered this one, which may have granted shorter leases since,
+    /// or none.
+    fn earlier_lease_over_at(&self, worker: &Worker) -> u64 {
+        if !worker.runs.values().any(|run| run.adopted) {
+            return 0;
+        }
+        let longest = worker.lives_since + self.limits.longest_lease_ms();
+        longest.min(self.leases_over_at)
+    }
+
     /// Releases all runs of a worker.
     pub(crate) fn release_all(
         &mut self,
--- a/crates/fleet/tests/restarts.rs
+++ b/crates/fleet/tests/restarts.rs
@@ -426,8 +426,8 @@
     trial.longest_away_ms
 }
 
-/// Returns a cell in which the start of a task without an answer is sent again to a worker that is cut off.
-fn cut_off_at_start() -> (World, task::Name) {
+/// Returns a cell of two workers, which starts the next task at the first, and that task.
+fn two_workers() -> (World, task::Name) {
     let mut world = World::new(&["w1", "w2"]);
     world.limits = LIMITS;
     world.take_over();
@@ -440,7 +440,7 @@
 /// lease: longer than a worker stayed reachable that came and went.
 #[test]
 fn a_start_without_an_answer_is_over_soon_after_its_worker_answers_again() {
-    let (mut world, task) = cut_off_at_start();
+    let (mut world, task) = two_workers();
     world.worker("w1").unreachable = true;
     world.submit("1", QUEUE, vec![lasting(1, 1)]);
     world.advance(2_500);
@@ -459,7 +459,7 @@
 #[test]
 fn a_stop_extends_no_lease() {
     for offset_ms in (0..1_000).step_by(100) {
-        let (mut world, task) = cut_off_at_start();
+        let (mut world, task) = two_workers();
         world.advance(offset_ms);
         world.worker("w1").unreachable = true;
         world.submit("1", QUEUE, vec![lasting(1, 1)]);
@@ -468,6 +468,35 @@
     }
 }
 
+/// TWICE: a new owner without the store could grant no lease to a worker that answered it once, and took the last owner's
+/// lease for over with that.
+#[test]
+fn a_worker_that_answered_once_keeps_the_lease_of_the_last_owner() {
+    for heal_ms in (1_700..2_600).step_by(100) {
+        for up_ms in [20, 300] {
+            let (mut world, task) = two_workers();
+            world.submit("1", QUEUE, vec![lasting(1, 1)]);
+            world.advance(3_050);
+            assert_eq!(world.running(task), ["w1"]);
+            ["w1", "w2"].into_iter().for_each(|id| world.worker(id).unreachable = true);
+            world.take_over();
+            world.store = Store::Down;
+            world.advance(heal_ms);
+            world.worker("w1").unreachable = false;
+            world.advance(up_ms);
+            world.worker("w1").unreachable = true;
+            world.worker("w2").unreachable = false;
+            world.advance(300);
+            world.store = Store::Up;
+            for _ in 0..600 {
+                world.advance(10);
+                assert!(world.running(task).len() < 2, "after {heal_ms} ms, for {up_ms} ms");
+            }
+            assert_eq!(world.running(task), ["w2"], "after {heal_ms} ms, for {up_ms} ms");
+        }
+    }
+}
+
 /// Returns a number from the environment.
 fn number(variable: &str, default: u64) -> u64 {
     env::var(variable).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
