--- a/crates/fleet/src/cell_crashes.rs
+++ b/crates/fleet/src/cell_crashes.rs
@@ -260,10 +260,12 @@
     pub(crate) fn order_planned(&mut self, clock: Clock) {
         let may_start = self.lease_ms(clock.now).is_some();
         for (id, name) in std::mem::take(&mut self.planned) {
+            let is_suitable = self.is_still_suitable(&id, &name);
             let Some(worker) = self.workers.get_mut(&id) else { continue };
             // Its capacity may have shrunk since.
             let fits = worker.reserved.fits(&worker.capacity());
-            let accepts_runs = worker.accepts_runs() && worker.missed_polls == 0 && fits;
+            let accepts_runs =
+                worker.accepts_runs() && worker.missed_polls == 0 && fits && is_suitable;
             let takes_starts = worker.takes_starts();
             let Some(run) = worker.runs.get_mut(&name) else { continue };
             let Phase::Planned { change, until, .. } = run.phase else { continue };
@@ -283,6 +285,17 @@
         }
     }
 
+    /// Returns whether a worker is still of the service and has the label that a planned run asks for: it may have
+    /// started again as another one.
+    fn is_still_suitable(&self, id: &Arc<str>, name: &task::Name) -> bool {
+        let Some(worker) = self.workers.get(id) else { return false };
+        let Some(entry) = worker.registration.as_ref() else { return false };
+        let Some(job) = self.jobs.get(&name.job) else { return true };
+        let Some(stage) = job.stage(name.occurrence, name.step) else { return true };
+        entry.service == job.queue.service
+            && stage.step.label.as_ref().is_none_or(|label| worker.has_label(label))
+    }
+
     /// Notes a crash against a task whose run an earlier owner ordered, unless its worker lives on.
     pub(crate) fn resolve_trace(&mut self, name: &task::Name) {
         let Some(job) = self.jobs.get_mut(&name.job) else { return };
--- a/crates/fleet/src/cell_schedule.rs
+++ b/crates/fleet/src/cell_schedule.rs
@@ -288,10 +288,6 @@
                 duration_ms,
             };
             let Some(worker) = placement::choose(&self.workers, &criteria).cloned() else {
-                if pass.restarts && self.policy.turns {
-                    let workers = placement::suitable(&self.workers, &criteria);
-                    pass.reservations.close(workers);
-                }
                 if level > 0 {
                     missed = Some((level, apart));
                     continue;
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -98,15 +98,6 @@
     Some((id.clone(), Reservation { ready_at: u64::MAX, spare: Resources::default() }))
 }
 
-/// Returns the workers that may run the task once they have room.
-pub fn suitable(workers: &BTreeMap<Arc<str>, Worker>, criteria: &Criteria) -> BTreeSet<Arc<str>> {
-    let needed = criteria.step.reserved();
-    let suitable = |(id, worker): &(&Arc<str>, &Worker)| {
-        is_suitable(id, worker, criteria) && needed.fits(&worker.capacity())
-    };
-    workers.iter().filter(suitable).map(|(id, _)| id.clone()).collect()
-}
-
 /// Workers that may run a task, whatever else they hold.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub(crate) struct Census {
--- a/crates/fleet/src/reservation.rs
+++ b/crates/fleet/src/reservation.rs
@@ -14,8 +14,6 @@
     reservations: BTreeMap<Arc<str>, Reservation>,
     /// The number of reservations for lasting tasks.
     for_lasting: usize,
-    /// Workers at which no lasting task starts for the first time, as one that has run waits for room there.
-    closed: BTreeSet<Arc<str>>,
 }
 
 /// A worker's room that is held for a task.
@@ -65,16 +63,8 @@
         self.insert(worker, reservation);
     }
 
-    /// Closes workers to lasting tasks.
-    pub fn close(&mut self, workers: impl IntoIterator<Item = Arc<str>>) {
-        self.closed.extend(workers);
-    }
-
     /// Returns whether a task that takes `duration_ms` may start at a worker; `None` if it lasts.
     pub fn allows(&self, worker: &str, now: u64, step: &Step, duration_ms: Option<u64>) -> bool {
-        if duration_ms.is_none() && self.closed.contains(worker) {
-            return false;
-        }
         let Some(reservation) = self.reservations.get(worker) else { return true };
         let ends_before = duration_ms.is_some_and(|duration_ms| {
             now.saturating_add(duration_ms.saturating_mul(BACKFILL_PERCENT) / 100)
