--- a/crates/fleet/src/cell.rs
+++ b/crates/fleet/src/cell.rs
@@ -54,8 +54,8 @@
     pub(crate) confirmation_asked_at: u64,
     /// Lasting jobs that wait for the limit of lasting jobs.
     pub(crate) delays: BTreeMap<job::Id, Delay>,
-    /// Jobs with changes that are not in a commit yet.
-    pub(crate) dirty: BTreeSet<job::Id>,
+    /// Jobs with changes that are not in a commit yet, each with the value of `changes` after the first of them.
+    pub(crate) dirty: BTreeMap<job::Id, u64>,
     /// The value of `changes` up to which all changes are in the store.
     pub(crate) durable: u64,
     /// When `usable_milli` and `pressure` were last computed, in milliseconds.
@@ -178,7 +178,7 @@
             confirmation_due: false,
             confirmation_asked_at: 0,
             delays: BTreeMap::new(),
-            dirty: BTreeSet::new(),
+            dirty: BTreeMap::new(),
             durable: 0,
             estimated_at: 0,
             evacuated_zones: BTreeSet::new(),
@@ -482,7 +482,7 @@
     /// Marks a job as changed, to be included in the next commit.
     pub(crate) fn mark_dirty(&mut self, id: job::Id) {
         self.changes += 1;
-        self.dirty.insert(id);
+        self.dirty.entry(id).or_insert(self.changes);
     }
 
     /// Updates the cell's workers and their entries. A worker that is no longer a member stays
--- a/crates/fleet/src/cell_record.rs
+++ b/crates/fleet/src/cell_record.rs
@@ -25,6 +25,8 @@
     commit: Commit,
     /// The value of `Cell::changes` that is durable once it is made.
     covered_changes: u64,
+    /// The jobs whose changes it records, with the first of these.
+    jobs: BTreeMap<job::Id, u64>,
     /// When to send it again, in milliseconds; `None` while an answer is pending.
     retry_at: Option<u64>,
 }
@@ -51,7 +53,7 @@
         if age < interval || (idle && (age < LOAD_INTERVAL_MS || self.leaving)) {
             return;
         }
-        let (commit, complete) = self.build_commit(clock);
+        let (commit, jobs) = self.build_commit(clock);
         for (id, worker) in &mut self.workers {
             worker.vacated |= commit.head.vacated.contains(&**id);
         }
@@ -61,9 +63,11 @@
             self.committed_at = clock.now;
             return;
         }
-        let covered_changes = if complete { self.changes } else { self.durable };
+        // Up to the first change that is left for a later commit.
+        let covered_changes =
+            self.dirty.values().min().map_or(self.changes, |first| first.saturating_sub(1));
         self.actions.push(Action::Commit(Box::new(commit.clone())));
-        self.commit = Some(PendingCommit { commit, covered_changes, retry_at: None });
+        self.commit = Some(PendingCommit { commit, covered_changes, jobs, retry_at: None });
     }
 
     /// Returns whether a caller or another cell waits for one of the changes, or the next owner.
@@ -74,7 +78,7 @@
         self.leaving
             || !self.planned.is_empty()
             || self.awaits_fence()
-            || self.dirty.iter().any(|id| self.jobs.get(id).is_none_or(urgent))
+            || self.dirty.keys().any(|id| self.jobs.get(id).is_none_or(urgent))
     }
 
     /// Returns the head of the commit that is in flight or to be retried.
@@ -105,8 +109,8 @@
             && left.vacated == right.vacated
     }
 
-    /// Builds a commit with as many changed jobs as fit and returns whether it holds all of them.
-    fn build_commit(&mut self, clock: Clock) -> (Commit, bool) {
+    /// Builds a commit with as many changed jobs as fit, and returns these with the first change of each.
+    fn build_commit(&mut self, clock: Clock) -> (Commit, BTreeMap<job::Id, u64>) {
         let now = clock.now;
         let mut commit = Commit {
             cancelled: Vec::new(),
@@ -123,8 +127,12 @@
             self.pressure_written_at = now;
             commit.pressure = Some(self.own_pressure.rounded());
         }
-        let ids: Vec<job::Id> = self.dirty.iter().copied().collect();
-        for id in ids {
+        let mut jobs = BTreeMap::new();
+        let mut dirty: Vec<(u64, job::Id)> =
+            self.dirty.iter().map(|(id, first)| (*first, *id)).collect();
+        // Changes beyond what a commit holds go in turn.
+        dirty.sort_unstable();
+        for (first, id) in dirty {
             let Some(job) = self.jobs.get(&id) else {
                 self.dirty.remove(&id);
                 continue;
@@ -133,13 +141,14 @@
             add_changes(&mut next, id, job, self.head_cell());
             if next.entries() > MAX_ENTRIES {
                 commit.head.vacated.retain(|id| self.has_recorded_ends(id));
-                return (commit, false);
+                return (commit, jobs);
             }
             commit = next;
             self.dirty.remove(&id);
+            jobs.insert(id, first);
         }
         commit.head.records_starts = true;
-        (commit, true)
+        (commit, jobs)
     }
 
     /// Returns the workers that are not members any more and may hold runs.
@@ -256,9 +265,8 @@
                     }
                     self.drop_split(*id);
                 }
-                self.dirty.extend(pending.commit.progress.iter().map(|(id, _)| *id));
-                self.dirty.extend(pending.commit.removed.iter().copied());
-                self.dirty.extend(pending.commit.tickets.iter().map(|(id, _)| *id));
+                // Their first changes come before any that were made since.
+                self.dirty.append(&mut pending.jobs);
                 for (id, revision, ticket) in tickets {
                     self.apply_conflict(id, revision, ticket.as_ref());
                 }
--- a/crates/fleet/tests/records.rs
+++ b/crates/fleet/tests/records.rs
@@ -134,3 +134,31 @@
         "its record is in the store, and its owner doesn't know it"
     );
 }
+
+/// LOST: a start waited for a commit that held all changes. Where more came than a commit holds, none did, and the start
+/// was never ordered.
+#[test]
+fn starts_that_a_commit_records_wait_for_no_other_changes() {
+    let mut world = World::new(&["w1", "w2", "w3", "w4"]);
+    world.run_ms = 600_000;
+    world.store = Store::Down;
+    for job in 0..40 {
+        world.submit(&job.to_string(), QUEUE, vec![Step { lasting: true, ..step(1, 1) }]);
+    }
+    world.advance(300);
+    let runs = |world: &World| {
+        let task = |job: &i32| name(&job.to_string(), 0, 0);
+        (0..40).filter(|job| !world.running(task(job)).is_empty()).count()
+    };
+    assert_eq!(runs(&world), 0, "no start is recorded");
+    // The commit of the first job, and one that holds as many as fit.
+    let commits = world.commits;
+    world.store = Store::Up;
+    while world.commits < commits + 2 {
+        world.advance(10);
+    }
+    world.store = Store::Down;
+    world.advance(100);
+    let started = runs(&world);
+    assert!((2..40).contains(&started), "{started}");
+}
