--- a/crates/fleet/src/cell_crashes.rs
+++ b/crates/fleet/src/cell_crashes.rs
@@ -19,8 +19,8 @@
 /// How long a suspect keeps other suspects away from its worker, in milliseconds. One under which a
 /// worker crashed later than that is seldom the cause, and would hold up the others for long.
 const MAX_TRIAL_MS: u64 = 5_000;
-/// How long a lasting task that is suspect waits for a worker without other suspects, in milliseconds: less than it
-/// waits for a cell with room.
+/// How long a lasting task that is suspect waits for a worker without other suspects, in milliseconds: less than
+/// `SPLIT_AFTER_MS`, after which it may be sent to another cell.
 const MAX_APART_MS: u64 = 500;
 /// How long the fate of a worker whose lease has run out may stay unknown, in milliseconds, before the
 /// worker is forgotten.
--- a/crates/fleet/tests/crashes.rs
+++ b/crates/fleet/tests/crashes.rs
@@ -542,3 +542,22 @@
     assert_eq!(world.running(name("2", 0, 0)).len(), 0, "it keeps away from the first job");
     assert_eq!(world.running(name("2", 0, 1)).len(), 1);
 }
+
+/// Innocent short tasks under which two workers have crashed are tried one after the other.
+#[test]
+fn short_suspects_start_in_time_where_there_is_room() {
+    let mut world = World::new(&["w1"]);
+    world.run_ms = 600_000;
+    for job in 0..6 {
+        world.submit(&job.to_string(), QUEUE, vec![step(1, 1)]);
+    }
+    world.advance(500);
+    for _ in 0..2 {
+        world.crash("w1");
+        // It is back after three seconds, and runs them again.
+        world.advance(4_000);
+    }
+    world.advance(CALM_MS);
+    let waits = |job: &u32| world.running(name(&job.to_string(), 0, 0)).is_empty();
+    assert_eq!((0..6).filter(waits).collect::<Vec<u32>>(), [0; 0]);
+}
