--- a/crates/fleet/src/action.rs
+++ b/crates/fleet/src/action.rs
@@ -277,7 +277,8 @@
         /// The number of runs that these hold or may hold, which go on.
         runs: usize,
     },
-    /// A lasting task that has run waits. Reported for one task of a job, each time the cause changes.
+    /// A lasting task that has run waits, or one whose start is planned. Reported for one task of a job, each time the
+    /// cause changes.
     Waiting {
         /// The task.
         task: task::Name,
--- a/crates/fleet/src/cell.rs
+++ b/crates/fleet/src/cell.rs
@@ -148,7 +148,7 @@
     pub(crate) unfenced: BTreeSet<Arc<str>>,
     /// The workers' entries are too old: some worker may drain by now.
     pub(crate) view_stale: bool,
-    /// Jobs with lasting tasks that have run and wait.
+    /// Jobs with lasting tasks that have run and wait, or whose start is planned.
     pub(crate) waits: BTreeMap<job::Id, wait::Wait>,
     /// When such jobs were last searched for, in milliseconds.
     pub(crate) waits_reported_at: u64,
--- a/crates/fleet/src/cell_crashes.rs
+++ b/crates/fleet/src/cell_crashes.rs
@@ -258,7 +258,7 @@
     /// dropped. While the workers' entries are too old they wait: placing them anew would take another record, and an
     /// owner that is slow, whose view grows old again and again, would never start them.
     pub(crate) fn order_planned(&mut self, clock: Clock) {
-        let may_start = self.lease_ms(clock.now).is_some();
+        let may_start = self.lease_ms(clock.now).is_some() && !self.view_stale;
         for (id, name) in std::mem::take(&mut self.planned) {
             let is_suitable = self.is_still_suitable(&id, &name);
             let Some(worker) = self.workers.get_mut(&id) else { continue };
@@ -274,7 +274,6 @@
                 continue;
             }
             let waited = until.is_some_and(|until| clock.now >= until);
-            let may_start = may_start && !self.view_stale;
             if may_start && takes_starts && (change <= self.durable || waited) {
                 run.phase = Phase::Starting { retry_at: None, uncertain: false };
                 run.started = clock.now;
@@ -289,11 +288,9 @@
     /// started again as another one.
     fn is_still_suitable(&self, id: &Arc<str>, name: &task::Name) -> bool {
         let Some(worker) = self.workers.get(id) else { return false };
-        let Some(entry) = worker.registration.as_ref() else { return false };
         let Some(job) = self.jobs.get(&name.job) else { return true };
         let Some(stage) = job.stage(name.occurrence, name.step) else { return true };
-        entry.service == job.queue.service
-            && stage.step.label.as_ref().is_none_or(|label| worker.has_label(label))
+        worker.is_for(&job.queue.service, &stage.step)
     }
 
     /// Notes a crash against a task whose run an earlier owner ordered, unless its worker lives on.
--- a/crates/fleet/src/cell_lasting.rs
+++ b/crates/fleet/src/cell_lasting.rs
@@ -67,7 +67,7 @@
         let Some(job) = self.jobs.get(&id) else { return };
         let Some(stage) = job.stage(0, step_number) else { return };
         let step = stage.step.clone();
-        let Some(index) = stage.due(pass.restarts).next() else { return };
+        let Some(index) = stage.to_place(pass.restarts).next() else { return };
         let Some(task) = stage.tasks.get(usize::from(index)) else { return };
         if !pass.restarts && !self.may_start_lasting(step.reserved().processors_milli, pass) {
             return self.note_delay(clock, id);
--- a/crates/fleet/src/cell_orders.rs
+++ b/crates/fleet/src/cell_orders.rs
@@ -432,6 +432,6 @@
 
 /// Returns whether a run was stopped at a worker that may never have started there.
 fn stops_unseen_run(worker: &Worker) -> bool {
-    let is_unseen = |run: &Run| run.seen_at.is_none() && !run.adopted;
+    let is_unseen = |run: &Run| run.seen_at.is_none() && !run.adopted && !run.foreign;
     worker.runs.values().any(|run| matches!(run.phase, Phase::Stopping { .. }) && is_unseen(run))
 }
--- a/crates/fleet/src/cell_schedule.rs
+++ b/crates/fleet/src/cell_schedule.rs
@@ -21,7 +21,7 @@
 pub(crate) struct Pass {
     /// The steps for which room to hold was searched for; at most `window::MAX_MISSES`.
     held_for: usize,
-    /// Whether it places lasting tasks that have run, which go before all others, or those others.
+    /// Whether it is at the lasting tasks that have run, which it places first, or at all others.
     pub(crate) restarts: bool,
     /// Room that is held for tasks that fit nowhere.
     pub(crate) reservations: reservation::Book,
@@ -127,7 +127,7 @@
         let mut misses = 0;
         for (occurrence, number, step) in ready_stages(job, clock.unix) {
             let stage = self.jobs.get(&id).and_then(|job| job.stage(occurrence, number));
-            let is_due = stage.is_some_and(|stage| stage.due(pass.restarts).next().is_some());
+            let is_due = stage.is_some_and(|stage| stage.to_place(pass.restarts).next().is_some());
             if !is_due || !self.is_held(id, number, &step) {
                 continue;
             }
@@ -233,7 +233,7 @@
         let service = job.queue.service.clone();
         let recovered = job.recovered;
         let mut placed = tasks_per_worker(stage);
-        let waiting: Vec<u16> = stage.due(pass.restarts).collect();
+        let waiting: Vec<u16> = stage.to_place(pass.restarts).collect();
         let starts = step.lasting && !pass.restarts;
         if step.gang {
             let milli = step.reserved().processors_milli.saturating_mul(step.count.into());
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -212,7 +212,7 @@
     }
 
     /// Returns the waiting tasks that are to run again because the step lasts, or all others. A gang goes whole.
-    pub(crate) fn due(&self, restarts: bool) -> impl Iterator<Item = u16> {
+    pub(crate) fn to_place(&self, restarts: bool) -> impl Iterator<Item = u16> {
         let is_restart = |index: u16| self.step.lasting && !self.is_unstarted(index);
         let whole = self.step.gang.then(|| self.waiting.iter().all(|&index| is_restart(index)));
         let waiting = (self.step.lasting || !restarts).then_some(&self.waiting);
@@ -334,7 +334,7 @@
     /// Returns whether lasting tasks of it wait that may have run before.
     pub(crate) fn has_restarts(&self) -> bool {
         let mut stages = self.occurrences.iter().flat_map(|occurrence| &occurrence.stages);
-        self.is_lasting() && stages.any(|stage| stage.due(true).next().is_some())
+        self.is_lasting() && stages.any(|stage| stage.to_place(true).next().is_some())
     }
 
     fn restore(&mut self, progress: &Progress) {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod admission;
 pub mod assignment;
 pub mod cell;
+mod census;
 pub mod clock;
 pub mod commit;
 pub mod config;
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -98,30 +98,6 @@
     Some((id.clone(), Reservation { ready_at: u64::MAX, spare: Resources::default() }))
 }
 
-/// Workers that may run a task, whatever else they hold.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub(crate) struct Census {
-    /// Those that get new runs.
-    pub(crate) usable: usize,
-    /// Those of them with room for the task.
-    pub(crate) fitting: usize,
-}
-
-impl Census {
-    /// Counts the workers for a task.
-    pub(crate) fn of(workers: &BTreeMap<Arc<str>, Worker>, criteria: &Criteria) -> Self {
-        let step = criteria.step;
-        let usable = |worker: &&Worker| {
-            worker.is_usable(criteria.now)
-                && worker.registration.as_ref().is_some_and(|e| e.service == criteria.service)
-                && step.label.as_ref().is_none_or(|label| worker.has_label(label))
-        };
-        let fits = |worker: &&Worker| step.reserved().fits(&worker.unreserved());
-        let usable = || workers.values().filter(usable);
-        Self { usable: usable().count(), fitting: usable().filter(fits).count() }
-    }
-}
-
 /// Returns whether the task may run at the worker and fits there.
 fn is_eligible(id: &Arc<str>, worker: &Worker, criteria: &Criteria) -> bool {
     let step = criteria.step;
@@ -132,15 +108,13 @@
 
 /// Returns whether the task may run at the worker once it has room.
 fn is_suitable(id: &Arc<str>, worker: &Worker, criteria: &Criteria) -> bool {
-    let Some(entry) = &worker.registration else { return false };
     let step = criteria.step;
     worker.is_usable(criteria.now)
         && (step.gang
             || !criteria.apart
             || may_share(worker.suspicion(), criteria.suspicion.level())
             || !criteria.policy.suspicion)
-        && entry.service == criteria.service
-        && step.label.as_ref().is_none_or(|label| worker.has_label(label))
+        && worker.is_for(criteria.service, step)
         && (step.per_worker == 0 || criteria.placed.get(id).copied().unwrap_or(0) < step.per_worker)
 }
 
--- a/crates/fleet/src/wait.rs
+++ b/crates/fleet/src/wait.rs
@@ -1,6 +1,6 @@
-//! Why lasting tasks wait that have run before, for the decision log. They are to run again at once.
+//! Why lasting tasks wait that have run before, or whose start is planned, for the decision log.
 
-use {super::*, action::Report};
+use {super::*, action::Report, census::Census};
 
 /// How long a job has had such tasks, and what was last reported of them.
 #[derive(Clone, Copy, Debug)]
@@ -11,14 +11,18 @@
     reported: Option<Cause>,
 }
 
-/// What keeps a task from being placed.
+/// What keeps a task from being placed or, once it is, from being ordered.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Cause {
     /// A worker takes it in the next placement pass.
     Due,
+    /// The worker that it is placed at has started again, and does not reject orders for its last life yet.
+    Life,
     /// The task is on its way to another cell.
     Moving,
+    /// The store has not recorded its start yet.
+    Record,
     /// No worker has room for it.
     Room,
     /// The workers with room hold tasks that may have crashed workers, as this one may.
@@ -27,6 +31,8 @@
     Trial,
     /// Workers that may run it for an earlier owner have not answered.
     Unanswered,
+    /// Its start is planned, and the workers' entries are too old.
+    View,
     /// No worker of its service gets new runs.
     Workers,
 }
@@ -39,17 +45,25 @@
 const MAX_REPORTS: usize = 32;
 
 impl Cell {
-    /// Reports jobs with lasting tasks that have run and wait, each time the cause changes.
+    /// Reports jobs with lasting tasks that have run and wait, or whose start is planned, each time the cause changes.
     pub(crate) fn report_waits(&mut self, clock: Clock) {
         if clock.now < self.waits_reported_at + REPORT_INTERVAL_MS {
             return;
         }
         self.waits_reported_at = clock.now;
         let lasting = self.unfinished_jobs.iter().map(|(_, _, id)| *id);
-        let waiting: Vec<(job::Id, Vec<task::Name>)> = lasting
-            .filter_map(|id| Some((id, self.jobs.get(&id)?.restarts(id))))
-            .filter(|(_, tasks)| !tasks.is_empty())
-            .collect();
+        let mut planned: BTreeMap<job::Id, Vec<task::Name>> = BTreeMap::new();
+        for (_, name) in &self.planned {
+            planned.entry(name.job).or_default().push(*name);
+        }
+        let tasks_of = |id: job::Id| {
+            let job = self.jobs.get(&id).filter(|job| job.is_lasting())?;
+            let mut tasks = job.restarts(id);
+            tasks.extend(planned.remove(&id).unwrap_or_default());
+            Some((id, tasks))
+        };
+        let waiting: Vec<(job::Id, Vec<task::Name>)> =
+            lasting.filter_map(tasks_of).filter(|(_, tasks)| !tasks.is_empty()).collect();
         let ids: BTreeSet<job::Id> = waiting.iter().map(|(id, _)| *id).collect();
         self.waits.retain(|id, _| ids.contains(id));
         let mut reports = 0;
@@ -81,11 +95,7 @@
     }
 
     /// Returns why a task is not placed, the workers that might take it, and the crashes under it.
-    fn cause_of_wait(
-        &self,
-        clock: Clock,
-        name: task::Name,
-    ) -> Option<(Cause, placement::Census, usize)> {
+    fn cause_of_wait(&self, clock: Clock, name: task::Name) -> Option<(Cause, Census, usize)> {
         let job = self.jobs.get(&name.job)?;
         let stage = job.stage(name.occurrence, name.step)?;
         let task = job.task(&name)?;
@@ -103,12 +113,19 @@
             reservations: &reservation::Book::default(),
             duration_ms: None,
         };
-        let census = placement::Census::of(&self.workers, &criteria);
-        let cause = if job.moving_to.is_some() || job.splitting.is_some() {
+        let census = Census::of(&self.workers, &criteria);
+        let cause = if let task::Status::Active { worker, .. } = &task.status {
+            let takes_starts = self.workers.get(worker).is_some_and(Worker::takes_starts);
+            match (self.view_stale, takes_starts) {
+                (true, _) => Cause::View,
+                (false, false) => Cause::Life,
+                (false, true) => Cause::Record,
+            }
+        } else if job.moving_to.is_some() || job.splitting.is_some() {
             Cause::Moving
         } else if job.recovered && !self.unfenced.is_empty() {
             Cause::Unanswered
-        } else if self.waits_for_trial(&name) {
+        } else if criteria.apart && self.waits_for_trial(&name) {
             Cause::Trial
         } else if placement::choose(&self.workers, &criteria).is_some() {
             Cause::Due
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -349,6 +349,12 @@
         self.runs.values().map(|run| run.suspicion).max().unwrap_or(0)
     }
 
+    /// Returns whether it is of a service and has the label that a step asks for.
+    pub(crate) fn is_for(&self, service: &str, step: &Step) -> bool {
+        self.registration.as_ref().is_some_and(|entry| entry.service == service)
+            && step.label.as_ref().is_none_or(|label| self.has_label(label))
+    }
+
     /// Returns whether it carries a label.
     pub fn has_label(&self, label: &str) -> bool {
         self.registration.as_ref().is_some_and(|entry| entry.labels.iter().any(|l| l == label))
--- a/crates/fleet/tests/reservation.rs
+++ b/crates/fleet/tests/reservation.rs
@@ -253,26 +253,29 @@
     }
 }
 
-/// Younger tasks that have never run start elsewhere, and not at the worker that is held.
+/// Younger tasks that have never run start at other workers than the one that is held, although the cell has spare
+/// capacity.
 #[test]
 fn a_lasting_task_that_has_run_goes_before_first_starts() {
-    let mut world = World::new(&["w1", "w2"]);
+    let mut world = World::new(&["w1", "w2", "w3", "w4", "w5"]);
     world.run_ms = 600_000;
+    world.worker("w5").capacity = Some(Resources { memory_mib: 65_536, ..cores(8) });
+    world.tell_members();
     world.submit("f", QUEUE, vec![lasting(1, 12)]);
     world.advance(200);
-    world.submit("2", QUEUE, vec![lasting(1, 5)]);
+    world.submit("2", QUEUE, vec![Step { per_worker: 1, ..lasting(3, 5) }]);
     world.advance(200);
     let holder = world.running(name("f", 0, 0))[0].to_owned();
     lose(&mut world, &holder);
     world.advance(6_000);
-    for job in ["a0", "a1", "a2"] {
-        world.submit(job, QUEUE, vec![lasting(1, 1)]);
-        world.advance(500);
-        assert!(world.running(name(job, 0, 0)).is_empty(), "{job}");
-    }
+    world.submit("a", QUEUE, vec![Step { per_worker: 1, ..lasting(4, 1) }]);
+    world.advance(500);
+    let runs = |world: &World, task| !world.running(name("a", 0, task)).is_empty();
+    assert_eq!((0..4).filter(|task| runs(&world, *task)).count(), 3, "one worker is held");
     world.cancel("2");
     world.advance(500);
     assert_eq!(world.running(name("f", 0, 0)).len(), 1);
+    assert_eq!((0..4).filter(|task| runs(&world, *task)).count(), 4);
 }
 
 /// A task that fits nowhere holds one worker back, not each that it could run at.
--- a/crates/fleet/tests/restarts.rs
+++ b/crates/fleet/tests/restarts.rs
@@ -5,12 +5,12 @@
 
 use {
     oleanderstage_fleet::{
-        Event, Limits, Policy, State, Step, action::Report, predecessor::End, task,
+        Event, Limits, Policy, Step, action::Report, predecessor::End, task, wait,
     },
     rand::{Rng, SeedableRng},
     rand_pcg::Pcg64Mcg,
     std::{collections::BTreeMap, env, ops::RangeInclusive, panic},
-    world::{QUEUE, Store, World, name, step},
+    world::{QUEUE, Store, World, id, name, step},
 };
 
 /// The time limits of a VM's process.
@@ -20,8 +20,8 @@
     owner_silence_ms: 7_000,
     silent_lease_ms: 2_600,
 };
-/// How long a lasting task may be away once all trouble is over, in milliseconds.
-const AWAY_MS: u64 = 7_000;
+/// How long a lasting task may be away in a calm span, in milliseconds.
+const AWAY_MS: u64 = 6_000;
 /// How long no trouble must have been there for a task to count as away, in milliseconds.
 const CALM_MS: u64 = 7_000;
 /// How long an unanswered start is sent again, in milliseconds.
@@ -65,20 +65,18 @@
     policy: Policy,
     /// Number of tasks of each job.
     tasks: RangeInclusive<u16>,
-    /// Whether jobs may be given up after many crashes.
-    may_fail: bool,
 }
 
 impl Load {
     /// Jobs of several tasks.
     fn new() -> Self {
-        Self { policy: Policy::default(), tasks: 1..=4, may_fail: false }
+        Self { policy: Policy::default(), tasks: 1..=4 }
     }
 
     /// Jobs of one task, none of which waits for what it may have crashed.
     fn trusted() -> Self {
         let policy = Policy { suspicion: false, ..Policy::default() };
-        Self { policy, tasks: 1..=1, may_fail: true }
+        Self { policy, tasks: 1..=1 }
     }
 }
 
@@ -95,8 +93,6 @@
     has_owner: bool,
     /// Cuts of each worker that last, since cuts overlap.
     cuts: BTreeMap<String, usize>,
-    /// Whether jobs may be given up after many crashes.
-    may_fail: bool,
     /// The longest time for which a task was away, in milliseconds.
     longest_away_ms: u64,
     /// Until when trouble lasts, in milliseconds.
@@ -139,7 +135,6 @@
             ran_on: BTreeMap::new(),
             has_owner: true,
             cuts: BTreeMap::new(),
-            may_fail: load.may_fail,
             longest_away_ms: 0,
             troubled_until: world.now,
             world,
@@ -292,10 +287,6 @@
             self.ran_at.insert(task, now);
             self.ran_on.insert(task, holders[0].clone());
         }
-        if self.may_fail {
-            let tickets = &self.world.tickets;
-            self.tasks.retain(|task| tickets[&task.job].0.state != State::Failed);
-        }
         for task in &self.tasks {
             self.longest_away_ms = self.longest_away_ms.max(now - self.ran_at[task]);
         }
@@ -395,7 +386,7 @@
         };
     }
     let end = trial.troubled_until + 10_000;
-    trial.run(end, AWAY_MS - 1_000, true);
+    trial.run(end, AWAY_MS, true);
     trial.longest_away_ms
 }
 
@@ -612,3 +603,25 @@
     world.advance(2_000);
     assert_eq!(world.worker("w1").starts.len(), starts);
 }
+
+/// Returns the last reported cause for which a task of a job waits.
+fn cause(world: &World, job: &str) -> Option<wait::Cause> {
+    let of_job = |report: &Report| match report {
+        Report::Waiting { task, cause, .. } if task.job == id(job) => Some(*cause),
+        _ => None,
+    };
+    world.reports.iter().rev().find_map(of_job)
+}
+
+#[test]
+fn the_log_tells_what_planned_starts_wait_for() {
+    let mut world = planned_world();
+    world.advance(2_500);
+    assert_eq!(cause(&world, "1"), Some(wait::Cause::View));
+
+    let mut world = World::new(&["w1"]);
+    world.store = Store::Down;
+    world.submit("1", QUEUE, vec![lasting(1, 1)]);
+    world.advance(2_500);
+    assert_eq!(cause(&world, "1"), Some(wait::Cause::Record));
+}
