--- a/crates/fleet/src/cell_crashes.rs
+++ b/crates/fleet/src/cell_crashes.rs
@@ -261,6 +261,11 @@
         let may_start = self.lease_ms(clock.now).is_some() && !self.view_stale;
         for (id, name) in std::mem::take(&mut self.planned) {
             let is_suitable = self.is_still_suitable(&id, &name);
+            let run = self.workers.get(&id).and_then(|worker| worker.runs.get(&name));
+            let is_recorded = match run.map(|run| run.phase) {
+                Some(Phase::Planned { change, .. }) => self.is_recorded(name.job, change),
+                _ => false,
+            };
             let Some(worker) = self.workers.get_mut(&id) else { continue };
             // Its capacity may have shrunk since.
             let fits = worker.reserved.fits(&worker.capacity());
@@ -268,13 +273,13 @@
                 worker.accepts_runs() && worker.missed_polls == 0 && fits && is_suitable;
             let takes_starts = worker.takes_starts();
             let Some(run) = worker.runs.get_mut(&name) else { continue };
-            let Phase::Planned { change, until, .. } = run.phase else { continue };
+            let Phase::Planned { until, .. } = run.phase else { continue };
             if self.leaving || !accepts_runs && !self.view_stale {
                 self.release(&id, name, Proof::NotOrdered);
                 continue;
             }
             let waited = until.is_some_and(|until| clock.now >= until);
-            if may_start && takes_starts && (change <= self.durable || waited) {
+            if may_start && takes_starts && (is_recorded || waited) {
                 run.phase = Phase::Starting { retry_at: None, uncertain: false };
                 run.started = clock.now;
                 self.order_start(clock, &id, name);
--- a/crates/fleet/src/cell_record.rs
+++ b/crates/fleet/src/cell_record.rs
@@ -81,6 +81,19 @@
             || self.dirty.keys().any(|id| self.jobs.get(id).is_none_or(urgent))
     }
 
+    /// Returns the jobs with planned starts of lasting tasks.
+    fn lasting_jobs_to_start(&self) -> BTreeSet<job::Id> {
+        let lasting = |id: &job::Id| self.jobs.get(id).is_some_and(Job::is_lasting);
+        self.planned.iter().map(|(_, name)| name.job).filter(lasting).collect()
+    }
+
+    /// Returns whether the store has recorded the changes of a job that were made up to `change`.
+    pub(crate) fn is_recorded(&self, id: job::Id, change: u64) -> bool {
+        let is_later =
+            |jobs: &BTreeMap<job::Id, u64>| jobs.get(&id).is_none_or(|first| *first > change);
+        is_later(&self.dirty) && self.commit.as_ref().is_none_or(|pending| is_later(&pending.jobs))
+    }
+
     /// Returns the head of the commit that is in flight or to be retried.
     pub(crate) fn pending_head(&self) -> Option<&Head> {
         self.commit.as_ref().map(|pending| &pending.commit.head)
@@ -128,11 +141,12 @@
             commit.pressure = Some(self.own_pressure.rounded());
         }
         let mut jobs = BTreeMap::new();
-        let mut dirty: Vec<(u64, job::Id)> =
-            self.dirty.iter().map(|(id, first)| (*first, *id)).collect();
-        // Changes beyond what a commit holds go in turn.
+        let starting = self.lasting_jobs_to_start();
+        let rank = |(id, first): (&job::Id, &u64)| (!starting.contains(id), *first, *id);
+        let mut dirty: Vec<(bool, u64, job::Id)> = self.dirty.iter().map(rank).collect();
+        // Changes beyond what a commit holds go in turn, but those for which starts of lasting tasks wait.
         dirty.sort_unstable();
-        for (first, id) in dirty {
+        for (_, first, id) in dirty {
             let Some(job) = self.jobs.get(&id) else {
                 self.dirty.remove(&id);
                 continue;
--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -8,7 +8,7 @@
     /// The start is ordered once the store has recorded it, so that a new owner knows of the run even
     /// if it crashes its worker.
     Planned {
-        /// The value of `Cell::durable` at which it is recorded.
+        /// The value of `Cell::changes` with which its job's record has it.
         change: u64,
         /// Whether the task is a lasting one that has never run.
         first: bool,
--- a/crates/fleet/tests/records.rs
+++ b/crates/fleet/tests/records.rs
@@ -162,3 +162,27 @@
     let started = runs(&world);
     assert!((2..40).contains(&started), "{started}");
 }
+
+/// LOST: an owner with more changes than its commits hold took seconds until it came to that of a lasting task.
+#[test]
+fn starts_of_lasting_tasks_are_recorded_before_other_changes() {
+    let mut world = World::new(&["w1", "w2", "w3", "w4", "w5", "w6", "w7", "w8"]);
+    world.run_ms = 600_000;
+    world.store = Store::Down;
+    for job in 0..100 {
+        world.submit(&format!("a{job}"), QUEUE, vec![step(1, 1)]);
+    }
+    world.advance(300);
+    world.submit("1", QUEUE, vec![Step { lasting: true, ..step(1, 1) }]);
+    world.advance(100);
+    assert_eq!(world.running(task()), [] as [&str; 0], "its start is not recorded");
+    // The commit that is on its way, and the next one.
+    let commits = world.commits;
+    world.store = Store::Up;
+    while world.commits < commits + 2 {
+        world.advance(10);
+    }
+    world.store = Store::Down;
+    world.advance(100);
+    assert_eq!(world.running(task()).len(), 1);
+}
