--- a/crates/node/src/session.rs
+++ b/crates/node/src/session.rs
@@ -109,10 +109,23 @@
     true
 }
 
-/// Removes this VM's entry, so that its cells are assigned to other VMs.
+/// Removes this process's entry, so that its cells are assigned to other VMs.
 pub(crate) async fn leave(node: &Rc<Node>) {
-    let txn = Txn { removed: vec![keys::vm(&node.boot.vm)], ..Txn::default() };
-    if let Err(error) = node.store.txn(&txn).await {
+    if let Err(error) = remove_entry(node).await {
         node.store_failed("leave", &error);
     }
 }
+
+/// Removes the VM's entry if it is this process's. The store may carry that out seconds later, when the entry is that
+/// of another process.
+async fn remove_entry(node: &Rc<Node>) -> Result<(), store::Error> {
+    let key = keys::vm(&node.boot.vm);
+    let Some(item) = node.store.get(&key).await? else { return Ok(()) };
+    let is_own = |vm: assignment::Vm| vm.incarnation == node.incarnation;
+    if !decode(&item).is_some_and(is_own) {
+        return Ok(());
+    }
+    let txn =
+        Txn { expected: vec![(key.clone(), item.revision)], removed: vec![key], ..Txn::default() };
+    node.store.txn(&txn).await.map(drop)
+}
--- a/crates/node/tests/process/mod.rs
+++ b/crates/node/tests/process/mod.rs
@@ -79,6 +79,16 @@
     pub fn restart(&mut self) {
         self.child.kill().unwrap();
         self.child.wait().unwrap();
+        self.start_again();
+    }
+
+    /// Asks the process to end.
+    pub fn terminate(&self) {
+        kill_process(self.pid(), Signal::TERM).unwrap();
+    }
+
+    /// Starts another process in place of one that has ended.
+    pub fn start_again(&mut self) {
         self.child = spawn(&self.settings);
     }
 
--- a/crates/standin/src/users_store.rs
+++ b/crates/standin/src/users_store.rs
@@ -70,9 +70,9 @@
     /// When each lease ends, and its length.
     leases: BTreeMap<u64, (Instant, Duration)>,
     availability: Availability,
-    /// The next transaction that writes a key under this prefix gets no answer and is carried out this much
-    /// later.
-    delayed_write: Option<(String, Duration)>,
+    /// For each prefix, the next transaction that writes or removes a key under it gets no answer and is carried
+    /// out this much later.
+    delayed_writes: Vec<(String, Duration)>,
     /// Number of answers to watches that wait.
     held_watches: usize,
     next_lease: u64,
@@ -213,30 +213,29 @@
         state.availability = availability;
     }
 
-    /// Lets the next transaction that writes a key under a prefix, and whose conditions hold, get no answer. It is
-    /// carried out `delay` later, if they still hold then.
+    /// Lets the next transaction that writes or removes a key under a prefix, and whose conditions hold, get no
+    /// answer. It is carried out `delay` later, if they still hold then.
     pub fn delay_write(&self, prefix: &str, delay: Duration) {
-        lock(&self.state).delayed_write = Some((prefix.into(), delay));
+        lock(&self.state).delayed_writes.push((prefix.into(), delay));
     }
 
     /// Returns whether a transaction is still to be delayed.
     pub fn awaits_delayed_write(&self) -> bool {
-        lock(&self.state).delayed_write.is_some()
+        !lock(&self.state).delayed_writes.is_empty()
     }
 
     /// Returns by how much a transaction is delayed.
     fn take_delay(&self, body: &Value) -> Option<Duration> {
-        let writes_under = |prefix: &str| {
-            let key =
-                |entry: &Value| entry["key"].as_str().is_some_and(|key| key.starts_with(prefix));
-            body["writes"].as_array().is_some_and(|writes| writes.iter().any(key))
-        };
+        let entries = |name: &str| body[name].as_array().into_iter().flatten();
+        let written = entries("writes").map(|entry| &entry["key"]);
+        let keys: Vec<&str> = written.chain(entries("remove")).filter_map(Value::as_str).collect();
         let mut state = lock(&self.state);
         if !state.is_satisfied(body) {
             return None;
         }
-        let delayed = state.delayed_write.take_if(|(prefix, _)| writes_under(prefix));
-        delayed.map(|(_, delay)| delay)
+        let is_under = |prefix: &str| keys.iter().any(|key| key.starts_with(prefix));
+        let delayed = state.delayed_writes.iter().position(|(prefix, _)| is_under(prefix))?;
+        Some(state.delayed_writes.remove(delayed).1)
     }
 
     /// Makes reads of ranges whose prefix starts with `prefix` wait until the next call of this
@@ -332,6 +331,11 @@
             .collect()
     }
 
+    /// Returns the revision of a key's last change, 0 if it doesn't exist.
+    pub fn revision(&self, key: &str) -> u64 {
+        lock(&self.state).items.get(key).map_or(0, |item| item.revision)
+    }
+
     /// Returns the number of committed transactions.
     pub fn writes(&self) -> u64 {
         lock(&self.state).writes
