--- a/crates/fleet/src/assignment.rs
+++ b/crates/fleet/src/assignment.rs
@@ -59,6 +59,12 @@
         let same_vm = vm(owner).is_some_and(|owner| vm(&self.incarnation) == Some(owner));
         same_vm && self.incarnation != owner && self.revision > revision
     }
+
+    /// Returns whether a process that was started later has written this entry of a VM, from the view of the process
+    /// `incarnation` of that VM, whose last own entry had the revision `own`, 0 before the first.
+    pub fn is_later_than(&self, incarnation: &str, own: u64) -> bool {
+        own > 0 && self.incarnation != incarnation && self.revision > own
+    }
 }
 
 impl Assignment {
--- a/crates/fleet/tests/cells.rs
+++ b/crates/fleet/tests/cells.rs
@@ -85,6 +85,21 @@
     assert!(!vm("", 9).replaces("", 8), "unknown");
 }
 
+#[test]
+fn an_entry_is_that_of_a_later_process_if_it_came_after_the_own_one() {
+    let entry = Vm {
+        incarnation: "x@10.0.0.1#2.1".into(),
+        processors_milli: 500,
+        memory_mib: 0,
+        revision: 9,
+    };
+    assert!(entry.is_later_than("x@10.0.0.1#1.1", 8));
+    assert!(entry.is_later_than("x@10.0.0.2#1.1", 8), "a process on another machine");
+    assert!(!entry.is_later_than("x@10.0.0.1#3.1", 0), "a process that has not written one yet");
+    assert!(!entry.is_later_than("x@10.0.0.1#3.1", 10), "written before the own one");
+    assert!(!entry.is_later_than("x@10.0.0.1#2.1", 8), "the same process");
+}
+
 #[test]
 fn cells_follow_the_strength_of_vms_and_workers_are_spread_evenly() {
     let names = workers(48);
--- a/crates/node/src/assigner.rs
+++ b/crates/node/src/assigner.rs
@@ -23,13 +23,18 @@
 pub(crate) async fn follow(node: Rc<Node>) {
     let mut follower = Follower::new(node.clone(), keys::FLEET, Duration::ZERO);
     loop {
-        match follower.next().await {
-            Update::All { items, .. } => {
+        let (items, revision) = match follower.next().await {
+            Update::All { items, revision, .. } => {
                 node.vms.borrow_mut().clear();
-                items.into_iter().for_each(|item| update(&node, item));
+                (items, revision)
             }
-            Update::Changes { items, .. } if items.is_empty() => continue,
-            Update::Changes { items, .. } => items.into_iter().for_each(|item| update(&node, item)),
+            Update::Changes { items, revision, .. } => (items, revision),
+        };
+        let is_unchanged = items.is_empty() && !node.vms.borrow().is_empty();
+        items.into_iter().for_each(|item| update(&node, item));
+        node.vms_revision.set(revision);
+        if is_unchanged {
+            continue;
         }
         node.wake();
     }
@@ -44,13 +49,14 @@
     let vm = item.value.as_deref().map(serde_json::from_slice::<assignment::Vm>);
     match vm {
         Some(Ok(vm)) => {
-            log::info!(vm = name; "vm_seen");
-            let vm = assignment::Vm { revision: item.revision, ..vm };
+            let revision = item.revision;
+            log::info!(vm = name, revision, incarnation = vm.incarnation; "vm_seen");
+            let vm = assignment::Vm { revision, ..vm };
             node.vms.borrow_mut().insert(name.into(), vm);
         }
         Some(Err(error)) => log::error!(vm = name, error:% = error; "vm_unreadable"),
         None => {
-            log::info!(vm = name; "vm_gone");
+            log::info!(vm = name, revision = item.revision; "vm_gone");
             node.vms.borrow_mut().remove(name);
         }
     }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -24,6 +24,10 @@
     pub(crate) assignment_damaged: Slot<bool>,
     /// The VMs' entries by name.
     pub(crate) vms: RefCell<BTreeMap<String, assignment::Vm>>,
+    /// The revision of the store up to which these entries are known.
+    pub(crate) vms_revision: Slot<u64>,
+    /// The revision of the last entry that this process is known to have written; 0 before the first.
+    pub(crate) entry_revision: Slot<u64>,
     /// The cells' load from their heads, for the choice of a new job's cell.
     pub(crate) balancer: RefCell<admission::Balancer>,
     /// The memory that the jobs of all cells take.
@@ -97,6 +101,8 @@
             assignment: RefCell::default(),
             assignment_damaged: Slot::new(false),
             vms: RefCell::default(),
+            vms_revision: Slot::new(0),
+            entry_revision: Slot::new(0),
             balancer: RefCell::default(),
             memory: RefCell::default(),
             gate: RefCell::default(),
@@ -262,9 +268,21 @@
         known.unwrap_or(self.boot.memory_mib)
     }
 
-    /// Returns whether this VM writes the assignment: its name is the lowest.
+    /// Returns whether the VM's entry is that of this process.
+    pub(crate) fn is_registered(&self) -> bool {
+        let vms = self.vms.borrow();
+        vms.get(&self.boot.vm).is_some_and(|vm| vm.incarnation == self.incarnation)
+    }
+
+    /// Returns whether the entry that this process has written is gone or replaced. Entries that are older than it
+    /// don't tell.
+    pub(crate) fn is_entry_lost(&self) -> bool {
+        self.vms_revision.get() >= self.entry_revision.get() && !self.is_registered()
+    }
+
+    /// Returns whether this process writes the assignment: its VM's name is the lowest.
     pub(crate) fn is_assignment_writer(&self) -> bool {
-        self.vms.borrow().keys().next() == Some(&self.boot.vm)
+        self.is_registered() && self.vms.borrow().keys().next() == Some(&self.boot.vm)
     }
 
     /// Returns whether this VM needs current workers' entries: it owns or acquires cells, or writes
--- a/crates/node/src/session.rs
+++ b/crates/node/src/session.rs
@@ -10,17 +10,39 @@
 /// Delay before a failed attempt to open a session is repeated.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 
+/// The outcome of an attempt to open a session.
+enum Opening {
+    /// The entry is written under this lease, by a call that was sent at `sent_at`, in milliseconds.
+    Opened { lease: u64, sent_at: u64 },
+    /// The entry is that of a later process of this VM, with this incarnation.
+    Replaced(String),
+}
+
+/// The VM's entry, as one of its processes reads it.
+enum Entry {
+    /// This process has written it.
+    Own { revision: u64 },
+    /// There is none, with revision 0, or one that this process replaces.
+    Free { revision: u64 },
+    /// A later process has written it.
+    Later { incarnation: String },
+}
+
 /// Keeps a lease and an entry in the store until the VM leaves, and replaces them when they are
-/// lost.
+/// lost. While a later process of this VM has its entry there, it waits for the end of that process.
 pub(crate) async fn maintain(node: Rc<Node>) {
+    let mut successor = None;
     while !node.leaving.get() {
         match open(&node).await {
-            Ok((lease, confirmed_at)) => {
+            Ok(Opening::Opened { lease, sent_at }) => {
                 node.lease.set(Some(lease));
-                node.lease_confirmed_at.set(confirmed_at);
+                node.lease_confirmed_at.set(sent_at);
                 log::info!(lease; "session_opened");
                 node.wake();
-                renew(&node, lease).await;
+                tokio::select! {
+                    () = renew(&node, lease) => {}
+                    () = keep_entry(&node, lease) => {}
+                }
                 if node.leaving.get() {
                     // The cells are handed over under the lease.
                     return;
@@ -29,6 +51,14 @@
                 log::warn!(lease; "session_lost");
                 node.wake();
             }
+            Ok(Opening::Replaced(incarnation)) => {
+                if successor.as_ref() != Some(&incarnation) {
+                    node.meter.event("vm_replaced");
+                    log::warn!(vm = node.boot.vm, by = incarnation; "vm_replaced");
+                    successor = Some(incarnation);
+                }
+                sleep(RENEW_INTERVAL).await;
+            }
             Err(error) => {
                 node.store_failed("session", &error);
                 sleep(RETRY_DELAY).await;
@@ -37,29 +67,91 @@
     }
 }
 
-/// Opens a lease and writes this VM's entry under it. Returns the lease, and when that write was sent, in
-/// milliseconds.
-async fn open(node: &Rc<Node>) -> Result<(u64, u64), store::Error> {
+/// Opens a lease and writes this VM's entry under it.
+async fn open(node: &Rc<Node>) -> Result<Opening, store::Error> {
+    let last = match read_entry(node).await? {
+        Entry::Own { revision } | Entry::Free { revision } => revision,
+        Entry::Later { incarnation } => return Ok(Opening::Replaced(incarnation)),
+    };
     let lease = node.store.open_lease(Duration::from_millis(node::VM_LEASE_MS)).await?;
+    let sent_at = time::now();
+    write_entry(node, lease, last).await?;
+    Ok(Opening::Opened { lease, sent_at })
+}
+
+/// Reads the VM's entry from the store.
+async fn read_entry(node: &Rc<Node>) -> Result<Entry, store::Error> {
+    let Some(item) = node.store.get(&keys::vm(&node.boot.vm)).await? else {
+        return Ok(Entry::Free { revision: 0 });
+    };
+    let revision = item.revision;
+    let vm = decode::<assignment::Vm>(&item).map(|vm| assignment::Vm { revision, ..vm });
+    Ok(match vm {
+        Some(vm) if vm.incarnation == node.incarnation => Entry::Own { revision },
+        Some(vm) if vm.is_later_than(&node.incarnation, node.entry_revision.get()) => {
+            Entry::Later { incarnation: vm.incarnation }
+        }
+        _ => Entry::Free { revision },
+    })
+}
+
+/// Writes this VM's entry under the lease, unless the last one has another revision.
+async fn write_entry(node: &Rc<Node>, lease: u64, last: u64) -> Result<(), store::Error> {
     let key = keys::vm(&node.boot.vm);
-    // A late copy of an earlier process's transaction must not replace this entry.
-    let revision = node.store.get(&key).await?.map_or(0, |item| item.revision);
     let vm = assignment::Vm {
         incarnation: node.incarnation.clone(),
         memory_mib: node.boot.memory_mib,
         processors_milli: node.boot.processors_milli,
         revision: 0,
     };
-    let value = record::encode(&vm);
     let txn = Txn {
-        expected: vec![(key.clone(), revision)],
-        writes: vec![(key, value, lease)],
+        // A late copy of an earlier process's transaction must not replace this entry.
+        expected: vec![(key.clone(), last)],
+        writes: vec![(key, record::encode(&vm), lease)],
         ..Txn::default()
     };
-    let sent_at = time::now();
-    node.store.txn(&txn).await?;
+    let revision = node.store.txn(&txn).await?;
+    node.entry_revision.set(revision);
     node.store_answered();
-    Ok((lease, sent_at))
+    Ok(())
+}
+
+/// Writes the VM's entry again when it is lost although the lease goes on: without it, the VM takes part in nothing.
+/// Returns when the VM leaves, the lease has ended or a later process of this VM has its entry there.
+async fn keep_entry(node: &Rc<Node>, lease: u64) {
+    while !node.leaving.get() {
+        if node.is_entry_lost() {
+            match restore_entry(node, lease).await {
+                Ok(true) => {}
+                Ok(false) | Err(store::Error::NoLease) => return,
+                Err(error) => {
+                    node.store_failed("entry", &error);
+                    sleep(RETRY_DELAY).await;
+                }
+            }
+        }
+        let _ = tokio::time::timeout(RENEW_INTERVAL, node.changed.notified()).await;
+    }
+}
+
+/// Writes the VM's entry again if the store has none of this process. Returns whether this process is still the
+/// VM's last one.
+async fn restore_entry(node: &Rc<Node>, lease: u64) -> Result<bool, store::Error> {
+    let revision = node.entry_revision.get();
+    match read_entry(node).await? {
+        // A write without an answer was carried out.
+        Entry::Own { revision } => node.entry_revision.set(revision),
+        // The entry was removed by this process.
+        Entry::Free { .. } if node.leaving.get() => {}
+        Entry::Free { revision: last } => {
+            write_entry(node, lease, last).await?;
+            let restored = node.entry_revision.get();
+            node.meter.event("vm_entry_restored");
+            log::warn!(vm = node.boot.vm, lease, revision, restored; "vm_entry_restored");
+        }
+        Entry::Later { .. } => return Ok(false),
+    }
+    Ok(true)
 }
 
 /// Renews the lease until it is lost or the VM leaves.
@@ -87,9 +179,9 @@
         if renewals.len() < most {
             renewals.spawn_local(renew_once(node.clone(), lease));
         }
-        let entry_exists = node.vms.borrow().contains_key(&node.boot.vm);
-        // The store can lose keys and keep the lease they were written under.
-        if !entry_exists && time::now() > node.lease_confirmed_at.get() + node::VM_LEASE_MS {
+        // The entry has ended with the lease.
+        let is_confirmed = time::now() <= node.lease_confirmed_at.get() + node::VM_LEASE_MS;
+        if !node.is_registered() && !is_confirmed {
             return;
         }
     }
@@ -119,13 +211,8 @@
 /// Removes the VM's entry if it is this process's. The store may carry that out seconds later, when the entry is that
 /// of another process.
 async fn remove_entry(node: &Rc<Node>) -> Result<(), store::Error> {
+    let Entry::Own { revision } = read_entry(node).await? else { return Ok(()) };
     let key = keys::vm(&node.boot.vm);
-    let Some(item) = node.store.get(&key).await? else { return Ok(()) };
-    let is_own = |vm: assignment::Vm| vm.incarnation == node.incarnation;
-    if !decode(&item).is_some_and(is_own) {
-        return Ok(());
-    }
-    let txn =
-        Txn { expected: vec![(key.clone(), item.revision)], removed: vec![key], ..Txn::default() };
+    let txn = Txn { expected: vec![(key.clone(), revision)], removed: vec![key], ..Txn::default() };
     node.store.txn(&txn).await.map(drop)
 }
--- a/crates/node/tests/vm_entry.rs
+++ b/crates/node/tests/vm_entry.rs
@@ -5,9 +5,9 @@
 mod process;
 
 use {
-    oleanderstage_standin::UsersStore,
-    process::{Process, TIMEOUT, config, wait_until},
-    serde_json::Value,
+    oleanderstage_standin::{UsersLedger, UsersStore, UsersWorker},
+    process::{Process, TIMEOUT, config, step, wait_until},
+    serde_json::{Value, json},
     std::{net::SocketAddr, time::Duration},
 };
 
@@ -16,18 +16,31 @@
 /// How late the store removes an entry: after the process that asked for it has ended, within its grace period, and
 /// another one has started.
 const DELAY: Duration = Duration::from_millis(5_900);
+/// The longest time for which a VM may be without its entry: less than the lease of a VM that is lost.
+const MAX_ABSENCE: Duration = Duration::from_secs(2);
+/// How long an entry is observed that must not change.
+const OBSERVED: Duration = Duration::from_secs(4);
+/// How long a job may wait for the VM that is left: its cell is assigned and acquired anew.
+const START_TIMEOUT: Duration = Duration::from_secs(15);
+const TASK_MS: u64 = 100;
+const JOB: &str = "00000000000000d1";
 
-/// A store, with the configuration.
+/// A store with one endpoint.
 struct Site {
     store: UsersStore,
     address: SocketAddr,
+    ledger: UsersLedger,
+    _worker: UsersWorker,
 }
 
 impl Site {
     async fn start() -> Self {
         let (store, address) = UsersStore::start().await.unwrap();
         store.put("op/config", &config());
-        Self { store, address }
+        let ledger = UsersLedger::default();
+        let (worker, worker_address) = UsersWorker::start("i-1", ledger.clone()).await.unwrap();
+        worker.register(&store, worker_address, false);
+        Self { store, address, ledger, _worker: worker }
     }
 
     /// Starts a VM's process, and waits for its entry.
@@ -49,6 +62,13 @@
         let entry: Value = serde_json::from_slice(&value).unwrap();
         Some(entry["incarnation"].as_str()?.into())
     }
+
+    /// Submits a job and waits until its task has started.
+    async fn run_job(&self, vm: &Process) {
+        vm.submit(JOB, TASK_MS, json!([step(1, &[])])).await;
+        let started = || self.ledger.entry(&format!("{JOB}.0.0.0")).starts == 1;
+        wait_until("the task", START_TIMEOUT, started).await;
+    }
 }
 
 fn key(name: &str) -> String {
@@ -76,3 +96,65 @@
         assert_eq!(site.revision("vm-again"), revision);
     });
 }
+
+/// LOST: a VM whose entry was gone while its lease lived took part in nothing any more. It was ready, accepted jobs and,
+/// once it was the last VM, ran none of them.
+#[test]
+fn a_vm_whose_entry_is_removed_writes_it_again() {
+    process::run(async {
+        let site = Site::start().await;
+        let other = site.start_vm("vm-a-lost").await;
+        let vm = site.start_vm("vm-b-removed").await;
+        for _ in 0..3 {
+            let revision = site.revision("vm-b-removed");
+            site.store.remove(&key("vm-b-removed"));
+            let is_back = || site.revision("vm-b-removed") > revision;
+            wait_until("the entry", MAX_ABSENCE, is_back).await;
+        }
+        drop(other);
+        wait_until("the end of a lease", TIMEOUT, || site.revision("vm-a-lost") == 0).await;
+        site.run_job(&vm).await;
+    });
+}
+
+/// An entry that a later process has written, or that stands for one, is not taken from it; the VM takes part again
+/// once that entry is gone.
+#[test]
+fn a_process_leaves_the_entry_to_a_later_one_of_its_vm() {
+    process::run(async {
+        let site = Site::start().await;
+        let vm = site.start_vm("vm-entry").await;
+        let later = json!({"processors_milli": 500, "incarnation": "vm-entry@127.0.0.1#9.9"});
+        site.store.put(&key("vm-entry"), &later);
+        let revision = site.revision("vm-entry");
+        tokio::time::sleep(OBSERVED).await;
+        assert_eq!(site.revision("vm-entry"), revision);
+        site.store.remove(&key("vm-entry"));
+        wait_until("the entry", MAX_ABSENCE, || site.revision("vm-entry") > revision).await;
+        site.run_job(&vm).await;
+    });
+}
+
+/// Two processes of one VM: the earlier one was paused and goes on after the later one has started. They don't take
+/// the entry from each other in turn, and the earlier one takes over when the later one is lost.
+#[test]
+fn a_paused_process_takes_no_entry_from_its_successor() {
+    process::run(async {
+        let site = Site::start().await;
+        let earlier = site.start_vm("vm-paused").await;
+        let first = site.incarnation("vm-paused").unwrap();
+        earlier.pause(true);
+        let later = site.start_vm("vm-paused").await;
+        assert_ne!(site.incarnation("vm-paused").unwrap(), first);
+        // The lease of the earlier process ends before it goes on.
+        tokio::time::sleep(MAX_ABSENCE + Duration::from_millis(500)).await;
+        let revision = site.revision("vm-paused");
+        earlier.pause(false);
+        tokio::time::sleep(OBSERVED).await;
+        assert_eq!(site.revision("vm-paused"), revision);
+        drop(later);
+        let is_back = || site.incarnation("vm-paused").is_some_and(|process| process == first);
+        wait_until("the entry of the earlier process", TIMEOUT, is_back).await;
+        site.run_job(&earlier).await;
+    });
+}
