--- a/crates/node/src/assigner.rs
+++ b/crates/node/src/assigner.rs
@@ -145,15 +145,14 @@
         }
         written_at = now;
         let value = record::encode(&next);
-        let mut expected = vec![(keys::ASSIGNMENT.into(), revision)];
+        let mut txn = Txn::expecting(keys::ASSIGNMENT, revision);
+        txn.write(keys::ASSIGNMENT, value, 0);
         // A worker whose entry is back by now stays.
         let is_removed = |(id, _): &(&String, &u32)| !next.workers.contains_key(*id);
         let removed = assignment.workers.iter().filter(is_removed);
         let removed: Vec<(String, u32)> = removed.map(|(id, cell)| (id.clone(), *cell)).collect();
         let ids = removed.iter().map(|(id, _)| id);
-        expected.extend(ids.map(|id| (format!("{}{id}", registration::PREFIX), 0)));
-        let txn =
-            Txn { expected, writes: vec![(keys::ASSIGNMENT.into(), value, 0)], ..Txn::default() };
+        ids.for_each(|id| txn.expect(format!("{}{id}", registration::PREFIX), 0));
         spawn_local(write(node.clone(), txn, removed));
     }
 }
@@ -162,7 +161,8 @@
 /// a cell may have got runs since.
 async fn write(node: Rc<Node>, mut txn: Txn, removed: Vec<(String, u32)>) {
     let written = async {
-        txn.expected.extend(vacated_heads(&node, &removed).await?);
+        let heads = vacated_heads(&node, &removed).await?;
+        heads.into_iter().for_each(|(key, revision)| txn.expect(key, revision));
         node.store.txn(&txn).await
     };
     match written.await {
--- a/crates/node/src/executor.rs
+++ b/crates/node/src/executor.rs
@@ -176,31 +176,30 @@
     /// Writes a commit as one transaction. A failed condition is resolved by `resolve_conflict`.
     async fn commit(&self, commit: &Commit) -> Outcome {
         let cell = self.cell;
-        let mut txn = Txn::default();
-        txn.expected.push((keys::head(cell), commit.head_revision));
+        let mut txn = Txn::expecting(keys::head(cell), commit.head_revision);
         for (id, revision) in &commit.expected {
-            txn.expected.push((keys::ticket(*id), *revision));
+            txn.expect(keys::ticket(*id), *revision);
         }
-        txn.writes.push((keys::head(cell), record::encode(&commit.head), 0));
+        txn.write(keys::head(cell), record::encode(&commit.head), 0);
         for (id, progress) in &commit.progress {
-            txn.writes.push((keys::progress(cell, *id), record::encode(progress), 0));
+            txn.write(keys::progress(cell, *id), record::encode(progress), 0);
         }
         for (id, ticket) in &commit.tickets {
-            txn.writes.push((keys::ticket(*id), record::encode(ticket), 0));
+            txn.write(keys::ticket(*id), record::encode(ticket), 0);
         }
         for (id, other) in &commit.cancelled {
-            txn.writes.push((keys::cancelled(*other, *id), Vec::new(), 0));
+            txn.write(keys::cancelled(*other, *id), Vec::new(), 0);
         }
         if let Some(pressure) = &commit.pressure {
-            txn.writes.push((keys::pressure(cell), record::encode(pressure), 0));
+            txn.write(keys::pressure(cell), record::encode(pressure), 0);
         }
         for (id, to, record) in &commit.records {
-            txn.writes.push((keys::job(*to, *id), record::encode(&**record), 0));
+            txn.write(keys::job(*to, *id), record::encode(&**record), 0);
         }
         for id in &commit.removed {
-            txn.removed.push(keys::job(cell, *id));
-            txn.removed.push(keys::progress(cell, *id));
-            txn.removed.push(keys::cancelled(cell, *id));
+            txn.remove(keys::job(cell, *id));
+            txn.remove(keys::progress(cell, *id));
+            txn.remove(keys::cancelled(cell, *id));
         }
         let sent_at = time::now();
         match self.node.store.txn(&txn).await {
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -35,11 +35,9 @@
 /// the mark that it has stopped. Tries until the store has answered.
 pub(crate) async fn release(node: &Rc<Node>, cell: u32, fence: u64, stop: &Stop) {
     loop {
-        let txn = Txn {
-            expected: vec![(keys::owner(cell), fence)],
-            removed: vec![keys::owner(cell)],
-            writes: vec![(keys::released(cell), record::encode(&stop.release()), 0)],
-        };
+        let mut txn = Txn::expecting(keys::owner(cell), fence);
+        txn.remove(keys::owner(cell));
+        txn.write(keys::released(cell), record::encode(&stop.release()), 0);
         match node.store.txn(&txn).await {
             Ok(_) => return,
             // The entry has gone with the VM's lease, or an earlier try was carried out.
@@ -66,10 +64,7 @@
     if item.as_ref().and_then(decode::<Release>).is_some_and(is_over) {
         return Ok(());
     }
-    let txn = Txn {
-        expected: vec![(key.clone(), item.map_or(0, |item| item.revision))],
-        writes: vec![(key, record::encode(&stop.release()), 0)],
-        ..Txn::default()
-    };
+    let mut txn = Txn::expecting(key.clone(), item.map_or(0, |item| item.revision));
+    txn.write(key, record::encode(&stop.release()), 0);
     node.store.txn(&txn).await.map(drop)
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,8 +9,8 @@
     hyper_util::rt::TokioIo,
     miette::IntoDiagnostic,
     oleanderstage_adapter::{
-        Boot, Http, Orders, Store, boot, caller, configuration, orders, registration,
-        store::{self, Item, Txn},
+        Boot, Http, Orders, Store, Txn, boot, caller, configuration, orders, registration,
+        store::{self, Item},
     },
     oleanderstage_fleet::{
         Action, Assignment, Cell, Clock, Commit, Config, Continuity, Evacuation, Event, Gate, Head,
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -180,14 +180,10 @@
         ..old.clone()
     };
     let owner = node.incarnation.clone().into_bytes();
-    let txn = Txn {
-        expected: vec![(keys::owner(cell), 0), (keys::head(cell), previous_revision)],
-        writes: vec![
-            (keys::owner(cell), owner, lease),
-            (keys::head(cell), record::encode(&head), 0),
-        ],
-        ..Txn::default()
-    };
+    let mut txn = Txn::expecting(keys::owner(cell), 0);
+    txn.expect(keys::head(cell), previous_revision);
+    txn.write(keys::owner(cell), owner, lease);
+    txn.write(keys::head(cell), record::encode(&head), 0);
     let sent_at = time::now();
     match node.store.txn(&txn).await {
         Ok(fence) => {
@@ -242,11 +238,8 @@
 /// Does not depend on the head: a commit of this owner that is still on its way is made before the
 /// next owner changes the head, or not at all.
 async fn remove_entry(node: &Rc<Node>, cell: u32, revision: u64) -> Result<(), store::Error> {
-    let txn = Txn {
-        expected: vec![(keys::owner(cell), revision)],
-        removed: vec![keys::owner(cell)],
-        ..Txn::default()
-    };
+    let mut txn = Txn::expecting(keys::owner(cell), revision);
+    txn.remove(keys::owner(cell));
     remove(node, &txn).await
 }
 
--- a/crates/node/src/requests.rs
+++ b/crates/node/src/requests.rs
@@ -91,14 +91,9 @@
     let ticket = Ticket::new(queue.name.clone(), cell, State::Queued);
     let mut revision = 0;
     loop {
-        let txn = Txn {
-            expected: vec![(keys::ticket(id), revision)],
-            writes: vec![
-                (keys::ticket(id), record::encode(&ticket), 0),
-                (keys::job(cell, id), encoded_record.clone(), 0),
-            ],
-            ..Txn::default()
-        };
+        let mut txn = Txn::expecting(keys::ticket(id), revision);
+        txn.write(keys::ticket(id), record::encode(&ticket), 0);
+        txn.write(keys::job(cell, id), encoded_record.clone(), 0);
         match node.store.txn(&txn).await {
             Ok(_) => {
                 node.store_answered();
@@ -198,11 +193,8 @@
 ) -> Reply {
     let refused = Ticket::refused(queue.name.clone());
     while time::now() < deadline {
-        let txn = Txn {
-            expected: vec![(keys::ticket(id), expected_revision)],
-            writes: vec![(keys::ticket(id), record::encode(&refused), 0)],
-            ..Txn::default()
-        };
+        let mut txn = Txn::expecting(keys::ticket(id), expected_revision);
+        txn.write(keys::ticket(id), record::encode(&refused), 0);
         match node.store.txn(&txn).await {
             Ok(_) => return refusal,
             Err(store::Error::Conflict(items)) => match Use::of(items.first()) {
@@ -315,13 +307,8 @@
     }
     let cells: Vec<u32> = old.also.iter().copied().chain([old.cell]).collect();
     let new = Ticket { state: State::Cancelled, ..old };
-    let txn = Txn {
-        expected: vec![(keys::ticket(id), item.revision)],
-        writes: [(keys::ticket(id), record::encode(&new), 0)]
-            .into_iter()
-            .chain(cells.into_iter().map(|cell| (keys::cancelled(cell, id), Vec::new(), 0)))
-            .collect(),
-        ..Txn::default()
-    };
+    let mut txn = Txn::expecting(keys::ticket(id), item.revision);
+    txn.write(keys::ticket(id), record::encode(&new), 0);
+    cells.into_iter().for_each(|cell| txn.write(keys::cancelled(cell, id), Vec::new(), 0));
     Cancellation::Write(txn, Reply::Cancelled)
 }
--- a/crates/node/src/session.rs
+++ b/crates/node/src/session.rs
@@ -104,12 +104,9 @@
         processors_milli: node.boot.processors_milli,
         revision: 0,
     };
-    let txn = Txn {
-        // A late copy of an earlier process's transaction must not replace this entry.
-        expected: vec![(key.clone(), last)],
-        writes: vec![(key, record::encode(&vm), lease)],
-        ..Txn::default()
-    };
+    // A late copy of an earlier process's transaction must not replace this entry.
+    let mut txn = Txn::expecting(key.clone(), last);
+    txn.write(key, record::encode(&vm), lease);
     let revision = node.store.txn(&txn).await?;
     node.entry_revision.set(revision);
     node.store_answered();
@@ -213,6 +210,7 @@
 async fn remove_entry(node: &Rc<Node>) -> Result<(), store::Error> {
     let Entry::Own { revision } = read_entry(node).await? else { return Ok(()) };
     let key = keys::vm(&node.boot.vm);
-    let txn = Txn { expected: vec![(key.clone(), revision)], removed: vec![key], ..Txn::default() };
+    let mut txn = Txn::expecting(key.clone(), revision);
+    txn.remove(key);
     node.store.txn(&txn).await.map(drop)
 }
--- a/crates/node/src/withdrawals.rs
+++ b/crates/node/src/withdrawals.rs
@@ -14,14 +14,10 @@
 /// still on its way expects that revision, too.
 pub(crate) fn txn(id: job::Id, revision: u64, queue: String) -> Txn {
     let withdrawal = Withdrawal::new(id, time::clock().unix);
-    Txn {
-        expected: vec![(keys::ticket(id), revision)],
-        writes: vec![
-            (keys::ticket(id), record::encode(&Ticket::withdrawn(queue)), 0),
-            (withdrawal.key(), Vec::new(), 0),
-        ],
-        ..Txn::default()
-    }
+    let mut txn = Txn::expecting(keys::ticket(id), revision);
+    txn.write(keys::ticket(id), record::encode(&Ticket::withdrawn(queue)), 0);
+    txn.write(withdrawal.key(), Vec::new(), 0);
+    txn
 }
 
 /// Frees withdrawn IDs after their time, while this VM is the one that writes the assignment.
@@ -72,33 +68,47 @@
 /// Removes these withdrawals with the tickets that were written together with them. If one of these tickets
 /// is another one by now, they are removed one by one.
 async fn free(node: &Rc<Node>, batch: &[(Option<Withdrawal>, &Item)]) -> Result<(), store::Error> {
-    match node.store.txn(&removal(batch)).await {
-        Ok(_) => return Ok(()),
-        Err(store::Error::Conflict(_)) => {}
-        Err(error) => return Err(error),
+    let [first, others @ ..] = batch else { return Ok(()) };
+    if remove(node, &removal(*first, others)).await? {
+        return Ok(());
     }
-    for entry in batch {
-        let (_, item) = entry;
-        match node.store.txn(&removal(std::slice::from_ref(entry))).await {
-            Ok(_) => {}
-            Err(store::Error::Conflict(_)) => {
-                let txn = Txn { removed: vec![item.key.clone()], ..Txn::default() };
-                node.store.txn(&txn).await?;
-            }
-            Err(error) => return Err(error),
+    for (withdrawal, item) in batch {
+        let is_removed = remove(node, &removal((*withdrawal, item), &[])).await?;
+        if !is_removed {
+            remove(node, &removal((None, item), &[])).await?;
         }
     }
     Ok(())
 }
 
-fn removal(batch: &[(Option<Withdrawal>, &Item)]) -> Txn {
-    let mut txn = Txn::default();
-    for (withdrawal, item) in batch {
-        txn.removed.push(item.key.clone());
+/// Carries out a transaction, and returns whether its conditions held.
+async fn remove(node: &Rc<Node>, txn: &Txn) -> Result<bool, store::Error> {
+    match node.store.txn(txn).await {
+        Ok(_) => Ok(true),
+        Err(store::Error::Conflict(_)) => Ok(false),
+        Err(error) => Err(error),
+    }
+}
+
+/// Returns the transaction that removes these withdrawals.
+fn removal(first: (Option<Withdrawal>, &Item), others: &[(Option<Withdrawal>, &Item)]) -> Txn {
+    let (key, revision) = condition(first);
+    let mut txn = Txn::expecting(key, revision);
+    for (key, revision) in others.iter().copied().map(condition) {
+        txn.expect(key, revision);
+    }
+    for (withdrawal, item) in std::iter::once(&first).chain(others) {
+        txn.remove(item.key.as_str());
         if let Some(withdrawal) = withdrawal {
-            txn.expected.push((keys::ticket(withdrawal.id), item.revision));
-            txn.removed.push(keys::ticket(withdrawal.id));
+            txn.remove(keys::ticket(withdrawal.id));
         }
     }
     txn
 }
+
+/// Returns the key and the revision by which a withdrawal is removed: those of the ticket that was written together
+/// with it. One that can't be read, or whose ticket has changed, is removed by its own.
+fn condition((withdrawal, item): (Option<Withdrawal>, &Item)) -> (String, u64) {
+    let key = withdrawal.map_or_else(|| item.key.clone(), |withdrawal| keys::ticket(withdrawal.id));
+    (key, item.revision)
+}
