--- a/crates/soak/src/lives.rs
+++ b/crates/soak/src/lives.rs
@@ -1,5 +1,6 @@
 //! Workers restart in series while orders to start runs reach them late, and callers leave and cancel jobs whose
-//! acceptance the store carries out late. VMs are killed, stopped and paused meanwhile.
+//! acceptance the store carries out late. VMs are killed, stopped and paused meanwhile, and restarted while the removal
+//! of their entries is late.
 
 use {
     super::*,
@@ -9,14 +10,16 @@
 };
 
 /// The series of a run.
-const SERIES: [Series; 4] = [
+const SERIES: [Series; 5] = [
     (300..1_200, begin_late_orders),
     (1_000..3_000, begin_restarts),
     (300..900, begin_withdrawal),
     (4_000..9_000, begin_fault),
+    (1_500..5_000, begin_late_removal),
 ];
 /// For how long starts that arrive at a worker are delayed, and by how much, in milliseconds.
 const LATE_FOR_MS: Range<u64> = 100..600;
+/// By how much an order, or the removal of a VM's entry, is carried out late, in milliseconds.
 const LATE_BY_MS: Range<u64> = 1_000..7_000;
 /// Maximum number of workers that restart together, and how often.
 const MAX_RESTARTING: usize = 3;
@@ -123,6 +126,19 @@
     (first..first + count).map(begin).collect()
 }
 
+fn begin_late_removal(soak: &Rc<Soak>, random: &mut Pcg64Mcg) -> Vec<JoinHandle<()>> {
+    let number = random.random_range(0..soak.vms.len());
+    let delay = duration(random, LATE_BY_MS);
+    let (soak, vm) = (soak.clone(), soak.vms[number].clone());
+    soak.count("late-removal");
+    soak.store.delay_write(&vm::entry_key(number), delay);
+    vec![spawn_local(async move {
+        soak.restart_vm(vm).await;
+        // The removal is carried out before the run is checked.
+        sleep(delay).await;
+    })]
+}
+
 fn begin_withdrawal(soak: &Rc<Soak>, random: &mut Pcg64Mcg) -> Vec<JoinHandle<()>> {
     let number = FIRST_WITHDRAWN + (random.random::<u32>() >> 2);
     let (delay, patience) = (duration(random, WRITE_DELAY_MS), duration(random, PATIENCE_MS));
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -34,6 +34,8 @@
 /// How long accepted jobs may take to end once all faults are healed: the longest wait for a worker
 /// that a new owner cannot reach, plus the run time of the tasks.
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(40);
+/// How long a VM may take to write its entry: a restart of its process, with its grace period, and a lease.
+const ENTRY_TIMEOUT: Duration = Duration::from_secs(10);
 /// The availability zones of the workers.
 pub(crate) const ZONES: [&str; 2] = ["a", "b"];
 /// Time between submissions of new jobs.
@@ -330,6 +332,23 @@
         }
         // Lets the stops of the last cancelled jobs arrive at the workers.
         sleep(Duration::from_secs(1)).await;
+        self.check_entries().await;
+    }
+
+    /// Reports each VM that runs and has no entry in the store: it would take part in nothing.
+    async fn check_entries(&self) {
+        let end = Instant::now() + ENTRY_TIMEOUT;
+        let missing = || {
+            let keys = (0..self.vms.len()).map(vm::entry_key);
+            keys.filter(|key| self.store.revision(key) == 0).collect::<Vec<String>>()
+        };
+        while !missing().is_empty() && Instant::now() < end {
+            self.spawn_vms();
+            sleep(Duration::from_millis(100)).await;
+        }
+        for key in missing() {
+            self.ledger.record_violation(format!("a VM runs without its entry {key}"));
+        }
     }
 
     /// Checks the executions of every job at the workers, and returns the report.
--- a/crates/soak/src/vm.rs
+++ b/crates/soak/src/vm.rs
@@ -37,6 +37,11 @@
     ((1 + number / OCTET_VALUES % OCTET_VALUES) as u8, (number % OCTET_VALUES) as u8)
 }
 
+/// Returns the key of the entry of VM `number`.
+pub(crate) fn entry_key(number: usize) -> String {
+    format!("m/vm/vm-{number}")
+}
+
 impl Vm {
     /// Writes the settings of VM `number` and starts its process.
     pub async fn start(
