--- a/crates/node/src/assigner.rs
+++ b/crates/node/src/assigner.rs
@@ -30,13 +30,12 @@
             }
             Update::Changes { items, revision, .. } => (items, revision),
         };
-        let is_unchanged = items.is_empty() && !node.vms.borrow().is_empty();
+        let is_changed = !items.is_empty() || node.vms.borrow().is_empty();
         items.into_iter().for_each(|item| update(&node, item));
         node.vms_revision.set(revision);
-        if is_unchanged {
-            continue;
+        if is_changed {
+            node.wake();
         }
-        node.wake();
     }
 }
 
--- a/crates/node/src/session.rs
+++ b/crates/node/src/session.rs
@@ -138,7 +138,7 @@
     match read_entry(node).await? {
         // A write without an answer was carried out.
         Entry::Own { revision } => node.entry_revision.set(revision),
-        // The entry was removed by this process.
+        // This process has removed it.
         Entry::Free { .. } if node.leaving.get() => {}
         Entry::Free { revision: last } => {
             write_entry(node, lease, last).await?;
--- a/crates/node/src/withdrawals.rs
+++ b/crates/node/src/withdrawals.rs
@@ -10,6 +10,9 @@
 /// The most IDs that are freed at a time: a transaction holds 32 entries, three for an ID.
 const MAX_FREED: usize = 10;
 
+/// An entry of the index, with the withdrawal that it lists; `None` if it can't be read, or counts by itself.
+type Listed<'a> = (Option<Withdrawal>, &'a Item);
+
 /// Returns the transaction that withdraws an ID whose ticket has this revision, 0 for none. A submission that is
 /// still on its way expects that revision, too.
 pub(crate) fn txn(id: job::Id, revision: u64, queue: String) -> Txn {
@@ -42,7 +45,7 @@
     loop {
         let page = node.store.read_page(keys::WITHDRAWALS, None).await?;
         let unix = time::clock().unix;
-        let over: Vec<(Option<Withdrawal>, &Item)> = page
+        let over: Vec<Listed<'_>> = page
             .items
             .iter()
             .map(|item| (readable(item), item))
@@ -67,7 +70,7 @@
 
 /// Removes these withdrawals with the tickets that were written together with them. If one of these tickets
 /// is another one by now, they are removed one by one.
-async fn free(node: &Rc<Node>, batch: &[(Option<Withdrawal>, &Item)]) -> Result<(), store::Error> {
+async fn free(node: &Rc<Node>, batch: &[Listed<'_>]) -> Result<(), store::Error> {
     let [first, others @ ..] = batch else { return Ok(()) };
     if remove(node, &removal(*first, others)).await? {
         return Ok(());
@@ -91,7 +94,7 @@
 }
 
 /// Returns the transaction that removes these withdrawals.
-fn removal(first: (Option<Withdrawal>, &Item), others: &[(Option<Withdrawal>, &Item)]) -> Txn {
+fn removal(first: Listed<'_>, others: &[Listed<'_>]) -> Txn {
     let (key, revision) = condition(first);
     let mut txn = Txn::expecting(key, revision);
     for (key, revision) in others.iter().copied().map(condition) {
@@ -108,7 +111,7 @@
 
 /// Returns the key and the revision by which a withdrawal is removed: those of the ticket that was written together
 /// with it. One that can't be read, or whose ticket has changed, is removed by its own.
-fn condition((withdrawal, item): (Option<Withdrawal>, &Item)) -> (String, u64) {
+fn condition((withdrawal, item): Listed<'_>) -> (String, u64) {
     let key = withdrawal.map_or_else(|| item.key.clone(), |withdrawal| keys::ticket(withdrawal.id));
     (key, item.revision)
 }
--- a/crates/node/tests/vm_entry.rs
+++ b/crates/node/tests/vm_entry.rs
@@ -16,7 +16,7 @@
 /// How late the store removes an entry: after the process that asked for it has ended, within its grace period, and
 /// another one has started.
 const DELAY: Duration = Duration::from_millis(5_900);
-/// The longest time for which a VM may be without its entry: less than the lease of a VM that is lost.
+/// The longest time for which a VM may be without its entry: the lease after which a lost VM's cells are taken over.
 const MAX_ABSENCE: Duration = Duration::from_secs(2);
 /// How long an entry is observed that must not change.
 const OBSERVED: Duration = Duration::from_secs(4);
