--- a/crates/soak/src/maintenance.rs
+++ b/crates/soak/src/maintenance.rs
@@ -99,8 +99,7 @@
     /// Stops a VM gracefully and starts it again, unless it was started again meanwhile.
     pub(crate) async fn restart_vm(self: Rc<Self>, vm: Rc<Vm>) {
         self.count("vm-restart");
-        vm.stop_requested_at.set(Some(Instant::now()));
-        vm.signal(Signal::TERM);
+        vm.request_stop();
         while vm.is_running() && vm.stop_requested_at.get().is_some() {
             sleep(END_CHECK_INTERVAL).await;
         }
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -207,8 +207,7 @@
         let (worker, relay) = &self.workers[number];
         match fault {
             Fault::Stop => {
-                vm.stop_requested_at.set(Some(Instant::now()));
-                vm.signal(Signal::TERM);
+                vm.request_stop();
                 sleep(Duration::from_secs(6)).await;
                 vm.signal(Signal::KILL);
             }
--- a/crates/soak/src/vm.rs
+++ b/crates/soak/src/vm.rs
@@ -15,7 +15,7 @@
     paused: Cell<bool>,
     /// Relay between the VM and the store.
     pub store_relay: TcpRelay,
-    /// When SIGTERM was sent to the process that runs now.
+    /// When SIGTERM was first sent to the process that runs now.
     pub stop_requested_at: Cell<Option<Instant>>,
 }
 
@@ -119,6 +119,13 @@
         }
     }
 
+    /// Sends SIGTERM to the process. The grace period is that of the first one.
+    pub fn request_stop(&self) {
+        let first = self.stop_requested_at.get().unwrap_or_else(Instant::now);
+        self.stop_requested_at.set(Some(first));
+        self.signal(Signal::TERM);
+    }
+
     /// Pauses the process with SIGSTOP, or resumes it with SIGCONT.
     pub fn pause(&self, paused: bool) {
         self.paused.set(paused);
