--- a/crates/node/tests/vm_entry.rs
+++ b/crates/node/tests/vm_entry.rs
@@ -117,8 +117,7 @@
     });
 }
 
-/// An entry that a later process has written, or that stands for one, is not taken from it; the VM takes part again
-/// once that entry is gone.
+/// LOST: a process took the entry of another process of its VM for its own, and had none once that was gone.
 #[test]
 fn a_process_leaves_the_entry_to_a_later_one_of_its_vm() {
     process::run(async {
@@ -135,8 +134,7 @@
     });
 }
 
-/// Two processes of one VM: the earlier one was paused and goes on after the later one has started. They don't take
-/// the entry from each other in turn, and the earlier one takes over when the later one is lost.
+/// A process that had been paused replaced the entry of its successor, which didn't notice and took part in nothing.
 #[test]
 fn a_paused_process_takes_no_entry_from_its_successor() {
     process::run(async {
