--- a/crates/fleet/src/action.rs
+++ b/crates/fleet/src/action.rs
@@ -77,6 +77,19 @@
 #[derive(Clone, Debug, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case", tag = "event")]
 pub enum Report {
+    /// A worker lists a run that this owner did not order, or has forgotten.
+    Adopted {
+        /// The task.
+        task: task::Name,
+        /// The run's number.
+        run: u32,
+        /// The worker's ID.
+        worker: Arc<str>,
+        /// When the worker had started, in milliseconds since 1970, if it tells.
+        born: Option<u64>,
+        /// Whether the run goes on, since its task was waiting; else it is stopped.
+        wanted: bool,
+    },
     /// A worker crashed, or may have: its runs are suspect.
     Crash {
         /// The worker's ID.
@@ -180,6 +193,19 @@
         /// The new pace, in percent.
         percent: u32,
     },
+    /// A start order that had no answer was sent again.
+    Repeated {
+        /// The task.
+        task: task::Name,
+        /// The run's number.
+        run: u32,
+        /// The worker's ID.
+        worker: Arc<str>,
+        /// When the worker had started, in milliseconds since 1970, if it has told.
+        born: Option<u64>,
+        /// The length of the lease that the order asks for, in milliseconds.
+        lease_ms: u64,
+    },
     /// An order was refused or not answered.
     Refused {
         /// The task.
@@ -223,6 +249,10 @@
         run: u32,
         /// The worker's ID.
         worker: Arc<str>,
+        /// When the worker had started, in milliseconds since 1970, if it has told.
+        born: Option<u64>,
+        /// The length of the lease that the order asks for, in milliseconds.
+        lease_ms: u64,
         /// Time since the job was accepted, in milliseconds.
         after_ms: u64,
     },
@@ -302,6 +332,8 @@
         worker: Arc<str>,
         /// Its new state.
         state: WorkerState,
+        /// When it had started, in milliseconds since 1970, if it has told this owner.
+        born: Option<u64>,
         /// The number of runs that it holds or may hold.
         runs: usize,
         /// For how long the leases that this owner granted it may last, in milliseconds; `None` if it has not
--- a/crates/fleet/src/cell_orders.rs
+++ b/crates/fleet/src/cell_orders.rs
@@ -68,8 +68,8 @@
         let after_ms = clock.unix.saturating_sub(job.accepted_at_ms);
         let lease_ms = self.lease_ms(clock.now);
         let Some(worker) = self.workers.get_mut(id) else { return };
-        let lease_until = lease_ms.and_then(|lease_ms| worker.grant(clock.now, lease_ms));
-        let Some(lease_until) = lease_until else { return };
+        let Some(lease_ms) = lease_ms else { return };
+        let Some(lease_until) = worker.grant(clock.now, lease_ms) else { return };
         let Some(run) = worker.runs.get(&name).map(|run| run.number) else { return };
         self.actions.push(Action::Start {
             worker: id.clone(),
@@ -80,7 +80,8 @@
             lease_until,
             checkpoint,
         });
-        self.report(Report::Start { task: name, run, worker: id.clone(), after_ms });
+        let (worker, born) = (id.clone(), worker.born);
+        self.report(Report::Start { task: name, run, worker, born, lease_ms, after_ms });
     }
 
     /// Orders the stop of the task's run at the worker, unless a stop is already ordered.
@@ -211,11 +212,12 @@
         // Only a start asks for a lease.
         let starts = matches!(phase, Phase::Starting { .. }) && may_retry;
         let lease_ms = lease_ms.filter(|_| starts && spec.is_some());
-        let lease_until = lease_ms.and_then(|lease_ms| worker.grant(clock.now, lease_ms));
-        let fence = worker.order_fence();
+        let lease =
+            lease_ms.and_then(|lease_ms| Some((worker.grant(clock.now, lease_ms)?, lease_ms)));
+        let (born, fence) = (worker.born, worker.order_fence());
         let Some(run) = worker.runs.get_mut(&name) else { return };
-        match (phase, spec, lease_until) {
-            (Phase::Starting { uncertain, .. }, Some(spec), Some(lease_until)) => {
+        match (phase, spec, lease) {
+            (Phase::Starting { uncertain, .. }, Some(spec), Some((lease_until, lease_ms))) => {
                 run.phase = Phase::Starting { retry_at: None, uncertain };
                 self.actions.push(Action::Start {
                     worker: id.clone(),
@@ -226,6 +228,8 @@
                     lease_until,
                     checkpoint,
                 });
+                let worker = id.clone();
+                self.report(Report::Repeated { task: name, run: number, worker, born, lease_ms });
             }
             (Phase::Starting { .. }, ..) => self.stop(id, name, StopReason::NoAnswer),
             _ => {
@@ -376,6 +380,7 @@
         self.report(Report::Worker {
             worker: id.clone(),
             state,
+            born: worker.born,
             runs: worker.runs.len(),
             lease_left_ms: worker.lapsed_at().map(|at| at.saturating_sub(clock.now)),
             draining: worker.registration.as_ref().is_some_and(|entry| entry.draining),
--- a/crates/fleet/src/cell_polls.rs
+++ b/crates/fleet/src/cell_polls.rs
@@ -396,6 +396,8 @@
         run.progress = row.progress;
         let trace = Trace { born: worker.born, run: row.run, shared: false, worker: (**id).into() };
         worker.insert(name, run);
+        let (worker, born) = (id.clone(), worker.born);
+        let report = Report::Adopted { task: name, run: row.run, worker, born, wanted };
         if wanted {
             task.trace = Some(trace);
             stage.waiting.remove(&name.index);
@@ -408,6 +410,7 @@
         } else {
             self.stop(id, name, StopReason::Unwanted);
         }
+        self.report(report);
     }
 
     /// Stops all runs of an unknown job whose ticket shows that it is over or does not exist.
--- a/crates/fleet/tests/runs.rs
+++ b/crates/fleet/tests/runs.rs
@@ -3,7 +3,7 @@
 mod world;
 
 use {
-    oleanderstage_fleet::{Event, State, event::Refusal},
+    oleanderstage_fleet::{Event, State, action::Report, event::Refusal},
     std::collections::BTreeMap,
     world::{QUEUE, Store, World, name, step},
 };
@@ -349,3 +349,23 @@
     assert_eq!(world.state("2"), State::Completed);
     assert!(world.starts(name("1", 0, 0)).is_empty());
 }
+
+/// The log tells that a start was sent again, for which life of the worker, and that an owner found a run that it had
+/// not ordered.
+#[test]
+fn the_log_tells_which_life_a_start_was_for_and_which_runs_were_found() {
+    let mut world = World::new(&["w1"]);
+    world.worker("w1").loses_answers = true;
+    world.submit("1", QUEUE, vec![step(1, 1)]);
+    world.worker("w1").loses_answers = false;
+    world.advance(150);
+    let task = name("1", 0, 0);
+    let worker: std::sync::Arc<str> = "w1".into();
+    let (born, lease_ms) = (Some(0), 4_000);
+    let repeated = Report::Repeated { task, run: 1, worker: worker.clone(), born, lease_ms };
+    assert!(world.reports.contains(&repeated));
+    world.take_over();
+    world.advance(150);
+    let adopted = Report::Adopted { task, run: 1, worker, born, wanted: true };
+    assert!(world.reports.contains(&adopted));
+}
--- a/crates/node/src/meter.rs
+++ b/crates/node/src/meter.rs
@@ -104,6 +104,7 @@
     /// views by which it was made.
     pub(crate) fn report(&self, cell: u32, report: &Report, ages: ViewAges) {
         let name = match report {
+            Report::Adopted { .. } => "run_adopted",
             Report::End { after_ms, .. } => {
                 self.latency.with_label_values(&["run"]).observe(*after_ms as f64);
                 "run_ended"
@@ -121,6 +122,7 @@
             Report::Overtaken { .. } => "job_overtaken",
             Report::Pace { .. } => "pace",
             Report::Refused { .. } => "order_refused",
+            Report::Repeated { .. } => "start_repeated",
             Report::Released { .. } => "run_released",
             Report::Reserved { .. } => "room_reserved",
             Report::Start { after_ms, .. } => {
