--- a/crates/standin/src/users_http.rs
+++ b/crates/standin/src/users_http.rs
@@ -10,16 +10,17 @@
     tokio::net::TcpListener,
 };
 
-/// Serves every call at the listener in the background. `answer` receives the head of the request
-/// and its JSON body, or null if the body is not JSON.
-pub(crate) fn serve<F, A>(listener: TcpListener, answer: F)
+/// Serves every call at the listener in the background. `accept` is called for each connection and returns what
+/// answers its calls, given the head of the request and its JSON body, or null if the body is not JSON.
+pub(crate) fn serve<C, F, A>(listener: TcpListener, accept: C)
 where
+    C: Fn() -> F + Send + 'static,
     F: Fn(Parts, Value) -> A + Clone + Send + 'static,
     A: Future<Output = Response<Full<Bytes>>> + Send + 'static,
 {
     tokio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
-            let answer = answer.clone();
+            let answer = accept();
             let service = service_fn(move |request: Request<Incoming>| {
                 let answer = answer.clone();
                 async move {
--- a/crates/standin/src/users_store.rs
+++ b/crates/standin/src/users_store.rs
@@ -196,9 +196,12 @@
         let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
         let address = listener.local_addr()?;
         let store = self.clone();
-        users_http::serve(listener, move |parts, body| {
+        users_http::serve(listener, move || {
             let (store, view) = (store.clone(), view.clone());
-            async move { store.answer(&parts, &body, &view).await }
+            move |parts, body| {
+                let (store, view) = (store.clone(), view.clone());
+                async move { store.answer(&parts, &body, &view).await }
+            }
         });
         Ok(address)
     }
--- a/crates/standin/src/users_worker.rs
+++ b/crates/standin/src/users_worker.rs
@@ -81,6 +81,8 @@
 #[derive(Debug)]
 struct State {
     incarnation: u64,
+    /// The first incarnation whose connections are answered. Those to earlier ones stay open and silent.
+    connected_since: u64,
     /// Number of times that it has written its entry.
     writes: u64,
     /// Processors that its entry tells, in thousandths of a core.
@@ -172,6 +174,7 @@
     fn new(incarnation: u64, clock_percent: u64) -> Self {
         Self {
             incarnation,
+            connected_since: 0,
             writes: 0,
             capacity_milli: CAPACITY_MILLI,
             shrunk_since: None,
@@ -288,9 +291,13 @@
             }
         });
         let served_worker = worker.clone();
-        users_http::serve(listener, move |parts, body| {
+        users_http::serve(listener, move || {
             let worker = served_worker.clone();
-            async move { worker.answer(&parts, &body).await }
+            let life = lock(&worker.state).incarnation;
+            move |parts, body| {
+                let worker = worker.clone();
+                async move { worker.answer(life, &parts, &body).await }
+            }
         });
         Ok((worker, address))
     }
@@ -380,6 +387,7 @@
         let next = State::new(state.incarnation + 1, state.clock_percent);
         *state = State {
             capacity_milli: state.capacity_milli,
+            connected_since: state.connected_since,
             delays_starts: state.delays_starts,
             evacuated_since: state.evacuated_since,
             shrunk_since: state.shrunk_since,
@@ -387,6 +395,13 @@
         };
     }
 
+    /// Crashes, and answers calls over new connections only. Those that are open tell nobody, as after a loss of power.
+    pub fn restart_silently(&self) {
+        self.crash();
+        let mut state = lock(&self.state);
+        state.connected_since = state.incarnation;
+    }
+
     /// Loses every run, and answers no call from now on. Its entry in the store stays.
     pub fn leave(&self) {
         self.crash();
@@ -449,13 +464,15 @@
         self.changed.notify_waiters();
     }
 
-    async fn answer(&self, parts: &Parts, body: &Value) -> Response<Full<Bytes>> {
+    /// Answers a call over a connection that was made in the incarnation `life`.
+    async fn answer(&self, life: u64, parts: &Parts, body: &Value) -> Response<Full<Bytes>> {
         let expected_id =
             parts.headers.get("expect-instance").and_then(|value| value.to_str().ok());
         if expected_id.is_some_and(|id| id != self.id) {
             return respond(421, &json!({}));
         }
-        if lock(&self.state).left {
+        let is_silent = |state: &State| state.left || life < state.connected_since;
+        if is_silent(&lock(&self.state)) {
             std::future::pending::<()>().await;
         }
         let delay = lock(&self.state).delays_starts.filter(|_| parts.uri.path() == START_PATH);
@@ -469,7 +486,12 @@
             });
             std::future::pending::<()>().await;
         }
-        self.carry_out(parts.uri.path(), body).await
+        let answer = self.carry_out(parts.uri.path(), body).await;
+        // A poll may have waited through a crash.
+        if is_silent(&lock(&self.state)) {
+            std::future::pending::<()>().await;
+        }
+        answer
     }
 
     /// Carries an order or a poll out.
