--- a/crates/fleet/src/action.rs
+++ b/crates/fleet/src/action.rs
@@ -14,6 +14,9 @@
     Poll {
         /// The worker's ID.
         worker: Arc<str>,
+        /// The life that it is meant for, by when that started, in milliseconds since 1970; `None` if any life may
+        /// take it.
+        life: Option<u64>,
         /// The fencing token of orders for the worker's current life.
         fence: u64,
         /// Ends up to this number are in the store.
@@ -47,6 +50,9 @@
     Start {
         /// The worker's ID.
         worker: Arc<str>,
+        /// The life that the order is meant for, by when that started, in milliseconds since 1970; `None` if the
+        /// worker doesn't tell.
+        life: Option<u64>,
         /// The fencing token of orders for the worker's current life.
         fence: u64,
         /// The task.
--- a/crates/fleet/src/cell_orders.rs
+++ b/crates/fleet/src/cell_orders.rs
@@ -73,6 +73,7 @@
         let Some(run) = worker.runs.get(&name).map(|run| run.number) else { return };
         self.actions.push(Action::Start {
             worker: id.clone(),
+            life: worker.born,
             fence: worker.order_fence(),
             task: name,
             run,
@@ -148,6 +149,11 @@
             _ => self.release(id, name, Proof::Refused),
         }
         self.report(Report::Refused { task: name, run: number, worker: id.clone(), reason });
+        if reason == Refusal::Restarted
+            && let Some(worker) = self.workers.get_mut(id)
+        {
+            worker.expect_new_life(clock.now);
+        }
     }
 
     /// Handles the answer to a stop order; a failed one is sent again.
@@ -221,6 +227,7 @@
                 run.phase = Phase::Starting { retry_at: None, uncertain };
                 self.actions.push(Action::Start {
                     worker: id.clone(),
+                    life: born,
                     fence,
                     task: name,
                     run: number,
@@ -292,6 +299,8 @@
             }
             self.actions.push(Action::Poll {
                 worker: id.clone(),
+                // Without a lease and acknowledged ends it does no harm in any life.
+                life: worker.born.filter(|_| acknowledged > 0 || worker.poll_grants),
                 fence: worker.fence,
                 acknowledged,
                 lease_until,
--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -139,6 +139,8 @@
     Old,
     /// The worker has restarted, or another worker answers at its address.
     Reborn,
+    /// Another life of the worker answers than the one that the order is meant for; the order was not sent.
+    Restarted,
     /// The worker lacks free resources.
     Room,
     /// The worker reports itself unhealthy and did nothing.
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -174,19 +174,25 @@
         let same_life = |old: &Registration| old.address == entry.address && old.born == entry.born;
         if !self.registration.as_ref().is_some_and(same_life) {
             self.addressed_at = now;
-            if self.polling
-                && entry.born.is_some_and(|born| self.born.is_some_and(|own| own != born))
-            {
-                self.polling = false;
-                self.grant_in_doubt |= self.poll_grants;
-                self.missed_polls += 1;
-                self.unanswered_since.get_or_insert(now);
-                self.poll_at = now;
+            if entry.born.is_some_and(|born| self.born.is_some_and(|own| own != born)) {
+                self.expect_new_life(now);
             }
         }
         self.registration = Some(entry.clone());
     }
 
+    /// Ends the wait for the answer to a poll, since the worker has started again, so that it is polled at once.
+    pub(crate) fn expect_new_life(&mut self, now: u64) {
+        if !self.polling {
+            return;
+        }
+        self.polling = false;
+        self.grant_in_doubt |= self.poll_grants;
+        self.missed_polls += 1;
+        self.unanswered_since.get_or_insert(now);
+        self.poll_at = now;
+    }
+
     /// Returns whether it has answered at the address to which a poll was sent at `sent`, in milliseconds.
     /// Another worker there then shows that it is gone; else its entry may be wrong, or outdated.
     pub fn has_answered_at(&self, sent: u64) -> bool {
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -608,7 +608,7 @@
 
     fn perform(&mut self, action: Action) {
         match action {
-            Action::Poll { worker, fence, acknowledged, lease_until, wait_ms } => {
+            Action::Poll { worker, fence, acknowledged, lease_until, wait_ms, .. } => {
                 let fake = self.workers.get_mut(&*worker).expect("a worker");
                 let answer = fake.poll(self.now, acknowledged, lease_until, fence);
                 self.polls_sent += 1;
--- a/crates/node/src/executor.rs
+++ b/crates/node/src/executor.rs
@@ -74,14 +74,19 @@
     }
 
     /// Returns the destination of orders to a worker, or `Unreachable` when its address is unknown.
-    fn peer<'a>(&self, worker: &'a Arc<str>, fence: u64) -> Result<orders::Peer<'a>, Refusal> {
+    fn peer<'a>(
+        &self,
+        worker: &'a Arc<str>,
+        life: Option<u64>,
+        fence: u64,
+    ) -> Result<orders::Peer<'a>, Refusal> {
         let address = self.addresses.borrow().get(worker).copied();
         let address = address.ok_or(Refusal::Unreachable)?;
         let born = self.births.borrow().get(worker).copied().flatten();
         let mut fences = self.fences.borrow_mut();
         let highest = fences.entry(worker.clone()).or_default();
         *highest = fence.max(*highest);
-        Ok(orders::Peer { address, born, fence, id: worker })
+        Ok(orders::Peer { address, born, fence, id: worker, life })
     }
 
     /// Returns the answer to an order with this fencing token.
@@ -120,11 +125,11 @@
     async fn execute(self: Rc<Self>, action: Action) {
         let orders = &self.node.orders;
         match action {
-            Action::Start { worker, fence, task, run, spec, lease_until, checkpoint } => {
+            Action::Start { worker, life, fence, task, run, spec, lease_until, checkpoint } => {
                 let start =
                     orders::Start { task, run, spec: &spec, lease_until, checkpoint: &checkpoint };
                 let may_send = || self.node.may_order(self.lease, time::now());
-                let answer = match self.peer(&worker, fence) {
+                let answer = match self.peer(&worker, life, fence) {
                     Ok(peer) => orders.start(peer, start, may_send).await,
                     Err(refusal) => Err(refusal),
                 };
@@ -132,16 +137,16 @@
                 self.send(Event::Start { worker, task, run, answer });
             }
             Action::Stop { worker, fence, task, run } => {
-                let answer = match self.peer(&worker, fence) {
+                let answer = match self.peer(&worker, None, fence) {
                     Ok(peer) => orders.stop(peer, task, run).await,
                     Err(refusal) => Err(refusal),
                 };
                 let answer = self.checked(&worker, fence, answer);
                 self.send(Event::Stop { worker, task, run, answer });
             }
-            Action::Poll { worker, fence, acknowledged, lease_until, wait_ms } => {
+            Action::Poll { worker, life, fence, acknowledged, lease_until, wait_ms } => {
                 let sent = time::now();
-                let answer = match self.peer(&worker, fence) {
+                let answer = match self.peer(&worker, life, fence) {
                     Ok(peer) => orders.poll(peer, acknowledged, lease_until, wait_ms).await,
                     Err(refusal) => Err(refusal),
                 };
@@ -149,7 +154,7 @@
                 self.send(Event::Poll { worker, sent, answer });
             }
             Action::Pace { worker, fence, task, run, percent } => {
-                let Ok(peer) = self.peer(&worker, fence) else { return };
+                let Ok(peer) = self.peer(&worker, None, fence) else { return };
                 if let Err(reason) = orders.pace(peer, task, run, percent).await {
                     log::warn!(worker = &*worker, task:% = task, reason:? = reason; "pace_refused");
                 }
