--- a/crates/fleet/src/cell.rs
+++ b/crates/fleet/src/cell.rs
@@ -95,6 +95,8 @@
     pub(crate) leases_over_at: u64,
     pub(crate) leaving: bool,
     pub(crate) limits: Limits,
+    /// Workers whose `long_lease_until` is not over.
+    pub(crate) long_leases: BTreeSet<Arc<str>>,
     /// The loads of serving jobs.
     pub(crate) loads: HashMap<job::Id, Load>,
     /// Unknown jobs whose tickets are being read.
@@ -211,6 +213,7 @@
                 .max(start.loaded_at + limits::LISTING_WAIT_MS),
             leaving: false,
             limits: start.limits,
+            long_leases: BTreeSet::new(),
             loads: HashMap::new(),
             lookups: BTreeSet::new(),
             lost: false,
@@ -247,6 +250,7 @@
             cell.unfenced.insert(id.clone());
             cell.workers.insert(id, Worker { fence, is_member: false, ..Worker::new(None) });
         }
+        cell.inherit_long_leases();
         cell
     }
 
@@ -305,6 +309,7 @@
     fn run_due_work(&mut self, clock: Clock) {
         self.forget_lapsed(clock);
         self.settle(clock);
+        self.end_long_leases(clock);
         self.take_inventory(clock);
         self.release_unlisted(clock);
         self.release_expired(clock);
@@ -519,6 +524,7 @@
             .filter(|(id, worker)| {
                 !worker.is_member && worker.runs.is_empty() && !self.unfenced.contains(*id)
             })
+            .filter(|(id, _)| !self.long_leases.contains(*id))
             // Whether it has crashed is still to be learned.
             .filter(|(_, worker)| worker.lapsed_runs.is_empty() || worker.missing_since.is_none())
             .map(|(id, _)| id.clone())
--- a/crates/fleet/src/cell_balance.rs
+++ b/crates/fleet/src/cell_balance.rs
@@ -150,7 +150,7 @@
                 break;
             }
             let Some(job) = self.jobs.get(id) else { continue };
-            if job.moving_to.is_some() || job.recovered && !self.unfenced.is_empty() {
+            if job.moving_to.is_some() || self.is_unsettled(job) {
                 continue;
             }
             let waited = clock.unix.saturating_sub(job.accepted_at_ms);
@@ -214,15 +214,15 @@
         if !self.policy.splits {
             return;
         }
-        let all_fenced = self.unfenced.is_empty();
         let mut splits = Vec::new();
         for (_, _, id) in &self.unfinished_jobs {
+            let is_unsettled = self.jobs.get(id).is_some_and(|job| self.is_unsettled(job));
             let Some(job) = self.jobs.get_mut(id) else { continue };
             if !job.begun || !job.is_lasting() || job.splitting.is_some() {
                 continue;
             }
             let waiting = job.waiting_tasks();
-            if waiting.is_empty() || job.recovered && !all_fenced {
+            if waiting.is_empty() || is_unsettled {
                 job.waiting_since = None;
                 continue;
             }
--- a/crates/fleet/src/cell_crashes.rs
+++ b/crates/fleet/src/cell_crashes.rs
@@ -266,6 +266,8 @@
                 Some(Phase::Planned { change, .. }) => self.is_recorded(name.job, change),
                 _ => false,
             };
+            // The next owner has to know of the lease, too.
+            let is_told = !self.is_long_lease_untold(clock.now, &id);
             let Some(worker) = self.workers.get_mut(&id) else { continue };
             // Its capacity may have shrunk since.
             let fits = worker.reserved.fits(&worker.capacity());
@@ -279,7 +281,7 @@
                 continue;
             }
             let waited = until.is_some_and(|until| clock.now >= until);
-            if may_start && takes_starts && (is_recorded || waited) {
+            if may_start && takes_starts && is_told && (is_recorded || waited) {
                 run.phase = Phase::Starting { retry_at: None, uncertain: false };
                 run.started = clock.now;
                 self.order_start(clock, &id, name);
--- a/crates/fleet/src/cell_orders.rs
+++ b/crates/fleet/src/cell_orders.rs
@@ -34,7 +34,8 @@
         task.status = Status::Active { worker: id.clone(), run };
         let suspicion = task.suspicion.level();
         let level = suspicion.max(gang_level);
-        let traced = recovered || level > 0;
+        let has_long_lease = worker.has_long_lease(clock.now, self.limits.longest_lease_ms());
+        let traced = recovered || level > 0 || has_long_lease;
         let born = worker.born;
         task.trace = traced.then(|| Trace { born, run, shared: false, worker: (**id).into() });
         task.ready_since = None;
@@ -53,7 +54,7 @@
         let run = self.workers.get_mut(id).and_then(|worker| worker.runs.get_mut(&name));
         if let Some(run) = run {
             // A new owner holds tasks back that have never run: those that have must not wait.
-            let urgent = level <= 1 && !unstarted;
+            let urgent = level <= 1 && !unstarted && !has_long_lease;
             let until = urgent.then(|| clock.now + cell_crashes::RECORD_WAIT_MS);
             run.phase = Phase::Planned { change, first: unstarted, until };
             self.planned.insert((id.clone(), name));
@@ -210,7 +211,9 @@
             .map(|task| task.checkpoint.clone())
             .unwrap_or_default();
         let Some(worker) = self.workers.get_mut(id) else { return };
-        let accepts_runs = worker.accepts_runs() && worker.takes_starts();
+        // With a long lease, a run has to be recorded first.
+        let has_long_lease = worker.has_long_lease(clock.now, self.limits.longest_lease_ms());
+        let accepts_runs = worker.accepts_runs() && worker.takes_starts() && !has_long_lease;
         let Some(run) = worker.runs.get(&name) else { return };
         let (phase, number) = (run.phase, run.number);
         let is_recent = clock.now < run.started + START_RETRY_WINDOW_MS;
--- a/crates/fleet/src/cell_polls.rs
+++ b/crates/fleet/src/cell_polls.rs
@@ -94,6 +94,7 @@
             worker.life_fenced = worker.polled_fence > worker.ordered_fence;
         }
         let answers_again = !worker.fenced || worker.missed_polls > 0;
+        let mut is_long = false;
         if restarted {
             worker.acknowledged = 0;
             worker.processed = 0;
@@ -104,9 +105,14 @@
             let may_hold = granted || !listing.running.is_empty();
             let longest = listing.clock_ms.saturating_add(self.limits.max_lease_ms);
             worker.granted_until = if may_hold { longest } else { 0 };
+            is_long = may_hold;
             worker.observed_at = 0;
             self.unlisted.retain(|(holder, _), _| holder != id);
         }
+        if !worker.fenced {
+            let left_ms = worker.long_lease_until.saturating_sub(clock.now);
+            worker.granted_until = listing.clock_ms.saturating_add(left_ms);
+        }
         worker.born = listing.born;
         worker.clock = Some((listing.clock_ms, clock.now));
         worker.fenced = true;
@@ -131,6 +137,7 @@
             self.note_fenced(clock.now, id);
         }
         if restarted {
+            self.note_long_lease(id, is_long);
             self.note_silence(clock, id);
             self.suspect_runs(id, true);
         } else {
@@ -146,6 +153,9 @@
             self.apply_running(clock, id, sent, row);
         }
         self.find_unlisted(clock, id, sent, &listing);
+        if restarted {
+            self.record_long_runs(clock.now, id);
+        }
         self.update_paces(clock, id);
     }
 
@@ -381,6 +391,7 @@
         let step = stage.step.clone();
         let Some(task) = stage.tasks.get_mut(usize::from(name.index)) else { return };
         let suspicion = task.suspicion.level();
+        let longest_ms = self.limits.longest_lease_ms();
         let wanted = !over && task.status == Status::Waiting;
         let unrecorded = step.lasting && !task.has_run();
         task.last_run = task.last_run.max(row.run);
@@ -395,6 +406,7 @@
         run.pace = None;
         run.progress = row.progress;
         let trace = Trace { born: worker.born, run: row.run, shared: false, worker: (**id).into() };
+        let is_long = worker.has_long_lease(clock.now, longest_ms);
         worker.insert(name, run);
         let (worker, born) = (id.clone(), worker.born);
         let report = Report::Adopted { task: name, run: row.run, worker, born, wanted };
@@ -404,7 +416,7 @@
             task.status = Status::Active { worker: id.clone(), run: row.run };
             self.set_checkpoint(name, &row.checkpoint);
             self.note_shared(id, name);
-            if !mark_begun(&mut self.jobs, name.job) || unrecorded {
+            if !mark_begun(&mut self.jobs, name.job) || unrecorded || is_long {
                 self.mark_dirty(name.job);
             }
         } else {
--- a/crates/fleet/src/cell_record.rs
+++ b/crates/fleet/src/cell_record.rs
@@ -48,8 +48,8 @@
         };
         let returned =
             self.workers.values().any(|worker| worker.has_returned(clock.now, self.settled));
-        let awaits_fence = self.awaits_fence();
-        let idle = self.dirty.is_empty() && !returned && !awaits_fence;
+        let awaits_head = self.awaits_fence() || self.has_untold_long_lease(clock.now);
+        let idle = self.dirty.is_empty() && !returned && !awaits_head;
         if age < interval || (idle && (age < LOAD_INTERVAL_MS || self.leaving)) {
             return;
         }
@@ -59,7 +59,7 @@
         }
         // A commit with two entries writes only the head.
         let same_load = self.dirty.is_empty() && Self::same_load(&commit.head, &self.head);
-        if commit.entries() == 2 && same_load && !awaits_fence {
+        if commit.entries() == 2 && same_load && !awaits_head {
             self.committed_at = clock.now;
             return;
         }
@@ -220,6 +220,7 @@
             total_milli: 0,
             voters: self.next_voters(),
             former: self.former_workers(),
+            long_leases: self.next_long_leases(clock.now),
             vacated: BTreeSet::new(),
         };
         let vacated =
--- a/crates/fleet/src/cell_relocate.rs
+++ b/crates/fleet/src/cell_relocate.rs
@@ -79,7 +79,7 @@
     /// Returns whether a task of the job may start elsewhere now: jobs that this owner found wait until
     /// every worker has answered it.
     fn may_restart(&self, id: job::Id) -> bool {
-        self.unfenced.is_empty() || self.jobs.get(&id).is_some_and(|job| !job.recovered)
+        self.jobs.get(&id).map_or(self.unfenced.is_empty(), |job| !self.is_unsettled(job))
     }
 
     /// Returns whether another worker of the queue's service has room for the task, at `MIN_NEW_PACE` or
--- a/crates/fleet/src/cell_schedule.rs
+++ b/crates/fleet/src/cell_schedule.rs
@@ -108,7 +108,7 @@
     fn place_job(&mut self, clock: Clock, id: job::Id, pass: &mut Pass) -> usize {
         let Some(job) = self.jobs.get(&id) else { return 0 };
         let moving = job.moving_to.is_some() || job.splitting.is_some();
-        let unsettled = job.recovered && !self.unfenced.is_empty();
+        let unsettled = self.is_unsettled(job);
         if moving || unsettled {
             if job.moving_to.is_none() && !pass.restarts && job.has_unstarted() {
                 let step = job.unstarted_tasks().first().map_or(0, |&(step, _)| step);
--- a/crates/fleet/src/head.rs
+++ b/crates/fleet/src/head.rs
@@ -68,6 +68,10 @@
     /// extends them without that. They stay those of the last owner until the cell is settled.
     #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
     pub voters: BTreeSet<String>,
+    /// Workers whose leases may last longer than a new owner waits for, as they have started again lately, with how
+    /// long they may last, in milliseconds. Runs that they get are recorded with their worker before they are ordered.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub long_leases: BTreeMap<String, u64>,
     /// Workers that are not assigned to the cell any more, and may hold runs.
     #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
     pub former: BTreeSet<String>,
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -92,6 +92,7 @@
 mod cell_crashes;
 mod cell_lasting;
 mod cell_leases;
+mod cell_long_leases;
 mod cell_orders;
 mod cell_polls;
 mod cell_record;
--- a/crates/fleet/src/predecessor.rs
+++ b/crates/fleet/src/predecessor.rs
@@ -11,6 +11,9 @@
     pub former: BTreeSet<String>,
     /// Its number.
     pub generation: u32,
+    /// Workers whose leases may last longer than those of the others, with how long after its last commit they may
+    /// last, in milliseconds.
+    pub long_leases: BTreeMap<String, u64>,
     /// How its ownership ended.
     pub end: End,
     /// Whether the store tells of all lasting tasks of the cell that have run.
@@ -47,6 +50,7 @@
         Self {
             former: head.former.clone(),
             generation: head.generation,
+            long_leases: head.long_leases.clone(),
             end,
             records_starts: head.records_starts,
             settled: head.settled,
--- a/crates/fleet/src/wait.rs
+++ b/crates/fleet/src/wait.rs
@@ -123,7 +123,7 @@
             }
         } else if job.moving_to.is_some() || job.splitting.is_some() {
             Cause::Moving
-        } else if job.recovered && !self.unfenced.is_empty() {
+        } else if self.is_unsettled(job) {
             Cause::Unanswered
         } else if criteria.apart && self.waits_for_trial(&name) {
             Cause::Trial
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -39,6 +39,9 @@
     pub paused_until: u64,
     /// The latest end of a lease requested by this owner, in milliseconds on the worker's clock.
     pub granted_until: u64,
+    /// Until when its lease may last longer than orders ask for, since its life may have carried out an order for the
+    /// last one, in milliseconds; 0 if it does not.
+    pub long_lease_until: u64,
     /// Whether a poll is in flight.
     pub polling: bool,
     /// Whether the last poll asked for a lease.
@@ -120,6 +123,7 @@
             fenced: false,
             paused_until: 0,
             granted_until: 0,
+            long_lease_until: 0,
             polling: false,
             poll_grants: false,
             grant_in_doubt: false,
@@ -205,6 +209,18 @@
         self.missed_polls > 0 && self.lapsed_at().is_some_and(|at| at <= now)
     }
 
+    /// Returns whether its lease may last longer than a new owner waits for, at least `longest_ms` milliseconds from
+    /// now on.
+    pub(crate) fn has_long_lease(&self, now: u64, longest_ms: u64) -> bool {
+        self.long_lease_until > now + longest_ms
+    }
+
+    /// Returns whether it has told this owner all that runs and has ended there, if `covered_until` is the last moment
+    /// until which no other owner can have been there, in milliseconds.
+    pub(crate) fn has_told(&self, covered_until: u64) -> bool {
+        self.fenced && self.confirmed && !self.may_list_more_ends(covered_until)
+    }
+
     /// Returns whether it may list more ends of runs that count: those that it has not listed before its
     /// lease expires are void.
     pub fn may_list_more_ends(&self, now: u64) -> bool {
@@ -242,7 +258,7 @@
         match self.fenced {
             true => is_empty && (draining || self.has_lapsed(now)),
             // This owner has sent it no order. Of earlier ones it is known from the head, or from their leases.
-            false => is_empty && (self.vacated || settled),
+            false => is_empty && self.long_lease_until == 0 && (self.vacated || settled),
         }
     }
 
--- a/crates/fleet/tests/proofs.rs
+++ b/crates/fleet/tests/proofs.rs
@@ -282,6 +282,59 @@
     assert_done(&mut world);
 }
 
+/// TWICE: an order that was meant for the last life gave the new life a longer lease than a new owner waits for.
+#[test]
+fn a_new_owner_waits_for_the_longest_lease_that_a_new_life_may_have() {
+    let mut world = cell_with_a_long_lease();
+    world.owner_end = End::Ended;
+    world.take_over();
+    assert_done(&mut world);
+}
+
+/// The same for an owner that has stopped, and with another one after it that ends soon.
+#[test]
+fn owners_in_turn_wait_for_the_longest_lease_that_a_new_life_may_have() {
+    let mut world = cell_with_a_long_lease();
+    world.owner_end = End::Stopped { leases_over_at: world.now + 4_231 };
+    world.take_over();
+    assert_never_twice(&mut world, 1_000);
+    world.owner_end = End::Ended;
+    world.take_over();
+    assert_done(&mut world);
+}
+
+/// TWICE: a new owner had heard the worker and granted it a lease, and took that for the last one.
+#[test]
+fn a_new_owner_that_has_heard_a_worker_waits_for_its_longest_lease() {
+    let mut world = cell_with_a_long_lease();
+    let holder: Arc<str> = world.starts(task())[0].0.as_str().into();
+    world.worker(&holder).down_until = 0;
+    world.owner_end = End::Ended;
+    world.take_over();
+    assert_never_twice(&mut world, 500);
+    cut_off(&mut world, &holder);
+    assert_done(&mut world);
+}
+
+/// Other tasks that a new owner finds wait for its usual time only.
+#[test]
+fn no_other_job_waits_for_the_longest_lease_that_a_new_life_may_have() {
+    let mut world = cell_with_a_long_lease();
+    let holder = world.starts(task())[0].0.clone();
+    let other = if holder == "w1" { "w2" } else { "w1" };
+    shrink(&mut world, other);
+    world.submit("2", QUEUE, vec![step(1, 1)]);
+    world.advance(100);
+    world.owner_end = End::Ended;
+    world.take_over();
+    world.worker(other).capacity = None;
+    world.tell_members();
+    assert_never_twice(&mut world, 5_000);
+    assert_eq!(world.starts(name("2", 0, 0)).len(), 1);
+    assert_eq!(world.starts(task()).len(), 1);
+    assert_done(&mut world);
+}
+
 /// TWICE: a start without an answer was sent again and ran; the new life did not list it, and then got the
 /// first order.
 #[test]
@@ -544,15 +597,6 @@
 mod orders_for_an_earlier_life {
     use super::*;
 
-    /// TWICE: an order that was meant for the last life gave the new life a longer lease than a new owner waits for.
-    #[test]
-    fn a_new_owner_waits_for_the_longest_lease_that_a_new_life_may_have() {
-        let mut world = cell_with_a_long_lease();
-        world.owner_end = End::Ended;
-        world.take_over();
-        assert_done(&mut world);
-    }
-
     /// TWICE: the lease of the last life was over, and the new one got a start that had had no answer.
     #[test]
     fn a_start_without_an_answer_may_reach_a_new_life_after_the_lease_of_the_last_one() {
