--- a/crates/fleet/src/cell_polls.rs
+++ b/crates/fleet/src/cell_polls.rs
@@ -49,9 +49,12 @@
             Err(Refusal::Reborn) if worker.has_answered_at(sent) => {
                 self.handle_replacement(clock, id);
             }
-            Err(_) => {
+            Err(refusal) => {
                 worker.missed_polls += 1;
                 worker.unanswered_since.get_or_insert(clock.now);
+                if refusal == Refusal::Restarted {
+                    worker.poll_at = clock.now;
+                }
                 let missed = worker.missed_polls;
                 self.note_silence(clock, id);
                 if missed == 1 {
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -178,20 +178,18 @@
         let same_life = |old: &Registration| old.address == entry.address && old.born == entry.born;
         if !self.registration.as_ref().is_some_and(same_life) {
             self.addressed_at = now;
-            if entry.born.is_some_and(|born| self.born.is_some_and(|own| own != born)) {
+            let restarted = entry.born.is_some_and(|born| self.born.is_some_and(|own| own != born));
+            if self.polling && restarted {
                 self.expect_new_life(now);
             }
         }
         self.registration = Some(entry.clone());
     }
 
-    /// Ends the wait for the answer to a poll, since the worker has started again, so that it is polled at once.
+    /// Lets the worker be polled at once, since it has started again, without waiting for the answer to a poll.
     pub(crate) fn expect_new_life(&mut self, now: u64) {
-        if !self.polling {
-            return;
-        }
+        self.grant_in_doubt |= self.polling && self.poll_grants;
         self.polling = false;
-        self.grant_in_doubt |= self.poll_grants;
         self.missed_polls += 1;
         self.unanswered_since.get_or_insert(now);
         self.poll_at = now;
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -608,7 +608,13 @@
 
     fn perform(&mut self, action: Action) {
         match action {
-            Action::Poll { worker, fence, acknowledged, lease_until, wait_ms, .. } => {
+            Action::Poll { worker, life, fence, acknowledged, lease_until, wait_ms } => {
+                let harms = acknowledged > 0 || lease_until.is_some();
+                assert_eq!(
+                    life.is_some(),
+                    harms,
+                    "a poll that does harm in another life is for one"
+                );
                 let fake = self.workers.get_mut(&*worker).expect("a worker");
                 let answer = fake.poll(self.now, acknowledged, lease_until, fence);
                 self.polls_sent += 1;
@@ -619,7 +625,8 @@
                 self.polls.push((self.now, worker, self.now + wait_ms));
             }
             Action::Start { .. } if self.delays_starts => self.delayed.push(action),
-            Action::Start { worker, fence, task, run, lease_until, checkpoint, .. } => {
+            Action::Start { worker, life, fence, task, run, lease_until, checkpoint, .. } => {
+                assert!(life.is_some(), "a start is for one life");
                 let (now, run_ms) = (self.now, self.run_ms);
                 let fake = self.workers.get_mut(&*worker).expect("a worker");
                 let starts = fake.starts.len();
