--- a/crates/fleet/src/cell_crashes.rs
+++ b/crates/fleet/src/cell_crashes.rs
@@ -259,6 +259,7 @@
     /// owner that is slow, whose view grows old again and again, would never start them.
     pub(crate) fn order_planned(&mut self, clock: Clock) {
         let may_start = self.lease_ms(clock.now).is_some() && !self.view_stale;
+        let longest_ms = self.limits.longest_lease_ms();
         for (id, name) in std::mem::take(&mut self.planned) {
             let is_suitable = self.is_still_suitable(&id, &name);
             let run = self.workers.get(&id).and_then(|worker| worker.runs.get(&name));
@@ -266,22 +267,24 @@
                 Some(Phase::Planned { change, .. }) => self.is_recorded(name.job, change),
                 _ => false,
             };
-            // The next owner has to know of the lease, too.
-            let is_told = !self.is_long_lease_untold(clock.now, &id);
+            let is_untold = self.is_long_lease_untold(clock.now, &id);
             let Some(worker) = self.workers.get_mut(&id) else { continue };
             // Its capacity may have shrunk since.
             let fits = worker.reserved.fits(&worker.capacity());
             let accepts_runs =
                 worker.accepts_runs() && worker.missed_polls == 0 && fits && is_suitable;
             let takes_starts = worker.takes_starts();
-            let Some(run) = worker.runs.get_mut(&name) else { continue };
+            let Some(run) = worker.runs.get(&name) else { continue };
             let Phase::Planned { until, .. } = run.phase else { continue };
             if self.leaving || !accepts_runs && !self.view_stale {
                 self.release(&id, name, Proof::NotOrdered);
                 continue;
             }
-            let waited = until.is_some_and(|until| clock.now >= until);
-            if may_start && takes_starts && is_told && (is_recorded || waited) {
+            // The next owner has to know of a long lease and of its runs.
+            let waited = until.is_some_and(|until| clock.now >= until)
+                && !worker.has_long_lease(clock.now, longest_ms);
+            let Some(run) = worker.runs.get_mut(&name) else { continue };
+            if may_start && takes_starts && !is_untold && (is_recorded || waited) {
                 run.phase = Phase::Starting { retry_at: None, uncertain: false };
                 run.started = clock.now;
                 self.order_start(clock, &id, name);
--- a/crates/fleet/src/cell_long_leases.rs
+++ b/crates/fleet/src/cell_long_leases.rs
@@ -44,10 +44,11 @@
             let task = self.jobs.get_mut(&name.job).and_then(|job| job.task_mut(&name));
             let Some(task) = task else { continue };
             let active = task::Status::Active { worker: id.clone(), run };
-            if task.status != active || task.trace.is_some() {
+            if task.status != active {
                 continue;
             }
-            task.trace = Some(Trace { born, run, shared: false, worker: (**id).into() });
+            let trace = || Trace { born, run, shared: false, worker: (**id).into() };
+            task.trace.get_or_insert_with(trace);
             self.mark_dirty(name.job);
         }
     }
@@ -86,8 +87,10 @@
     /// Returns whether a worker has a long lease that the last head doesn't tell of.
     pub(crate) fn is_long_lease_untold(&self, now: u64, id: &Arc<str>) -> bool {
         let longest_ms = self.limits.longest_lease_ms();
-        let is_long = |worker: &Worker| worker.has_long_lease(now, longest_ms);
-        self.workers.get(id).is_some_and(is_long) && !self.head.long_leases.contains_key(&**id)
+        let Some(worker) = self.workers.get(id) else { return false };
+        // An earlier life may have had one.
+        let told_ms = self.head.long_leases.get(&**id).copied().unwrap_or(0);
+        worker.has_long_lease(now, longest_ms) && now + told_ms < worker.long_lease_until
     }
 
     /// Returns whether a planned start waits for a head that tells of the long lease of its worker.
@@ -100,9 +103,11 @@
     pub(crate) fn may_still_run(&self, task: &task::Task) -> bool {
         let Some(trace) = &task.trace else { return false };
         let id = trace.worker.as_str();
-        if !self.long_leases.contains(id) {
-            return false;
-        }
+        self.long_leases.contains(id) && self.awaits(id)
+    }
+
+    /// Returns whether a worker has not told yet what runs there.
+    fn awaits(&self, id: &str) -> bool {
         self.workers.get(id).is_some_and(|worker| !worker.has_told(self.confirmed_at))
     }
 
@@ -114,6 +119,8 @@
         let stages = job.occurrences.iter().flat_map(|occurrence| &occurrence.stages);
         let may_run =
             |task: &task::Task| task.status == task::Status::Waiting && self.may_still_run(task);
-        !self.unfenced.is_empty() || stages.flat_map(|stage| &stage.tasks).any(may_run)
+        let awaits_any = self.long_leases.iter().any(|id| self.awaits(id));
+        !self.unfenced.is_empty()
+            || awaits_any && stages.flat_map(|stage| &stage.tasks).any(may_run)
     }
 }
--- a/crates/fleet/src/cell_orders.rs
+++ b/crates/fleet/src/cell_orders.rs
@@ -54,7 +54,7 @@
         let run = self.workers.get_mut(id).and_then(|worker| worker.runs.get_mut(&name));
         if let Some(run) = run {
             // A new owner holds tasks back that have never run: those that have must not wait.
-            let urgent = level <= 1 && !unstarted && !has_long_lease;
+            let urgent = level <= 1 && !unstarted;
             let until = urgent.then(|| clock.now + cell_crashes::RECORD_WAIT_MS);
             run.phase = Phase::Planned { change, first: unstarted, until };
             self.planned.insert((id.clone(), name));
--- a/crates/fleet/src/cell_record.rs
+++ b/crates/fleet/src/cell_record.rs
@@ -119,6 +119,8 @@
             && (left.settling_ms == 0) == (right.settling_ms == 0)
             && left.voters == right.voters
             && left.former == right.former
+            // What a head tells of long leases is kept current.
+            && (right.long_leases.is_empty() || left.long_leases == right.long_leases)
             && left.vacated == right.vacated
     }
 
@@ -168,7 +170,10 @@
     /// Returns the workers that are not members any more and may hold runs.
     fn former_workers(&self) -> BTreeSet<String> {
         let may_hold_runs = |(id, worker): &(&Arc<str>, &Worker)| {
-            !worker.is_member && (!worker.runs.is_empty() || self.unfenced.contains(*id))
+            let may_hold = !worker.runs.is_empty()
+                || self.unfenced.contains(*id)
+                || self.long_leases.contains(*id);
+            !worker.is_member && may_hold
         };
         let former = self.workers.iter().filter(may_hold_runs);
         former.map(|(id, _)| (**id).to_owned()).collect()
--- a/crates/fleet/tests/proofs.rs
+++ b/crates/fleet/tests/proofs.rs
@@ -335,6 +335,36 @@
     assert_done(&mut world);
 }
 
+/// LOST: a head told of a long lease that had been over for long.
+#[test]
+fn a_long_lease_that_is_over_holds_no_task_back() {
+    let mut world = cell_with_a_long_lease();
+    let holder: Arc<str> = world.starts(task())[0].0.as_str().into();
+    world.worker(&holder).down_until = 0;
+    world.advance(12_000);
+    assert!(world.cell.head().0.long_leases.is_empty());
+    cut_off(&mut world, &holder);
+    world.owner_end = End::Ended;
+    world.take_over();
+    assert_never_twice(&mut world, 5_500);
+    assert_eq!(world.starts(task()).len(), 2);
+}
+
+/// TWICE: a worker that was taken out of the cell had a long lease, and the second of two owners in turn did not know of it.
+#[test]
+fn owners_in_turn_wait_for_the_long_lease_of_a_worker_that_was_taken_out_of_the_cell() {
+    let mut world = cell_with_a_long_lease();
+    let holder = world.starts(task())[0].0.clone();
+    world.worker(&holder).unassigned = true;
+    world.tell_members();
+    assert_never_twice(&mut world, 600);
+    world.owner_end = End::Ended;
+    world.take_over();
+    assert_never_twice(&mut world, 4_900);
+    world.take_over();
+    assert_done(&mut world);
+}
+
 /// TWICE: a start without an answer was sent again and ran; the new life did not list it, and then got the
 /// first order.
 #[test]
