--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -347,7 +347,8 @@
     let config = node.config.borrow().clone().unwrap_or_default();
     log::info!(
         cell, jobs = jobs.len(), revision = items.revision,
-        predecessor:? = predecessor.end, settled = predecessor.settled, vacated = predecessor.vacated.len(); "cell_loaded"
+        predecessor:? = predecessor.end, settled = predecessor.settled, vacated = predecessor.vacated.len(),
+        long_leases:serde = predecessor.long_leases; "cell_loaded"
     );
     let start = cell::Start {
         acquired_at: acquisition.answered_at,
