--- a/crates/soak/src/cuts.rs
+++ b/crates/soak/src/cuts.rs
@@ -48,11 +48,7 @@
     pub(crate) async fn run_all_series(self: Rc<Self>, end: Instant, series: &[Series]) {
         // How often requests draw depends on timing, so each series has a source of its own.
         let source = |number: u64| Pcg64Mcg::seed_from_u64(!(self.plan.seed ^ number << 32));
-        let mut random = source(0);
-        for number in 0..self.workers.len() {
-            let phase = random.random_range(Duration::ZERO..HEARTBEAT);
-            spawn_local(self.clone().keep_beating(number, phase));
-        }
+        self.start_beats(source(0));
         let series: Vec<_> = (1..)
             .zip(series)
             .map(|(number, (interval_ms, begin))| {
@@ -83,10 +79,20 @@
         }
     }
 
+    /// Lets every worker write its entry from now on, so that the entry is soon that of its current life.
+    pub(crate) fn start_beats(self: &Rc<Self>, mut random: Pcg64Mcg) {
+        for number in 0..self.workers.len() {
+            let phase = random.random_range(Duration::ZERO..HEARTBEAT);
+            spawn_local(self.clone().keep_beating(number, phase));
+        }
+    }
+
     async fn keep_beating(self: Rc<Self>, number: usize, phase: Duration) {
         sleep(phase).await;
         loop {
-            self.beat(number);
+            if !self.workers[number].0.is_down() {
+                self.beat(number);
+            }
             sleep(HEARTBEAT).await;
         }
     }
--- a/crates/soak/src/presence.rs
+++ b/crates/soak/src/presence.rs
@@ -77,9 +77,7 @@
     /// Returns the workers whose entries say that they are ready.
     fn ready_workers(&self) -> Vec<&UsersWorker> {
         let is_ready = |worker: &&UsersWorker| {
-            let entries = self.store.values(&format!("servers/{}", worker.id));
-            let entry = entries.first().and_then(|(_, value)| serde_json::from_slice(value).ok());
-            entry.is_some_and(|entry: Value| entry["state"] == "ready")
+            self.worker_entry(worker).is_some_and(|entry| entry["state"] == "ready")
         };
         self.workers.iter().map(|(worker, _)| worker).filter(is_ready).collect()
     }
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -99,6 +99,9 @@
     async fn execute(self: Rc<Self>) -> miette::Result<Report> {
         self.wait_ready().await?;
         let end = Instant::now() + self.plan.fault_duration;
+        if matches!(self.plan.disruption, Disruption::Crashes | Disruption::Faults) {
+            self.start_beats(Pcg64Mcg::seed_from_u64(!self.plan.seed));
+        }
         let injecting = match self.plan.disruption {
             Disruption::Crashes => spawn_local(self.clone().crash(end)),
             Disruption::Cuts => spawn_local(self.clone().cut_off(end)),
@@ -334,20 +337,38 @@
         self.check_entries().await;
     }
 
-    /// Reports each VM that runs and has no entry in the store: it would take part in nothing.
+    /// Reports each VM that runs and has no entry in the store: it would take part in nothing. Reports each worker whose
+    /// entry is not that of its current life: it would get no runs.
     async fn check_entries(&self) {
         let end = Instant::now() + ENTRY_TIMEOUT;
         let missing = || {
             let keys = (0..self.vms.len()).map(vm::entry_key);
             keys.filter(|key| self.store.revision(key) == 0).collect::<Vec<String>>()
         };
-        while !missing().is_empty() && Instant::now() < end {
+        let outdated = || {
+            let workers = self.workers.iter().map(|(worker, _)| worker);
+            let is_outdated = |worker: &&UsersWorker| {
+                self.worker_entry(worker).is_none_or(|entry| entry["born"] != worker.life())
+            };
+            workers.filter(is_outdated).map(UsersWorker::key).collect::<Vec<String>>()
+        };
+        while !(missing().is_empty() && outdated().is_empty()) && Instant::now() < end {
             self.spawn_vms();
             sleep(Duration::from_millis(100)).await;
         }
         for key in missing() {
             self.ledger.record_violation(format!("a VM runs without its entry {key}"));
         }
+        for key in outdated() {
+            self.ledger
+                .record_violation(format!("a worker runs without an entry of its life in {key}"));
+        }
+    }
+
+    /// Returns the worker's entry in the store, if it has one.
+    pub(crate) fn worker_entry(&self, worker: &UsersWorker) -> Option<Value> {
+        let entries = self.store.values(&worker.key());
+        entries.first().and_then(|(_, value)| serde_json::from_slice(value).ok())
     }
 
     /// Checks the executions of every job at the workers, and returns the report.
--- a/crates/standin/src/users_worker.rs
+++ b/crates/standin/src/users_worker.rs
@@ -202,6 +202,11 @@
         self.started.elapsed().as_millis() as u64 * self.clock_percent / 100
     }
 
+    /// Returns whether it does nothing yet after a crash.
+    fn is_down(&self) -> bool {
+        self.down_until.is_some_and(|until| Instant::now() < until)
+    }
+
     /// Extends the lease as an order or a poll asks.
     fn extend_lease(&mut self, deadline_ms: u64) {
         let longest_ms = self.clock_ms() + MAX_LEASE_MS;
@@ -346,6 +351,16 @@
         lock(&self.state).draining_since.is_some()
     }
 
+    /// Returns the number of its current life, as its entry and listings tell it.
+    pub fn life(&self) -> u64 {
+        lock(&self.state).incarnation
+    }
+
+    /// Returns whether it does nothing yet after a crash by a task.
+    pub fn is_down(&self) -> bool {
+        lock(&self.state).is_down()
+    }
+
     /// Returns the processors that its runs leave, in thousandths of a core.
     pub fn free_milli(&self) -> u64 {
         let state = lock(&self.state);
@@ -499,7 +514,7 @@
         let fence = body["fencing_token"].as_u64().unwrap_or(0);
         {
             let mut state = lock(&self.state);
-            if state.down_until.is_some_and(|until| Instant::now() < until) {
+            if state.is_down() {
                 return respond(503, &json!({}));
             }
             if fence < state.fence {
