--- a/crates/fleet/src/assignment.rs
+++ b/crates/fleet/src/assignment.rs
@@ -20,7 +20,8 @@
     /// Memory, in MiB; 0 if the VM's settings don't tell.
     #[serde(default)]
     pub memory_mib: u64,
-    /// The incarnation of the process that wrote the entry: the VM's name and address, `#`, and its start.
+    /// The incarnation of the process that wrote the entry: the VM's name and the addresses that it holds, `#`, and
+    /// its start by the time of day and by the machine's steady clock.
     #[serde(default)]
     pub incarnation: String,
     /// The revision of the entry.
@@ -52,12 +53,18 @@
 
 impl Vm {
     /// Returns whether the process that wrote this entry runs in place of the incarnation `owner` on the
-    /// same VM, which wrote something at `revision`. A process writes its entry before anything else, and
-    /// only over that of an earlier one, so a later entry shows that `owner` has ended.
+    /// same VM, which wrote something at `revision`. A process writes its entry only once it holds its addresses, so
+    /// `owner`, which held the same ones, has ended. The late entry of a process that was started before `owner`
+    /// doesn't show that.
     pub fn replaces(&self, owner: &str, revision: u64) -> bool {
-        let vm = |incarnation: &str| incarnation.split_once('#').map(|(vm, _)| vm.to_owned());
-        let same_vm = vm(owner).is_some_and(|owner| vm(&self.incarnation) == Some(owner));
-        same_vm && self.incarnation != owner && self.revision > revision
+        let (Some((vm, start)), Some((owner_vm, owner_start))) =
+            (split_incarnation(&self.incarnation), split_incarnation(owner))
+        else {
+            return false;
+        };
+        // The time of day may have been set back, and the steady clock begins anew with the machine.
+        let is_earlier = start.0 < owner_start.0 && start.1 < owner_start.1;
+        vm == owner_vm && self.incarnation != owner && !is_earlier && self.revision > revision
     }
 
     /// Returns whether a process that was started later has written this entry of a VM, from the view of the process
@@ -179,6 +186,13 @@
     }
 }
 
+/// Returns what an incarnation tells of the VM, and the start of the process by both clocks.
+fn split_incarnation(incarnation: &str) -> Option<(&str, (u64, u64))> {
+    let (vm, start) = incarnation.split_once('#')?;
+    let (unix, steady) = start.split_once('.')?;
+    Some((vm, (unix.parse().ok()?, steady.parse().ok()?)))
+}
+
 /// Returns the number of cells for this number of workers.
 fn cell_count(vms: &BTreeMap<String, Vm>, eligible: &[&String], workers: usize) -> usize {
     let least =
--- a/crates/fleet/tests/cells.rs
+++ b/crates/fleet/tests/cells.rs
@@ -69,6 +69,7 @@
     Event::Heads { heads, owners }
 }
 
+/// TWICE: an owner that lives would be taken for ended.
 #[test]
 fn a_later_process_of_the_same_vm_shows_that_an_owner_has_ended() {
     let vm = |incarnation: &str, revision| Vm {
@@ -77,10 +78,14 @@
         memory_mib: 0,
         revision,
     };
-    let owner = "x@10.0.0.1#1.1";
-    assert!(vm("x@10.0.0.1#2.1", 9).replaces(owner, 8));
-    assert!(!vm("x@10.0.0.1#2.1", 7).replaces(owner, 8), "written before the owner's entry");
-    assert!(!vm("x@10.0.0.2#2.1", 9).replaces(owner, 8), "another VM of the same name");
+    let owner = "x@10.0.0.1/10.0.0.1:80#5.5";
+    assert!(vm("x@10.0.0.1/10.0.0.1:80#6.6", 9).replaces(owner, 8));
+    assert!(vm("x@10.0.0.1/10.0.0.1:80#6.1", 9).replaces(owner, 8), "the machine started again");
+    assert!(vm("x@10.0.0.1/10.0.0.1:80#4.6", 9).replaces(owner, 8), "the time was set back");
+    assert!(!vm("x@10.0.0.1/10.0.0.1:80#6.6", 7).replaces(owner, 8), "written before the owner's");
+    assert!(!vm("x@10.0.0.1/10.0.0.1:80#4.4", 9).replaces(owner, 8), "a late entry");
+    assert!(!vm("x@10.0.0.1/10.0.0.1:81#6.6", 9).replaces(owner, 8), "both may hold their ports");
+    assert!(!vm("x@10.0.0.2/10.0.0.2:80#6.6", 9).replaces(owner, 8), "another VM of the same name");
     assert!(!vm(owner, 9).replaces(owner, 8), "the same process");
     assert!(!vm("", 9).replaces("", 8), "unknown");
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -60,7 +60,8 @@
     pub(crate) cell_acquired: Notify,
     /// Notified when a cell waits for an answer of the store by which this VM still owns it.
     pub(crate) confirmation_due: Notify,
-    /// Identifies this start of the process, by the VM's name and address and the time.
+    /// Identifies this start of the process, by the VM's name and address, the address that it holds for callers, and
+    /// the time.
     pub(crate) incarnation: String,
     /// How the last ownership of each cell by this process ended.
     pub(crate) stops: RefCell<BTreeMap<u32, Stop>>,
@@ -119,7 +120,10 @@
             cell_acquired: Notify::new(),
             confirmation_due: Notify::new(),
             cells: RefCell::default(),
-            incarnation: format!("{}@{}#{}.{}", boot.vm, boot.ip, start.unix, start.now),
+            incarnation: format!(
+                "{}@{}/{}#{}.{}",
+                boot.vm, boot.ip, boot.front, start.unix, start.now
+            ),
             stops: RefCell::default(),
             final_states: RefCell::default(),
             policy,
--- a/crates/node/tests/process/mod.rs
+++ b/crates/node/tests/process/mod.rs
@@ -75,6 +75,23 @@
         }
     }
 
+    /// Starts another process of the same VM beside this one, with ports that are higher by `port_offset`.
+    pub fn start_beside(&self, store: SocketAddr, port_offset: u16) -> Self {
+        let settings = self.settings.with_extension(format!("{port_offset}.conf"));
+        let moved =
+            |address: SocketAddr| SocketAddr::new(address.ip(), address.port() + port_offset);
+        let (front, metrics, ready) = (moved(self.front), moved(self.metrics), moved(self.ready));
+        // Of two lines, the later one counts.
+        let text = fs::read_to_string(&self.settings).unwrap();
+        let text = format!(
+            "{text}\nlisten.front={front}\nlisten.ready={ready}\nplatform.address={store}\n"
+        );
+        fs::write(&settings, text).unwrap();
+        let port = metrics.port().to_string();
+        let child = spawn_with(&settings, &["--metrics-port", &port]);
+        Self { child, settings, front, metrics, ready }
+    }
+
     /// Kills the process and starts another one in its place.
     pub fn restart(&mut self) {
         self.child.kill().unwrap();
@@ -167,9 +184,14 @@
 
 /// Starts the program with a file of settings; it logs beside that file.
 fn spawn(settings: &Path) -> Child {
+    spawn_with(settings, &[])
+}
+
+/// Starts the program with a file of settings and further arguments; it logs beside that file.
+fn spawn_with(settings: &Path, arguments: &[&str]) -> Child {
     let log = fs::File::create(settings.with_extension("log")).unwrap();
     let mut command = Command::new(env!("CARGO_BIN_EXE_oleanderstage-node"));
-    command.arg("--settings").arg(settings);
+    command.arg("--settings").arg(settings).args(arguments);
     command.stdin(Stdio::null()).stdout(log).spawn().unwrap()
 }
 
