--- a/crates/soak/src/cuts.rs
+++ b/crates/soak/src/cuts.rs
@@ -210,13 +210,18 @@
 
 pub(crate) fn begin_fault(soak: &Rc<Soak>, random: &mut Pcg64Mcg) -> Vec<JoinHandle<()>> {
     let vm = soak.vms[random.random_range(0..soak.vms.len())].clone();
-    let fault = VM_FAULTS[random.random_range(0..VM_FAULTS.len())];
-    let time = duration(random, FAULT_MS);
+    let (fault, time) = draw_fault(random);
     soak.count(fault.name());
     let soak = soak.clone();
     vec![spawn_local(async move { soak.apply_fault_to(fault, time, &vm, 0).await })]
 }
 
+/// Draws a fault of a VM, and its duration.
+pub(crate) fn draw_fault(random: &mut Pcg64Mcg) -> (Fault, Duration) {
+    let fault = VM_FAULTS[random.random_range(0..VM_FAULTS.len())];
+    (fault, duration(random, FAULT_MS))
+}
+
 /// Draws a duration from a range of milliseconds.
 pub(crate) fn duration(random: &mut Pcg64Mcg, range_ms: Range<u64>) -> Duration {
     Duration::from_millis(random.random_range(range_ms))
--- a/crates/soak/src/job.rs
+++ b/crates/soak/src/job.rs
@@ -27,7 +27,7 @@
 
 /// Share of jobs with a task that crashes each worker that starts it.
 const CRASHING_SHARE: f64 = 0.02;
-/// Share of jobs with longer tasks beside cuts and partitions, and their run time in milliseconds.
+/// Share of jobs with longer tasks beside cuts, partitions and restarts of workers, and their run time in milliseconds.
 const LONG_SHARE: f64 = 0.5;
 const LONG_MS: Range<u64> = 1_000..7_000;
 /// How long a caller waits for an answer.
@@ -219,7 +219,10 @@
             (0..random.random_range(1..=2)).map(|_| random.random_range(1..=4)).collect();
         let (mut estimate_ms, mut cpu_milli) =
             (random.random_range(50..900), random.random_range(500..4_000));
-        let is_cut = matches!(self.plan.disruption, Disruption::Cuts | Disruption::Partitions);
+        let is_cut = matches!(
+            self.plan.disruption,
+            Disruption::Cuts | Disruption::Lives | Disruption::Partitions
+        );
         if is_cut && random.random_bool(LONG_SHARE) {
             // Their work takes half of the room, so that more of them run on a worker.
             (estimate_ms, cpu_milli) = (random.random_range(LONG_MS), cpu_milli / 2);
--- a/crates/soak/src/ownership.rs
+++ b/crates/soak/src/ownership.rs
@@ -36,19 +36,32 @@
 
 /// Returns whether each cell of the assignment has the entry of the VM that it is assigned to.
 fn cells(store: &UsersStore) -> Vec<bool> {
-    let map = store.values("m/map");
-    let assignment: Value =
-        map.first().and_then(|(_, value)| serde_json::from_slice(value).ok()).unwrap_or_default();
-    let owners = assignment["owners"].as_array().cloned().unwrap_or_default();
+    let owners = assignment(store)["owners"].as_array().cloned().unwrap_or_default();
     let is_owned = |(cell, owner): (usize, &Value)| {
-        let entry = store.values(&format!("c/{cell}/@owner"));
-        let incarnation = entry.first().map(|(_, value)| String::from_utf8_lossy(value));
-        let vm = incarnation.as_ref().and_then(|text| text.split('@').next());
-        vm.is_some() && vm == owner.as_str()
+        let vm = holder(store, cell as u64);
+        vm.is_some() && vm.as_deref() == owner.as_str()
     };
     owners.iter().enumerate().map(is_owned).collect()
 }
 
+/// Returns the number of the VM that owns the worker's cell.
+pub(crate) fn owner(store: &UsersStore, worker: &str) -> Option<usize> {
+    let vm = holder(store, assignment(store)["workers"][worker].as_u64()?)?;
+    vm.strip_prefix("vm-")?.parse().ok()
+}
+
+fn assignment(store: &UsersStore) -> Value {
+    let map = store.values("m/map");
+    map.first().and_then(|(_, value)| serde_json::from_slice(value).ok()).unwrap_or_default()
+}
+
+/// Returns the VM that the cell's entry names.
+fn holder(store: &UsersStore, cell: u64) -> Option<String> {
+    let entry = store.values(&format!("c/{cell}/@owner"));
+    let incarnation = entry.first().map(|(_, value)| String::from_utf8_lossy(value).into_owned());
+    incarnation.and_then(|text| text.split('@').next().map(str::to_owned))
+}
+
 impl Soak {
     /// Looks at the cells until `end` and reports those that nobody owns for too long.
     pub(crate) async fn watch_ownership(self: Rc<Self>, end: Instant) {
