Soak: a stop whose last signal hits the next process counts as a fault of that one

Six seconds after a stop the soak sends SIGKILL to the VM. Where series overlap, its process may have ended and another one may run, which another series has asked to stop: that one was killed in its grace period, and a request that it held counted as cut off by a graceful stop.

The signal is sent as before. The check holds for all other stops, and for one that is hit like this as for one beside a kill.

--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -211,7 +211,15 @@
         match fault {
             Fault::Stop => {
                 vm.request_stop();
+                let stopped_at = vm.stop_requested_at.get();
                 sleep(Duration::from_secs(6)).await;
+                // The signal hits the grace period of a process that was started since then.
+                let hits_other =
+                    vm.stop_requested_at.get().is_some_and(|at| Some(at) != stopped_at);
+                if vm.is_running() && hits_other {
+                    vm.mark_disturbed();
+                    self.count("stop-cut-short");
+                }
                 vm.signal(Signal::KILL);
             }
             Fault::Hangup => vm.signal(Signal::HUP),
