--- a/crates/fleet/src/cell_long_leases.rs
+++ b/crates/fleet/src/cell_long_leases.rs
@@ -1,7 +1,7 @@
 //! Leases that last longer than a new owner waits for. A worker that has started again may have carried out an order
 //! for its last life, whose deadline is on the clock of that life and may ask for the longest lease. Its owner knows
 //! when that lease is over and tells its successor, with the runs that the worker gets meanwhile. The successor starts
-//! these tasks elsewhere once the worker has answered or that lease is over; no other task waits for it. Answers this
+//! these tasks elsewhere once the worker has answered or that lease is over; no other job waits for it. Answers this
 //! load: workers that start again and are cut off, beside an owner that is lost.
 
 use super::*;
